--- /dev/null
+++ b/Makefile
@@ -0,0 +1,53 @@
+GO ?= go
+
+.PHONY: build run run-processes test race lint format format-check generate generated-check models tools bench bench-policy bench-scale ci
+
+build:
+	$(GO) build -o bin/snipeshed ./cmd/snipeshed
+	$(GO) build -o bin/standin ./cmd/standin
+	$(GO) vet ./...
+
+run: ## Starts stand-ins and three instances in one process on loopback.
+	$(GO) run ./cmd/standin demo
+
+run-processes: build ## The same as separate processes.
+	scripts/processes.sh
+
+test:
+	$(GO) test ./...
+
+race:
+	$(GO) test -race ./...
+
+tools:
+	scripts/tools.sh
+
+format: tools
+	.bin/gofumpt -w $$(git ls-files '*.go' | grep -v -E '\.(pb|twirp)\.go$$')
+
+format-check: tools
+	@test -z "$$(.bin/gofumpt -l $$(git ls-files '*.go' | grep -v -E '\.(pb|twirp)\.go$$'))" || { echo "run make format"; exit 1; }
+
+lint: tools
+	.bin/golangci-lint run ./...
+
+generate: tools
+	scripts/generate.sh
+
+generated-check: tools
+	scripts/current.sh
+
+models: ## Checks the protocol specifications; needs spin.
+	models/check.sh
+
+bench:
+	$(GO) run ./cmd/standin bench
+
+bench-policy:
+	$(GO) run ./cmd/standin bench-policy
+
+bench-scale:
+	$(GO) run ./cmd/standin bench-scale
+
+ci:
+	.ci/run
--- /dev/null
+++ b/app/doc.go
@@ -0,0 +1,2 @@
+// Package app puts the parts of one instance together.
+package app
--- /dev/null
+++ b/cli/doc.go
@@ -0,0 +1,2 @@
+// Package cli holds the commands of the snipeshed binary.
+package cli
--- /dev/null
+++ b/conf/load.go
@@ -0,0 +1,137 @@
+package conf
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/reflect/protoreflect"
+
+	"snipeshed/core"
+)
+
+// Load reads settings from a JSON file, fills in defaults and checks every value.
+func Load(path string) (*Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &core.Error{
+			Kind: core.KindBadRequest, Message: fmt.Sprintf("settings file %q cannot be read", path),
+			Remedy: "give the path of a readable JSON file with --settings", Run: core.RunNot, Cause: err,
+		}
+	}
+	return Parse(path, b)
+}
+
+// Parse reads settings from JSON; name is used in errors.
+func Parse(name string, b []byte) (*Settings, error) {
+	s := &Settings{}
+	if err := protojson.Unmarshal(b, s); err != nil {
+		return nil, &core.Error{
+			Kind: core.KindBadRequest, Message: fmt.Sprintf("settings file %q is malformed", name),
+			Remedy: "run snipeshed settings for the list of settings and their types", Run: core.RunNot, Cause: err,
+		}
+	}
+	SetDefaults(s)
+	if err := Check(name, s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// SetDefaults gives every unset field the default of its rule.
+func SetDefaults(s *Settings) {
+	m := s.ProtoReflect()
+	fields := m.Descriptor().Fields()
+	for i := 0; i < fields.Len(); i++ {
+		f := fields.Get(i)
+		r := ruleOf(f)
+		if r.GetDefaultValue() == "" || m.Has(f) {
+			continue
+		}
+		switch f.Kind() {
+		case protoreflect.Int64Kind:
+			n, err := strconv.ParseInt(r.GetDefaultValue(), 10, 64)
+			if err != nil {
+				panic(fmt.Sprintf("default of setting %q is not a number", f.Name()))
+			}
+			m.Set(f, protoreflect.ValueOfInt64(n))
+		case protoreflect.StringKind:
+			m.Set(f, protoreflect.ValueOfString(r.GetDefaultValue()))
+		default:
+			panic(fmt.Sprintf("setting %q has a kind without defaults", f.Name()))
+		}
+	}
+}
+
+// Check verifies that required settings are given and that every value is in its range.
+func Check(name string, s *Settings) error {
+	m := s.ProtoReflect()
+	fields := m.Descriptor().Fields()
+	for i := 0; i < fields.Len(); i++ {
+		if err := checkField(name, m, fields.Get(i)); err != nil {
+			return err
+		}
+	}
+	if !validLevel(s.GetLogLevel()) {
+		return fieldError(name, "log_level", s.GetLogLevel(), "use debug, info, warn or error")
+	}
+	return nil
+}
+
+func checkField(name string, m protoreflect.Message, f protoreflect.FieldDescriptor) error {
+	r := ruleOf(f)
+	field := string(f.Name())
+	v := m.Get(f)
+	if r.GetRequired() && !m.Has(f) {
+		return fieldError(name, field, "", "set it: "+r.GetDoc())
+	}
+	switch {
+	case f.Kind() == protoreflect.Int64Kind:
+		if n := v.Int(); n < r.GetMin() || (r.GetMax() > 0 && n > r.GetMax()) {
+			return fieldError(name, field, strconv.FormatInt(n, 10),
+				fmt.Sprintf("use %d to %d %s", r.GetMin(), r.GetMax(), r.GetUnit()))
+		}
+	case r.GetUnit() == addressUnit && f.IsList():
+		for j := 0; j < v.List().Len(); j++ {
+			if err := checkAddress(name, field, v.List().Get(j).String()); err != nil {
+				return err
+			}
+		}
+	case r.GetUnit() == addressUnit:
+		return checkAddress(name, field, v.String())
+	}
+	return nil
+}
+
+const addressUnit = "host:port"
+
+func checkAddress(name, field, addr string) error {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || net.ParseIP(host) == nil {
+		return fieldError(name, field, addr, "use an IP number and a port, such as 127.0.0.1:8080")
+	}
+	if n, err := strconv.Atoi(port); err != nil || n < 0 || n > 65535 {
+		return fieldError(name, field, addr, "use a port from 0 to 65535")
+	}
+	return nil
+}
+
+func validLevel(level string) bool {
+	return strings.Contains(" debug info warn error ", " "+level+" ")
+}
+
+func fieldError(name, field, value, remedy string) error {
+	return &core.Error{
+		Kind: core.KindBadRequest, Run: core.RunNot,
+		Message: fmt.Sprintf("%s: setting %q has the value %q", name, field, value), Remedy: remedy,
+	}
+}
+
+func ruleOf(f protoreflect.FieldDescriptor) *Rule {
+	r, _ := proto.GetExtension(f.Options(), E_Rule).(*Rule)
+	return r
+}
--- /dev/null
+++ b/core/error.go
@@ -0,0 +1,77 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Kind classifies an error that a client or operator sees.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindBadRequest     Kind = "bad_request"
+	KindBadCredential  Kind = "bad_credential"
+	KindUnknownModel   Kind = "unknown_model"
+	KindUnknownService Kind = "unknown_service"
+	KindBodyTooLarge   Kind = "body_too_large"
+	KindKeyReused      Kind = "key_reused"
+	KindOverloaded     Kind = "overloaded"
+	KindDeadline       Kind = "deadline"
+	KindInProgress     Kind = "in_progress"
+	KindOutcomeUnknown Kind = "outcome_unknown"
+	KindStreamBroken   Kind = "stream_broken"
+	KindStoreDown      Kind = "store_down"
+	KindNoEndpoint     Kind = "no_endpoint"
+	KindLeaving        Kind = "leaving"
+	KindStaleState     Kind = "stale_state"
+	KindConflict       Kind = "conflict"
+	KindNotFound       Kind = "not_found"
+	KindInternal       Kind = "internal"
+)
+
+// Run says whether a request was run.
+type Run string
+
+// Values of Run. RunNot is used only where it is provable.
+const (
+	RunNot     Run = "not_run"
+	RunYes     Run = "run"
+	RunUnknown Run = "unknown"
+)
+
+// Error is a refusal or failure with its remedy.
+type Error struct {
+	Kind            Kind
+	Message         string
+	Remedy          string
+	Run             Run
+	RetryAfter      time.Duration
+	TokensDelivered Tokens
+	Cause           error
+}
+
+// Error returns the kind, message, cause and remedy.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("%s: %s", e.Kind, e.Message)
+	if e.Cause != nil {
+		s += ": " + e.Cause.Error()
+	}
+	if e.Remedy != "" {
+		s += "; " + e.Remedy
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// KindOf returns the kind of err, or KindInternal when it has none.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return KindInternal
+}
--- /dev/null
+++ b/core/runner.go
@@ -0,0 +1,96 @@
+package core
+
+import (
+	"context"
+	"errors"
+)
+
+// GenerateRequest asks an engine for a generation.
+type GenerateRequest struct {
+	RequestID RequestID `json:"request_id"`
+	Model     ModelName `json:"model"`
+	Prompt    string    `json:"prompt"`
+	MaxTokens Tokens    `json:"max_tokens"`
+	Priority  int64     `json:"priority"`
+	Seed      int64     `json:"seed"`
+}
+
+// Event is one line of a generation's stream.
+type Event struct {
+	GenerationID GenerationID `json:"generation_id,omitempty"`
+	RequestID    RequestID    `json:"request_id,omitempty"`
+	CachedTokens Tokens       `json:"cached_tokens,omitempty"`
+	Index        Tokens       `json:"i"`
+	Text         string       `json:"t,omitempty"`
+	Preempted    bool         `json:"preempted,omitempty"`
+	Done         bool         `json:"done,omitempty"`
+	FinishReason string       `json:"finish_reason,omitempty"`
+	Tokens       Tokens       `json:"tokens,omitempty"`
+}
+
+// Stream delivers the events of one generation.
+type Stream interface {
+	// Next returns the next event, or io.EOF after the last.
+	Next() (Event, error)
+	// Close ends reading; it does not cancel the generation.
+	Close() error
+}
+
+// GenerationStatus is how far a generation has come.
+type GenerationStatus struct {
+	RequestID RequestID `json:"request_id"`
+	Tokens    Tokens    `json:"tokens"`
+	Done      bool      `json:"done"`
+}
+
+// RunnerLoad is what an engine reports of itself, with a lag.
+type RunnerLoad struct {
+	KVUsed      Tokens       `json:"kv_used"`
+	KVCapacity  Tokens       `json:"kv_capacity"`
+	Running     int          `json:"running"`
+	Waiting     int          `json:"waiting"`
+	Leaving     bool         `json:"leaving"`
+	Model       ModelName    `json:"model"`
+	Version     string       `json:"version"`
+	Adapters    []string     `json:"adapters"`
+	Role        string       `json:"role"`
+	OrderNumber TicketNumber `json:"order_number"`
+	Preemptions int64        `json:"preemptions"`
+}
+
+// RunnerOrder states the whole state that an engine shall have.
+type RunnerOrder struct {
+	Number   TicketNumber `json:"number"`
+	Model    ModelName    `json:"model"`
+	Version  string       `json:"version"`
+	Adapters []string     `json:"adapters"`
+	Role     string       `json:"role"`
+}
+
+// Errors of a Runner.
+var (
+	// ErrNotSent means that the engine certainly never got the request.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrGone means that the engine does not know the generation.
+	ErrGone = errors.New("generation does not exist at the engine")
+	// ErrRunnerLeaving means that the engine takes no new work.
+	ErrRunnerLeaving = errors.New("engine is leaving")
+	// ErrOldOrder means that the engine has had an order with a higher number.
+	ErrOldOrder = errors.New("engine has a newer order")
+)
+
+// Runner is a model engine.
+type Runner interface {
+	// Generate starts a generation.
+	Generate(ctx context.Context, req GenerateRequest) (Stream, error)
+	// Resume continues a generation's stream from token from over a new connection.
+	Resume(ctx context.Context, id GenerationID, from Tokens) (Stream, error)
+	// Status asks over a new connection how far a generation has come.
+	Status(ctx context.Context, id GenerationID) (GenerationStatus, error)
+	// Cancel ends a generation.
+	Cancel(ctx context.Context, id GenerationID) error
+	// Load returns the engine's report of itself.
+	Load(ctx context.Context) (RunnerLoad, error)
+	// Order tells the engine which state to have.
+	Order(ctx context.Context, o RunnerOrder) error
+}
--- /dev/null
+++ b/core/store.go
@@ -0,0 +1,79 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"fmt"
+)
+
+// Object is a value in the platform's object API.
+type Object struct {
+	Key     string
+	Value   []byte
+	Version Version
+}
+
+// Change is one event of a watch; Deleted objects have no value.
+type Change struct {
+	Object
+	Deleted bool
+}
+
+// Store is the platform's object API.
+type Store interface {
+	// Get returns an object, or ErrNotFound.
+	Get(ctx context.Context, key string) (Object, error)
+	// Put writes if the object's version is still ifVersion; 0 means that it must not exist.
+	Put(ctx context.Context, key string, value []byte, ifVersion Version) (Version, error)
+	// Delete removes the object if its version is still ifVersion.
+	Delete(ctx context.Context, key string, ifVersion Version) error
+	// List returns objects with the prefix in key order after a key, and the revision of the answer.
+	List(ctx context.Context, prefix, after string, limit int) ([]Object, Version, error)
+	// Watch calls fn for each change after the revision and with nil for each heartbeat, until ctx ends or the watch breaks.
+	Watch(ctx context.Context, prefix string, since Version, fn func(*Change) error) error
+	// Up reports whether the object API counts as reachable.
+	Up() bool
+}
+
+// ErrNotFound means that an object does not exist.
+var ErrNotFound = errors.New("object not found")
+
+// ErrVersion means that a conditional update found another version.
+var ErrVersion = errors.New("object has another version")
+
+// Effect says whether a failed write may have taken effect.
+type Effect int
+
+// Values of Effect.
+const (
+	// EffectNone means that the write certainly had no effect.
+	EffectNone Effect = iota
+	// EffectUnknown means that the write may have taken effect, now or later.
+	EffectUnknown
+)
+
+// StoreError is a failed call of the object API.
+type StoreError struct {
+	Op     string
+	Key    string
+	Effect Effect
+	Cause  error
+}
+
+// Error returns the operation, key and cause.
+func (e *StoreError) Error() string {
+	effect := "it had no effect"
+	if e.Effect == EffectUnknown {
+		effect = "it may have taken effect; read the object back"
+	}
+	return fmt.Sprintf("%s %q failed: %v; %s", e.Op, e.Key, e.Cause, effect)
+}
+
+// Unwrap returns the cause.
+func (e *StoreError) Unwrap() error { return e.Cause }
+
+// MayHaveTakenEffect reports whether a failed write may have changed the store.
+func MayHaveTakenEffect(err error) bool {
+	var e *StoreError
+	return errors.As(err, &e) && e.Effect == EffectUnknown
+}
--- /dev/null
+++ b/scripts/current.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Fails when generated code or pages are older than the schema.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+files=$(git ls-files '*.pb.go' '*.twirp.go' docs/settings.md)
+before=$(cat $files | sha256sum)
+scripts/generate.sh
+after=$(cat $files | sha256sum)
+if [ "$before" != "$after" ]; then
+  echo "generated files were out of date; run make generate and commit them" >&2
+  exit 1
+fi
