Add error replies and HTTP clients and servers between instances

Cause: every listener needs the same error shape, limits and pings. Result: builds and lints; not yet exercised.

--- /dev/null
+++ b/io/doc.go
@@ -0,0 +1,2 @@
+// Package io groups the packages that touch the network.
+package io
--- /dev/null
+++ b/io/link/doc.go
@@ -0,0 +1,2 @@
+// Package link makes the HTTP clients and servers between instances and towards endpoints, with timeouts, pings and byte counts.
+package link
--- /dev/null
+++ b/io/link/link.go
@@ -0,0 +1,101 @@
+package link
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"snipeshed/conf"
+)
+
+// Link makes clients and servers from one instance's settings and counts the bytes of its clients.
+type Link struct {
+	cfg  *conf.Settings
+	sent atomic.Int64
+	rcvd atomic.Int64
+}
+
+// New returns a Link.
+func New(cfg *conf.Settings) *Link { return &Link{cfg: cfg} }
+
+// Bytes returns the bytes sent and received on connections that this Link's clients opened.
+func (l *Link) Bytes() (sent, received int64) { return l.sent.Load(), l.rcvd.Load() }
+
+// PeerClient returns a client that speaks only unencrypted HTTP/2 and pings idle connections.
+func (l *Link) PeerClient() *http.Client {
+	t := l.transport()
+	t.Protocols = new(http.Protocols)
+	t.Protocols.SetUnencryptedHTTP2(true)
+	t.HTTP2 = l.http2()
+	return &http.Client{Transport: t}
+}
+
+// EndpointClient returns a client that speaks HTTP/1.1, as endpoints are only known to speak that.
+func (l *Link) EndpointClient() *http.Client {
+	t := l.transport()
+	t.MaxIdleConnsPerHost = idlePerEndpoint
+	return &http.Client{Transport: t}
+}
+
+// idlePerEndpoint covers the streams that one engine runs at once.
+const idlePerEndpoint = 64
+
+const idleTimeout = 90 * time.Second
+
+func (l *Link) transport() *http.Transport {
+	d := &net.Dialer{Timeout: ms(l.cfg.GetDialTimeoutMs())}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: c, link: l}, nil
+		},
+		DisableCompression: true,
+		IdleConnTimeout:    idleTimeout,
+	}
+}
+
+func (l *Link) http2() *http.HTTP2Config {
+	return &http.HTTP2Config{
+		SendPingTimeout: ms(l.cfg.GetPingIntervalMs()),
+		PingTimeout:     ms(l.cfg.GetPingTimeoutMs()),
+	}
+}
+
+// Server returns a server with the listener limits of the settings that speaks HTTP/1.1 and unencrypted HTTP/2.
+func (l *Link) Server(h http.Handler) *http.Server {
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	p.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           h,
+		Protocols:         p,
+		HTTP2:             l.http2(),
+		ReadHeaderTimeout: ms(l.cfg.GetHeaderTimeoutMs()),
+		MaxHeaderBytes:    int(l.cfg.GetMaxHeaderBytes()),
+		IdleTimeout:       idleTimeout,
+	}
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+type countedConn struct {
+	net.Conn
+	link *Link
+}
+
+func (c *countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.link.rcvd.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.link.sent.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/io/reply/error.go
@@ -0,0 +1,92 @@
+package reply
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"snipeshed/core"
+)
+
+// Body is the JSON shape of an error.
+type Body struct {
+	Error Fields `json:"error"`
+}
+
+// Fields are the fields of an error.
+type Fields struct {
+	Kind            core.Kind      `json:"kind"`
+	Message         string         `json:"message"`
+	Remedy          string         `json:"remedy,omitempty"`
+	Run             core.Run       `json:"run"`
+	RequestID       core.RequestID `json:"request_id"`
+	RetryAfterMS    int64          `json:"retry_after_ms,omitempty"`
+	TokensDelivered core.Tokens    `json:"tokens_delivered,omitempty"`
+}
+
+var statuses = map[core.Kind]int{
+	core.KindBadRequest:     http.StatusBadRequest,
+	core.KindBadCredential:  http.StatusUnauthorized,
+	core.KindUnknownModel:   http.StatusNotFound,
+	core.KindUnknownService: http.StatusNotFound,
+	core.KindNotFound:       http.StatusNotFound,
+	core.KindBodyTooLarge:   http.StatusRequestEntityTooLarge,
+	core.KindKeyReused:      http.StatusUnprocessableEntity,
+	core.KindOverloaded:     http.StatusTooManyRequests,
+	core.KindDeadline:       http.StatusGatewayTimeout,
+	core.KindInProgress:     http.StatusConflict,
+	core.KindConflict:       http.StatusConflict,
+	core.KindOutcomeUnknown: http.StatusBadGateway,
+	core.KindStreamBroken:   http.StatusBadGateway,
+	core.KindStoreDown:      http.StatusServiceUnavailable,
+	core.KindNoEndpoint:     http.StatusServiceUnavailable,
+	core.KindLeaving:        http.StatusServiceUnavailable,
+	core.KindStaleState:     http.StatusServiceUnavailable,
+	core.KindInternal:       http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status of an error kind.
+func Status(k core.Kind) int {
+	if s, ok := statuses[k]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
+
+// Typed returns err as a *core.Error; an error without a kind becomes internal with an unknown outcome.
+func Typed(err error) *core.Error {
+	var e *core.Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &core.Error{
+		Kind: core.KindInternal, Message: "the request failed inside snipeshed",
+		Remedy: "report the request id to the operators", Run: core.RunUnknown, Cause: err,
+	}
+}
+
+// Marshal returns the JSON of an error.
+func Marshal(id core.RequestID, err error) []byte {
+	e := Typed(err)
+	f := Fields{
+		Kind: e.Kind, Message: e.Message, Remedy: e.Remedy, Run: e.Run, RequestID: id,
+		RetryAfterMS: e.RetryAfter.Milliseconds(), TokensDelivered: e.TokensDelivered,
+	}
+	b, _ := json.Marshal(Body{Error: f}) // plain fields always marshal
+	return b
+}
+
+// Error writes an error as the whole response.
+func Error(w http.ResponseWriter, id core.RequestID, err error) {
+	e := Typed(err)
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Request-Id", string(id))
+	if e.RetryAfter > 0 {
+		seconds := int64((e.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(Status(e.Kind))
+	_, _ = w.Write(Marshal(id, e)) // the client may be gone
+}
