--- a/core/policy.go
+++ b/core/policy.go
@@ -1,6 +1,9 @@
 package core
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Call is a generation that waits for an engine.
 type Call struct {
@@ -17,6 +20,9 @@
 	Avoid []EndpointID
 }
 
+// Avoids reports whether an endpoint already failed this call.
+func (c *Call) Avoids(ep EndpointID) bool { return slices.Contains(c.Avoid, ep) }
+
 // RankRule is the part of a rank's settings that the policy needs.
 type RankRule struct {
 	Name             RankName
