Add the data path from client to engine

Cause: a request needs a path through entry, pool owner and engine before anything else can be measured.

--- /dev/null
+++ b/core/frame.go
@@ -0,0 +1,45 @@
+package core
+
+// CallRequest is a generation that an entry forwards to the owner of a pool.
+type CallRequest struct {
+	RequestID    RequestID   `json:"request_id"`
+	Pool         PoolID      `json:"pool"`
+	Service      ServiceName `json:"service"`
+	Team         TeamName    `json:"team"`
+	Rank         RankName    `json:"rank"`
+	Model        ModelName   `json:"model"`
+	Prompt       string      `json:"prompt"`
+	MaxTokens    Tokens      `json:"max_tokens"`
+	Seed         int64       `json:"seed"`
+	DeadlineMS   int64       `json:"deadline_ms"`
+	ConfigNumber uint64      `json:"config_number"`
+	Avoid        []string    `json:"avoid,omitempty"`
+	// Resume continues a generation that another owner started.
+	Resume *ResumePoint `json:"resume,omitempty"`
+}
+
+// ResumePoint is where an interrupted stream goes on.
+type ResumePoint struct {
+	Endpoint   EndpointID   `json:"endpoint"`
+	Generation GenerationID `json:"generation_id"`
+	From       Tokens       `json:"from"`
+}
+
+// Frame is one line of a pool owner's answer to an entry; exactly one field is set.
+type Frame struct {
+	Started *ResumePoint `json:"started,omitempty"`
+	Event   *Event       `json:"event,omitempty"`
+	Load    *PoolLoad    `json:"load,omitempty"`
+	Error   *FrameError  `json:"error,omitempty"`
+}
+
+// FrameError carries an Error between instances.
+type FrameError struct {
+	Kind         Kind       `json:"kind"`
+	Message      string     `json:"message"`
+	Remedy       string     `json:"remedy"`
+	Run          Run        `json:"run"`
+	RetryAfterMS int64      `json:"retry_after_ms,omitempty"`
+	Tokens       Tokens     `json:"tokens,omitempty"`
+	Endpoint     EndpointID `json:"endpoint,omitempty"`
+}
--- /dev/null
+++ b/core/prefix/doc.go
@@ -0,0 +1,2 @@
+// Package prefix estimates prompt lengths and hashes growing prefixes of prompts.
+package prefix
--- /dev/null
+++ b/core/shard/doc.go
@@ -0,0 +1,2 @@
+// Package shard divides the endpoints of each model into pools.
+package shard
--- /dev/null
+++ b/io/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is the client of a model runner.
+package engine
--- /dev/null
+++ b/io/engine/stream.go
@@ -0,0 +1,62 @@
+package engine
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"snipeshed/core"
+)
+
+// bufferBytes holds several token lines; one buffer is kept per open stream.
+const bufferBytes = 2048
+
+type stream struct {
+	body io.ReadCloser
+	r    *bufio.Reader
+	long []byte
+}
+
+func newStream(body io.ReadCloser) *stream {
+	return &stream{body: body, r: bufio.NewReaderSize(body, bufferBytes)}
+}
+
+// Next returns the next event, or io.EOF after the last.
+func (s *stream) Next() (core.Event, error) {
+	var ev core.Event
+	for {
+		line, err := s.line()
+		if err != nil {
+			return ev, err
+		}
+		if len(line) <= 1 {
+			continue
+		}
+		if err := json.Unmarshal(line, &ev); err != nil {
+			return ev, fmt.Errorf("decode stream line: %w", err)
+		}
+		return ev, nil
+	}
+}
+
+// line returns the next line, which is valid until the next call.
+func (s *stream) line() ([]byte, error) {
+	part, err := s.r.ReadSlice('\n')
+	if err == nil {
+		return part, nil
+	}
+	s.long = s.long[:0]
+	for errors.Is(err, bufio.ErrBufferFull) {
+		s.long = append(s.long, part...)
+		part, err = s.r.ReadSlice('\n')
+	}
+	if errors.Is(err, io.EOF) && len(part) > 0 {
+		return nil, io.ErrUnexpectedEOF
+	}
+	return append(s.long, part...), err
+}
+
+// Close ends reading; it does not cancel the generation.
+func (s *stream) Close() error { return s.body.Close() }
--- /dev/null
+++ b/io/entry/auth.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+
+	"snipeshed/core"
+)
+
+// authenticate finds team and rank by the request's bearer key.
+func authenticate(cfg *core.Config, r *http.Request) (core.Credential, error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if ok {
+		sum := sha256.Sum256([]byte(key))
+		if cred, found := cfg.Keys[hex.EncodeToString(sum[:])]; found {
+			return cred, nil
+		}
+	}
+	return core.Credential{}, &core.Error{
+		Kind: core.KindBadCredential, Message: "the Authorization header names no known key",
+		Remedy: "send Authorization: Bearer <key> with a key of your team", Run: core.RunNot,
+	}
+}
+
+// allowed checks that a service exists and that the team may call it.
+func allowed(q *request, name core.ServiceName) error {
+	if q.cfg.Services[name] == nil {
+		return &core.Error{
+			Kind: core.KindUnknownService, Message: fmt.Sprintf("service %q does not exist", name),
+			Remedy: "use GET /v1/models for the names of model services", Run: core.RunNot,
+		}
+	}
+	services := q.cfg.Teams[q.cred.Team].GetServices()
+	if len(services) > 0 && !slices.Contains(services, string(name)) {
+		return &core.Error{
+			Kind: core.KindBadCredential, Message: fmt.Sprintf("team %q may not call service %q", q.cred.Team, name),
+			Remedy: "ask an operator to add the service to the team", Run: core.RunNot,
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/entry/chat.go
@@ -0,0 +1,215 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/wire"
+)
+
+// chatRequest is the part of the chat-completions request that is used; other fields are ignored.
+type chatRequest struct {
+	Model               string        `json:"model"`
+	Messages            []chatMessage `json:"messages"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           int64         `json:"max_tokens"`
+	MaxCompletionTokens int64         `json:"max_completion_tokens"`
+	Seed                *int64        `json:"seed"`
+	StreamOptions       struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+type chatPart struct {
+	Type     string `json:"type"`
+	Text     string `json:"text"`
+	ImageURL struct {
+		URL string `json:"url"`
+	} `json:"image_url"`
+}
+
+func badRequest(format string, args ...any) *core.Error {
+	return &core.Error{
+		Kind: core.KindBadRequest, Message: fmt.Sprintf(format, args...), Run: core.RunNot,
+		Remedy: "correct the request; see docs/clients.md for the format",
+	}
+}
+
+// prompt joins the messages into the text that the engine gets.
+func (c *chatRequest) prompt() (string, error) {
+	var b strings.Builder
+	for i, m := range c.Messages {
+		text, err := m.text()
+		if err != nil {
+			return "", badRequest("messages[%d].content is neither a string nor a list of parts", i)
+		}
+		b.WriteString(m.Role)
+		b.WriteString(": ")
+		b.WriteString(text)
+		b.WriteByte('\n')
+	}
+	return b.String(), nil
+}
+
+func (m *chatMessage) text() (string, error) {
+	var s string
+	if json.Unmarshal(m.Content, &s) == nil {
+		return s, nil
+	}
+	var parts []chatPart
+	if err := json.Unmarshal(m.Content, &parts); err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	for _, p := range parts {
+		b.WriteString(p.Text)
+		b.WriteString(p.ImageURL.URL)
+	}
+	return b.String(), nil
+}
+
+// defaultMaxTokens applies where neither the request nor the service sets a limit.
+const defaultMaxTokens = 32768
+
+// generation is a checked chat request.
+type generation struct {
+	*request
+	service      *wire.Service
+	stream       bool
+	includeUsage bool
+	timeout      time.Duration
+	call         core.CallRequest
+}
+
+func (e *Entry) chat(w http.ResponseWriter, r *http.Request, q *request) {
+	g, err := e.parse(w, r, q)
+	if err != nil {
+		e.refuse(w, q.id, err)
+		return
+	}
+	if g.stream {
+		e.answerStream(w, r, g)
+		return
+	}
+	e.answerWhole(w, r, g)
+}
+
+func (e *Entry) parse(w http.ResponseWriter, r *http.Request, q *request) (*generation, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.Settings.GetMaxBodyBytes()))
+	if err != nil {
+		return nil, bodyError(err, e.Settings.GetMaxBodyBytes())
+	}
+	var c chatRequest
+	if err := json.Unmarshal(body, &c); err != nil {
+		return nil, badRequest("the body is not a chat-completions request: %v", err)
+	}
+	if len(c.Messages) == 0 {
+		return nil, badRequest("messages is empty")
+	}
+	svc := q.cfg.Services[core.ServiceName(c.Model)]
+	if svc.GetModel() == "" {
+		return nil, &core.Error{
+			Kind: core.KindUnknownModel, Message: fmt.Sprintf("model %q does not exist", c.Model),
+			Remedy: "use GET /v1/models for the names", Run: core.RunNot,
+		}
+	}
+	if err := allowed(q, core.ServiceName(c.Model)); err != nil {
+		return nil, err
+	}
+	prompt, err := c.prompt()
+	if err != nil {
+		return nil, err
+	}
+	timeout, err := e.timeout(r, q, svc)
+	if err != nil {
+		return nil, err
+	}
+	g := &generation{request: q, service: svc, stream: c.Stream, includeUsage: c.StreamOptions.IncludeUsage, timeout: timeout}
+	g.call = core.CallRequest{
+		RequestID: q.id, Service: core.ServiceName(c.Model), Team: q.cred.Team, Rank: q.cred.Rank,
+		Model: core.ModelName(svc.GetModel()), Prompt: prompt, MaxTokens: maxTokens(&c, svc),
+		Seed: rand.Int64(), ConfigNumber: uint64(q.cfg.Number),
+	}
+	if c.Seed != nil {
+		g.call.Seed = *c.Seed
+	}
+	return g, nil
+}
+
+func bodyError(err error, limit int64) error {
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return &core.Error{
+			Kind: core.KindBodyTooLarge, Message: fmt.Sprintf("the body is over %d bytes", limit),
+			Remedy: "send a shorter request", Run: core.RunNot,
+		}
+	}
+	return badRequest("the body could not be read: %v", err)
+}
+
+func maxTokens(c *chatRequest, svc *wire.Service) core.Tokens {
+	limit := svc.GetMaxTokens()
+	if limit <= 0 {
+		limit = defaultMaxTokens
+	}
+	for _, n := range []int64{c.MaxTokens, c.MaxCompletionTokens} {
+		if n > 0 {
+			limit = min(limit, n)
+		}
+	}
+	return core.Tokens(limit)
+}
+
+// timeoutHeader sets a call's deadline.
+const timeoutHeader = "Snipeshed-Timeout-Ms"
+
+func (e *Entry) timeout(r *http.Request, q *request, svc *wire.Service) (time.Duration, error) {
+	if v := r.Header.Get(timeoutHeader); v != "" {
+		n, err := strconv.ParseInt(v, 10, 64)
+		if err != nil || n <= 0 {
+			return 0, badRequest("header %s has the value %q, which is no number of milliseconds", timeoutHeader, v)
+		}
+		return ms(n), nil
+	}
+	for _, n := range []int64{svc.GetTimeoutMs(), q.cfg.Ranks[q.cred.Rank].GetTimeoutMs()} {
+		if n > 0 {
+			return ms(n), nil
+		}
+	}
+	return ms(e.Settings.GetDefaultTimeoutMs()), nil
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (e *Entry) models(w http.ResponseWriter, _ *http.Request, q *request) {
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for name, svc := range q.cfg.Services {
+		if svc.GetModel() != "" && allowed(q, name) == nil {
+			list.Data = append(list.Data, modelItem{ID: string(name), Object: "model", OwnedBy: "snipeshed"})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(list) // the client may be gone
+}
--- /dev/null
+++ b/io/entry/dispatch.go
@@ -0,0 +1,271 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/io/host"
+	"snipeshed/io/peer"
+)
+
+// sink takes the events of one generation; reset drops what it holds and reports whether it could.
+type sink interface {
+	event(ev *core.Event) error
+	reset() bool
+}
+
+// progress is how far a call has come, across owners and attempts.
+type progress struct {
+	g     *generation
+	sink  sink
+	pool  core.PoolID
+	at    *core.ResumePoint
+	next  core.Tokens
+	done  bool
+	avoid []string
+	// maybeRun tells that an earlier attempt may have run, so that a later refusal does not prove the opposite.
+	maybeRun bool
+	// tried are the owners that did not take the call.
+	tried map[core.InstanceID]bool
+	// badPools are pools without a usable endpoint.
+	badPools []core.PoolID
+}
+
+// maxAttempts bounds the owners and generations that one request tries.
+const maxAttempts = 6
+
+// errClient means that the client could not be written to.
+var errClient = errors.New("client is gone")
+
+// generate runs a call to its end and hands its events to the sink.
+func (e *Entry) generate(ctx context.Context, g *generation, s sink) error {
+	ctx, cancel := context.WithDeadline(ctx, g.arrived.Add(g.timeout))
+	defer cancel()
+	e.Budget.Call(string(g.call.Team))
+	p := &progress{g: g, sink: s, tried: map[core.InstanceID]bool{}}
+	var last error
+	for i := 0; i < maxAttempts; i++ {
+		if p.pool == "" {
+			pool, err := e.choose(g, p.badPools)
+			if err != nil {
+				return p.typed(firstOf(last, err))
+			}
+			p.pool = pool
+		}
+		owner, err := e.owner(p)
+		if err != nil {
+			return p.typed(firstOf(last, err))
+		}
+		err = e.attempt(ctx, p, owner)
+		if err == nil {
+			return nil
+		}
+		if ctx.Err() != nil {
+			return p.ended(ctx)
+		}
+		last = err
+		if !e.again(p, owner, err) {
+			return p.typed(err)
+		}
+	}
+	return p.typed(last)
+}
+
+func firstOf(last, err error) error {
+	var typed *core.Error
+	if errors.As(last, &typed) {
+		return typed
+	}
+	return err
+}
+
+// owner returns the best instance for the pool that has not failed this call.
+func (e *Entry) owner(p *progress) (core.Peer, error) {
+	for _, o := range e.Members.Owners(e.Clock.Now(), host.Resource(p.pool), maxAttempts) {
+		if !p.tried[o.ID] {
+			return o, nil
+		}
+	}
+	return core.Peer{}, &core.Error{
+		Kind: core.KindNoEndpoint, Message: "no instance owns pool " + string(p.pool), Remedy: "send the request again later",
+		Run: core.RunNot, RetryAfter: time.Second,
+	}
+}
+
+// attempt runs the call once at one owner.
+func (e *Entry) attempt(ctx context.Context, p *progress, owner core.Peer) error {
+	req := p.g.call
+	req.Pool = p.pool
+	req.Resume = p.at
+	req.Avoid = p.avoid
+	if p.at != nil {
+		req.Resume = &core.ResumePoint{Endpoint: p.at.Endpoint, Generation: p.at.Generation, From: p.next}
+	}
+	deadline, _ := ctx.Deadline()
+	req.DeadlineMS = max(time.Until(deadline).Milliseconds(), 1)
+
+	// The owner hears of a client that is gone before the call's connection
+	// ends, because a lost connection alone does not cancel the generation.
+	cctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		e.cancelAt(owner, req.RequestID)
+		cancel()
+	})
+	defer stop()
+	recv := func(f *core.Frame) error {
+		err := e.receive(p, f)
+		if errors.Is(err, errClient) {
+			e.cancelAt(owner, req.RequestID)
+		}
+		return err
+	}
+	if owner.ID == e.Members.Self().ID {
+		return e.Host.Serve(cctx, &req, recv)
+	}
+	return e.Peer.Call(cctx, owner.Address, &req, recv)
+}
+
+// cancelTimeout bounds a cancellation; an orphan costs no more than its own length.
+const cancelTimeout = time.Second
+
+func (e *Entry) cancelAt(owner core.Peer, id core.RequestID) {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	if owner.ID == e.Members.Self().ID {
+		e.Host.Cancel(ctx, id)
+		return
+	}
+	if err := e.Peer.Cancel(ctx, owner.Address, id); err != nil {
+		e.Log.WithFields(map[string]any{"request_id": id, "instance": owner.ID, "error": err.Error()}).Warn("cancel failed")
+	}
+}
+
+// receive checks a frame against what has been delivered and hands it on.
+func (e *Entry) receive(p *progress, f *core.Frame) error {
+	switch {
+	case f.Load != nil:
+		e.loads.put(p.pool, *f.Load, e.Clock.Now())
+		return nil
+	case f.Started != nil:
+		if p.at != nil && p.at.Generation != f.Started.Generation {
+			e.Meter.Count("crossed_answers")
+			return fmt.Errorf("%w: owner answered with generation %q for %q", peer.ErrLost, f.Started.Generation, p.at.Generation)
+		}
+		p.at = f.Started
+		return nil
+	case f.Event != nil:
+		return e.deliver(p, f.Event)
+	}
+	return nil
+}
+
+func (e *Entry) deliver(p *progress, ev *core.Event) error {
+	switch {
+	case ev.Preempted:
+		e.Meter.Count("preemptions")
+		return nil
+	case ev.Done:
+		if ev.Tokens != p.next {
+			return fmt.Errorf("%w: answer ends at token %d of %d", peer.ErrLost, p.next, ev.Tokens)
+		}
+		p.done = true
+	case ev.Index < p.next:
+		e.Meter.Count("duplicate_tokens")
+		return nil
+	case ev.Index > p.next:
+		return fmt.Errorf("%w: answer skips from token %d to %d", peer.ErrLost, p.next, ev.Index)
+	default:
+		p.next++
+	}
+	if err := p.sink.event(ev); err != nil {
+		return fmt.Errorf("%w: %w", errClient, err)
+	}
+	return nil
+}
+
+// again decides whether a failed attempt is followed by another one.
+func (e *Entry) again(p *progress, owner core.Peer, err error) bool {
+	kind := core.KindOf(err)
+	switch {
+	case p.done || errors.Is(err, errClient):
+		return false
+	case errors.Is(err, peer.ErrUnreachable):
+		e.suspect(owner, err)
+		p.tried[owner.ID] = true
+		return true
+	case errors.Is(err, peer.ErrLost):
+		e.suspect(owner, err)
+		p.tried[owner.ID] = true
+		p.maybeRun = true
+		return p.at != nil || e.Budget.Retry(string(p.g.call.Team))
+	case kind == core.KindLeaving:
+		p.tried[owner.ID] = true
+		return true
+	case kind == core.KindNoEndpoint && p.at == nil:
+		p.badPools = append(p.badPools, p.pool)
+		p.pool = ""
+		return e.Budget.Retry(string(p.g.call.Team))
+	case kind == core.KindStreamBroken:
+		return e.regenerate(p)
+	}
+	return false
+}
+
+// regenerate starts over when nothing has reached the client; a stream is never spliced from two generations.
+func (e *Entry) regenerate(p *progress) bool {
+	if !p.sink.reset() || !e.Budget.Retry(string(p.g.call.Team)) {
+		return false
+	}
+	if p.at != nil {
+		p.avoid = append(p.avoid, string(p.at.Endpoint))
+	}
+	p.at, p.next, p.maybeRun = nil, 0, true
+	e.Meter.Count("regenerated")
+	return true
+}
+
+func (e *Entry) suspect(owner core.Peer, err error) {
+	if owner.ID == e.Members.Self().ID {
+		return
+	}
+	e.Members.Suspect(e.Clock.Now(), owner.ID)
+	e.Meter.Count("suspected_instances")
+	e.Log.WithFields(map[string]any{"instance": owner.ID, "error": err.Error()}).Warn("instance did not answer; another one is used")
+}
+
+// run says whether the call was run, as far as it is provable.
+func (p *progress) run() core.Run {
+	if p.at != nil {
+		return core.RunYes
+	}
+	return core.RunUnknown
+}
+
+// ended returns the error of a call whose deadline passed or whose client is gone.
+func (p *progress) ended(ctx context.Context) error {
+	return &core.Error{
+		Kind: core.KindDeadline, Message: "the deadline passed before the answer was complete",
+		Remedy: "allow more time with " + timeoutHeader, Run: p.run(), TokensDelivered: p.next, Cause: ctx.Err(),
+	}
+}
+
+// typed gives an error its kind and how much was delivered.
+func (p *progress) typed(err error) error {
+	var found *core.Error
+	if errors.As(err, &found) {
+		e := *found
+		if e.Run == core.RunNot && (p.maybeRun || p.at != nil) {
+			e.Run = p.run()
+		}
+		e.TokensDelivered = p.next
+		return &e
+	}
+	return &core.Error{
+		Kind: core.KindStreamBroken, Message: fmt.Sprintf("the answer broke after %d tokens", p.next),
+		Remedy: "send the request again", Run: p.run(), TokensDelivered: p.next, Cause: err,
+	}
+}
--- /dev/null
+++ b/io/follow/doc.go
@@ -0,0 +1,2 @@
+// Package follow reads one generation to its end across broken and silent connections.
+package follow
--- /dev/null
+++ b/io/follow/follow.go
@@ -0,0 +1,310 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"snipeshed/core"
+)
+
+// Follow delivers each token of one generation once and in order.
+//
+// After a broken connection it resumes on the same engine from the next token.
+// After a silence it asks the engine over a new connection how far the
+// generation has come; only if the engine is ahead is the connection taken for dead.
+type Follow struct {
+	runner     core.Runner
+	request    core.RequestID
+	generation core.GenerationID
+	next       core.Tokens
+	silence    time.Duration
+	giveUp     time.Duration
+	counters   Counters
+
+	mu     sync.Mutex
+	stream core.Stream
+	timer  *time.Timer
+	closed bool
+	// heard is when the last event came.
+	heard time.Time
+	// failures counts probes without an answer since the last event.
+	failures int
+}
+
+// Counters receives the events that an operator watches.
+type Counters interface {
+	// Count adds one to a named counter.
+	Count(name string)
+}
+
+// Option changes a Follow.
+type Option func(*Follow)
+
+// WithSilence sets the silence after which the engine is asked.
+func WithSilence(d time.Duration) Option { return func(f *Follow) { f.silence = d } }
+
+// WithGiveUp sets how long the engine may be unreachable before the generation counts as lost.
+func WithGiveUp(d time.Duration) Option { return func(f *Follow) { f.giveUp = d } }
+
+// WithCounters sets where dropped events and resumes are counted.
+func WithCounters(c Counters) Option { return func(f *Follow) { f.counters = c } }
+
+const (
+	defaultSilence = time.Second
+	defaultGiveUp  = 5 * time.Second
+	// maxFailedProbes is the number of unanswered probes after which the engine counts as unreachable.
+	maxFailedProbes = 3
+	firstBackoff    = 20 * time.Millisecond
+	maxBackoff      = 500 * time.Millisecond
+)
+
+// New follows a generation whose stream is open; generation is empty when the stream's first line will tell it.
+func New(runner core.Runner, stream core.Stream, request core.RequestID, generation core.GenerationID, from core.Tokens, opts ...Option) *Follow {
+	f := &Follow{
+		runner: runner, stream: stream, request: request, generation: generation, next: from,
+		silence: defaultSilence, giveUp: defaultGiveUp, counters: noCounters{},
+	}
+	for _, o := range opts {
+		o(f)
+	}
+	f.heard = time.Now()
+	f.timer = time.AfterFunc(f.silence, f.probe)
+	return f
+}
+
+type noCounters struct{}
+
+// Count does nothing.
+func (noCounters) Count(string) {}
+
+// Generation returns the generation's id, or "" before the first line.
+func (f *Follow) Generation() core.GenerationID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.generation
+}
+
+// Received returns how many tokens have been delivered, counting from the generation's start.
+func (f *Follow) Received() core.Tokens {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.next
+}
+
+// errCrossed means that a stream belongs to another request or generation.
+var errCrossed = errors.New("stream belongs to another request or generation")
+
+// Next returns the next event; after the one with Done there is none.
+func (f *Follow) Next(ctx context.Context) (core.Event, error) {
+	for {
+		ev, err := f.current().Next()
+		if err == nil {
+			keep, kerr := f.accept(ev)
+			if kerr == nil && keep {
+				return ev, nil
+			}
+			if kerr == nil {
+				continue
+			}
+			err = kerr
+		}
+		if ctx.Err() != nil {
+			return core.Event{}, ctx.Err()
+		}
+		if err := f.resume(ctx, err); err != nil {
+			return core.Event{}, err
+		}
+	}
+}
+
+// check decides whether an event is the next one of this generation.
+func (f *Follow) check(ev core.Event) (bool, error) {
+	if ev.GenerationID != "" || ev.RequestID != "" {
+		if ev.RequestID != "" && ev.RequestID != f.request {
+			f.counters.Count("crossed_answers")
+			return false, errCrossed
+		}
+		if f.generation != "" && ev.GenerationID != f.generation {
+			f.counters.Count("crossed_answers")
+			return false, errCrossed
+		}
+		first := f.generation == ""
+		f.generation = ev.GenerationID
+		return first, nil
+	}
+	if ev.Preempted || ev.Done {
+		return true, f.checkEnd(ev)
+	}
+	switch {
+	case ev.Index < f.next:
+		f.counters.Count("duplicate_tokens")
+		return false, nil
+	case ev.Index > f.next:
+		return false, fmt.Errorf("stream skips from token %d to %d", f.next, ev.Index)
+	}
+	f.next++
+	return true, nil
+}
+
+func (f *Follow) checkEnd(ev core.Event) error {
+	if ev.Done && ev.Tokens != f.next {
+		return fmt.Errorf("stream ends at token %d of %d", f.next, ev.Tokens)
+	}
+	return nil
+}
+
+// resume opens the stream again from the next token.
+func (f *Follow) resume(ctx context.Context, cause error) error {
+	_ = f.current().Close() // it already failed
+	if f.generation == "" {
+		return &core.Error{
+			Kind: core.KindStreamBroken, Message: "the engine's answer broke before its first line",
+			Remedy: "send the request again", Run: core.RunUnknown, Cause: cause,
+		}
+	}
+	f.counters.Count("stream_resumes")
+	backoff := firstBackoff
+	deadline := time.Now().Add(f.giveUp)
+	for {
+		s, err := f.open(ctx)
+		if err == nil {
+			return f.replace(s)
+		}
+		if errors.Is(err, core.ErrGone) || time.Now().After(deadline) {
+			return f.broken(err)
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(backoff):
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+// open bounds the time to the response headers but not the stream that follows.
+func (f *Follow) open(ctx context.Context) (core.Stream, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	t := time.AfterFunc(f.silence, cancel)
+	s, err := f.runner.Resume(ctx, f.generation, f.next)
+	if err == nil && !t.Stop() {
+		_ = s.Close() // the context that it reads with has ended
+		err = context.DeadlineExceeded
+	}
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return &boundStream{Stream: s, cancel: cancel}, nil
+}
+
+type boundStream struct {
+	core.Stream
+	cancel context.CancelFunc
+}
+
+// Close ends reading.
+func (s *boundStream) Close() error {
+	s.cancel()
+	return s.Stream.Close()
+}
+
+func (f *Follow) broken(cause error) error {
+	return &core.Error{
+		Kind: core.KindStreamBroken, Message: fmt.Sprintf("the generation was lost after %d tokens", f.next),
+		Remedy: "send the request again to get a new generation", Run: core.RunUnknown,
+		TokensDelivered: f.next, Cause: cause,
+	}
+}
+
+func (f *Follow) current() core.Stream {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stream
+}
+
+func (f *Follow) replace(s core.Stream) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed {
+		_ = s.Close() // nobody will read it
+		return context.Canceled
+	}
+	f.stream = s
+	f.failures = 0
+	f.heard = time.Now()
+	f.timer.Reset(f.silence)
+	return nil
+}
+
+// accept notes that an event came and decides whether it is the next one.
+//
+// The timer is only reset when it fires, which keeps the cost per token low.
+func (f *Follow) accept(ev core.Event) (bool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.heard = time.Now()
+	f.failures = 0
+	return f.check(ev)
+}
+
+// probe asks the engine after a silence and closes the connection if it proves dead.
+func (f *Follow) probe() {
+	f.mu.Lock()
+	quiet := time.Since(f.heard)
+	s, closed, id := f.stream, f.closed, f.generation
+	if closed {
+		f.mu.Unlock()
+		return
+	}
+	if id == "" && quiet >= f.giveUp {
+		_ = f.stream.Close() // an engine that never names its generation cannot be asked about it
+		f.mu.Unlock()
+		return
+	}
+	if quiet < f.silence || id == "" {
+		f.timer.Reset(max(f.silence-quiet, firstBackoff))
+		f.mu.Unlock()
+		return
+	}
+	seen := f.heard
+	f.mu.Unlock()
+
+	ctx, cancel := context.WithTimeout(context.Background(), f.silence)
+	st, err := f.runner.Status(ctx, id)
+	cancel()
+
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.closed || f.stream != s {
+		return
+	}
+	f.timer.Reset(f.silence)
+	if f.heard != seen {
+		return
+	}
+	switch {
+	case err != nil && !errors.Is(err, core.ErrGone):
+		f.failures++
+		if f.failures < maxFailedProbes {
+			return
+		}
+	case err == nil && st.Tokens <= f.next && !st.Done:
+		f.failures = 0
+		return
+	}
+	f.counters.Count("silent_connections")
+	_ = s.Close() // makes the reader's Next return
+}
+
+// Close ends reading; it does not cancel the generation.
+func (f *Follow) Close() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.closed = true
+	f.timer.Stop()
+	return f.stream.Close()
+}
--- /dev/null
+++ b/io/host/doc.go
@@ -0,0 +1,2 @@
+// Package host serves the calls of the pools that this instance owns.
+package host
--- /dev/null
+++ b/io/host/host.go
@@ -0,0 +1,202 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/core/shard"
+	"snipeshed/io/engine"
+	"snipeshed/io/link"
+	"snipeshed/io/pool"
+)
+
+// Host holds the pools of this instance and runs their calls.
+type Host struct {
+	core.Shared
+
+	cfg       *conf.Settings
+	config    core.ConfigSource
+	members   core.Members
+	counters  Counters
+	newPolicy func() core.Policy
+	newRunner func(address string) core.Runner
+
+	mu       sync.Mutex
+	current  *core.Config
+	shard    *shard.Shard
+	pools    map[core.PoolID]*pool.Pool
+	cancels  map[core.RequestID]context.CancelCauseFunc
+	draining bool
+
+	work    sync.WaitGroup
+	orphans sync.WaitGroup
+	stop    context.CancelFunc
+	life    context.Context
+}
+
+// Counters receives the events that an operator watches.
+type Counters interface {
+	// Count adds one to a named counter.
+	Count(name string)
+}
+
+// Option changes a Host.
+type Option func(*Host)
+
+// WithCounters sets where events are counted.
+func WithCounters(c Counters) Option { return func(h *Host) { h.counters = c } }
+
+// WithRunner sets how the client of an endpoint is made.
+func WithRunner(fn func(address string) core.Runner) Option {
+	return func(h *Host) { h.newRunner = fn }
+}
+
+type noCounters struct{}
+
+// Count does nothing.
+func (noCounters) Count(string) {}
+
+// New returns a Host; newPolicy makes the policy of each pool.
+func New(shared core.Shared, cfg *conf.Settings, config core.ConfigSource, members core.Members, newPolicy func() core.Policy, opts ...Option) *Host {
+	client := link.New(cfg).EndpointClient()
+	ctx, cancel := context.WithCancel(context.Background())
+	h := &Host{
+		Shared: shared, cfg: cfg, config: config, members: members, newPolicy: newPolicy, counters: noCounters{},
+		newRunner: func(address string) core.Runner { return engine.New(address, client) },
+		pools:     map[core.PoolID]*pool.Pool{},
+		cancels:   map[core.RequestID]context.CancelCauseFunc{},
+		life:      ctx, stop: cancel,
+	}
+	for _, o := range opts {
+		o(h)
+	}
+	h.Configure(config.Config())
+	return h
+}
+
+// Configure follows a new configuration.
+func (h *Host) Configure(cfg *core.Config) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.current != nil && cfg.Number <= h.current.Number {
+		return
+	}
+	h.current = cfg
+	h.shard = shard.New(cfg, int(h.cfg.GetPoolSize()))
+	for id, p := range h.pools {
+		p.Configure(cfg, h.shard.Endpoints(id))
+	}
+}
+
+// Shard returns the division of endpoints into pools in force.
+func (h *Host) Shard() *shard.Shard {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.shard
+}
+
+// Own opens the pools that this instance owns by hash, so that their endpoints get orders and are known before the first call.
+func (h *Host) Own(now time.Time) {
+	self := h.members.Self().ID
+	for _, id := range h.Shard().All() {
+		owners := h.members.Owners(now, Resource(id), 1)
+		if len(owners) == 1 && owners[0].ID == self {
+			_, _ = h.pool(id) // an unknown pool was removed meanwhile
+		}
+	}
+}
+
+// Resource is the name under which a pool's owner is hashed.
+func Resource(id core.PoolID) string { return "pool/" + string(id) }
+
+// Pools returns the pools that are open here.
+func (h *Host) Pools() map[core.PoolID]*pool.Pool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := make(map[core.PoolID]*pool.Pool, len(h.pools))
+	for id, p := range h.pools {
+		out[id] = p
+	}
+	return out
+}
+
+func (h *Host) pool(id core.PoolID) (*pool.Pool, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p := h.pools[id]; p != nil {
+		return p, nil
+	}
+	if h.shard.Model(id) == "" {
+		return nil, &core.Error{
+			Kind: core.KindNoEndpoint, Message: "pool " + string(id) + " does not exist in the configuration in force here",
+			Remedy: "send the request again", Run: core.RunNot, RetryAfter: time.Second,
+		}
+	}
+	p := pool.New(h.Shared, id, h.newPolicy(), h.newRunner,
+		pool.WithPollInterval(ms(h.cfg.GetLoadPollMs())), pool.WithListLeaving(h.members.EndpointLeaving))
+	p.Configure(h.current, h.shard.Endpoints(id))
+	h.pools[id] = p
+	return p, nil
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// errClientGone is the cause of a cancellation that the client asked for.
+var errClientGone = errors.New("client is gone")
+
+// Cancel ends a call because its client is gone.
+func (h *Host) Cancel(_ context.Context, id core.RequestID) {
+	h.mu.Lock()
+	cancel := h.cancels[id]
+	h.mu.Unlock()
+	if cancel != nil {
+		cancel(errClientGone)
+	}
+}
+
+func (h *Host) register(id core.RequestID, cancel context.CancelCauseFunc) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.draining {
+		return pool.Leaving()
+	}
+	h.cancels[id] = cancel
+	h.work.Add(1)
+	return nil
+}
+
+func (h *Host) unregister(id core.RequestID) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.cancels, id)
+	h.work.Done()
+}
+
+// Drain refuses new and waiting calls and waits until the running ones have ended.
+func (h *Host) Drain() {
+	h.mu.Lock()
+	h.draining = true
+	pools := make([]*pool.Pool, 0, len(h.pools))
+	for _, p := range h.pools {
+		pools = append(pools, p)
+	}
+	h.mu.Unlock()
+	for _, p := range pools {
+		p.Drain()
+	}
+	h.work.Wait()
+}
+
+// Close ends all calls and waits for them.
+func (h *Host) Close() {
+	h.stop()
+	h.Drain()
+	h.orphans.Wait()
+	for _, p := range h.Pools() {
+		p.Close()
+	}
+}
--- /dev/null
+++ b/io/host/serve.go
@@ -0,0 +1,249 @@
+package host
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/core/prefix"
+	"snipeshed/io/follow"
+	"snipeshed/io/pool"
+)
+
+// maxStarts bounds how many endpoints one call tries before anything was delivered.
+const maxStarts = 3
+
+// Serve runs a call of a pool and sends its frames; it returns after the last one.
+func (h *Host) Serve(ctx context.Context, req *core.CallRequest, send func(*core.Frame) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	if err := h.register(req.RequestID, cancel); err != nil {
+		return err
+	}
+	defer h.unregister(req.RequestID)
+	defer context.AfterFunc(h.life, func() { cancel(context.Canceled) })()
+	if req.DeadlineMS > 0 {
+		var stop context.CancelFunc
+		ctx, stop = context.WithTimeout(ctx, ms(req.DeadlineMS))
+		defer stop()
+	}
+	p, err := h.pool(req.Pool)
+	if err != nil {
+		return err
+	}
+	j := &job{Host: h, pool: p, req: req, call: h.call(req), send: send}
+	defer func() {
+		load := p.Load()
+		_ = send(&core.Frame{Load: &load}) // the load is only a hint
+	}()
+	if req.Resume != nil {
+		return j.resume(ctx)
+	}
+	return j.start(ctx)
+}
+
+func (h *Host) call(req *core.CallRequest) core.Call {
+	c := core.Call{
+		ID: req.RequestID, Service: req.Service, Team: req.Team, Rank: req.Rank,
+		PromptTokens: prefix.Tokens(req.Prompt), MaxTokens: req.MaxTokens, Prefixes: prefix.Hashes(req.Prompt),
+	}
+	if req.DeadlineMS > 0 {
+		c.Deadline = h.Clock.Now().Add(ms(req.DeadlineMS))
+	}
+	for _, ep := range req.Avoid {
+		c.Avoid = append(c.Avoid, core.EndpointID(ep))
+	}
+	return c
+}
+
+// job is one call at its pool's owner.
+type job struct {
+	*Host
+	pool *pool.Pool
+	req  *core.CallRequest
+	call core.Call
+	send func(*core.Frame) error
+}
+
+// start admits the call and opens its stream, at another endpoint when one does not take it.
+func (j *job) start(ctx context.Context) error {
+	var last error
+	run := core.RunNot
+	for i := 0; i < maxStarts; i++ {
+		ep, runner, err := j.pool.Admit(ctx, j.call)
+		if errors.Is(err, core.ErrNotSent) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		stream, err := j.generate(ctx, runner)
+		if err == nil {
+			f := follow.New(runner, stream, j.req.RequestID, "", 0, j.followOptions()...)
+			return j.relay(ctx, f, ep, runner)
+		}
+		j.pool.Finish(j.call.ID, false)
+		j.pool.Failed(ep, errors.Is(err, core.ErrRunnerLeaving))
+		j.counters.Count("endpoint_start_failures")
+		j.Log.WithFields(map[string]any{"endpoint": ep, "request_id": j.req.RequestID, "error": err.Error()}).
+			Warn("endpoint did not take the call")
+		j.call.Avoid = append(j.call.Avoid, ep)
+		last = err
+		if !errors.Is(err, core.ErrNotSent) && !errors.Is(err, core.ErrRunnerLeaving) {
+			run = core.RunUnknown // the engine may have started it
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return &core.Error{
+		Kind: core.KindNoEndpoint, Message: "no endpoint of the pool took the call", Remedy: "send the request again later",
+		Run: run, RetryAfter: time.Second, Cause: last,
+	}
+}
+
+// headerTimeout bounds the time until an engine answers a generate request with its headers.
+const headerTimeout = 3 * time.Second
+
+func (j *job) generate(ctx context.Context, runner core.Runner) (core.Stream, error) {
+	gctx, cancel := context.WithCancel(ctx)
+	t := time.AfterFunc(headerTimeout, cancel)
+	rank := j.config.Config().Ranks[j.req.Rank]
+	s, err := runner.Generate(gctx, core.GenerateRequest{
+		RequestID: j.req.RequestID, Model: j.req.Model, Prompt: j.req.Prompt,
+		MaxTokens: j.req.MaxTokens, Priority: rank.GetPriority(), Seed: j.req.Seed,
+	})
+	if err == nil && !t.Stop() {
+		_ = s.Close() // its context has ended
+		err = context.DeadlineExceeded
+	}
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	return &heldStream{Stream: s, cancel: cancel}, nil
+}
+
+type heldStream struct {
+	core.Stream
+	cancel context.CancelFunc
+}
+
+// Close ends reading.
+func (s *heldStream) Close() error {
+	s.cancel()
+	return s.Stream.Close()
+}
+
+func (j *job) followOptions() []follow.Option {
+	return []follow.Option{follow.WithSilence(ms(j.cfg.GetSilenceProbeMs())), follow.WithCounters(j.counters)}
+}
+
+// resume goes on with a generation that another owner started.
+func (j *job) resume(ctx context.Context) error {
+	at := j.req.Resume
+	runner := j.pool.Adopt(j.call, at.Endpoint, at.From)
+	if runner == nil {
+		return j.lost(at.From, fmt.Errorf("endpoint %q is not in pool %q", at.Endpoint, j.req.Pool))
+	}
+	j.counters.Count("adopted_streams")
+	stream, err := runner.Resume(ctx, at.Generation, at.From)
+	if err != nil {
+		stream = failedStream{err}
+	}
+	f := follow.New(runner, stream, j.req.RequestID, at.Generation, at.From, j.followOptions()...)
+	return j.relay(ctx, f, at.Endpoint, runner)
+}
+
+// failedStream lets Follow retry a resume whose first attempt failed.
+type failedStream struct{ err error }
+
+// Next returns the error.
+func (s failedStream) Next() (core.Event, error) { return core.Event{}, s.err }
+
+// Close does nothing.
+func (s failedStream) Close() error { return nil }
+
+func (j *job) lost(n core.Tokens, cause error) error {
+	return &core.Error{
+		Kind: core.KindStreamBroken, Message: fmt.Sprintf("the generation was lost after %d tokens", n),
+		Remedy: "send the request again to get a new generation", Run: core.RunUnknown, TokensDelivered: n, Cause: cause,
+	}
+}
+
+// relay passes a generation's events to the policy and to the entry until its end.
+func (j *job) relay(ctx context.Context, f *follow.Follow, ep core.EndpointID, runner core.Runner) error {
+	defer context.AfterFunc(ctx, func() { _ = f.Close() })()
+	defer f.Close()
+	complete := false
+	for !complete {
+		ev, err := f.Next(ctx)
+		if err == nil {
+			j.pool.Observe(j.call.ID, ev, f.Received())
+			err = j.forward(ev, ep, f)
+			complete = ev.Done && err == nil
+		}
+		if err != nil {
+			j.abandon(ctx, f, runner)
+			return err
+		}
+	}
+	j.pool.Finish(j.call.ID, true)
+	return nil
+}
+
+func (j *job) forward(ev core.Event, ep core.EndpointID, f *follow.Follow) error {
+	if ev.GenerationID != "" {
+		return j.send(&core.Frame{Started: &core.ResumePoint{Endpoint: ep, Generation: ev.GenerationID, From: f.Received()}})
+	}
+	return j.send(&core.Frame{Event: &ev})
+}
+
+// abandon ends the work on a call that did not reach its end here.
+//
+// A client that is gone cancels the generation. After a lost connection to the
+// entry the generation goes on, because the entry resumes it through another owner;
+// its memory stays counted until the engine reports its end.
+func (j *job) abandon(ctx context.Context, f *follow.Follow, runner core.Runner) {
+	id := f.Generation()
+	cause := context.Cause(ctx)
+	if id == "" || cause == nil {
+		j.pool.Finish(j.call.ID, false)
+		return
+	}
+	if errors.Is(cause, errClientGone) || errors.Is(cause, context.DeadlineExceeded) {
+		cctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), headerTimeout)
+		defer cancel()
+		if err := runner.Cancel(cctx, id); err != nil && !errors.Is(err, core.ErrGone) {
+			j.Log.WithFields(map[string]any{"generation_id": id, "error": err.Error()}).Warn("cancel failed; the generation runs to its end")
+		}
+		j.pool.Finish(j.call.ID, false)
+		return
+	}
+	j.counters.Count("orphaned_generations")
+	j.orphans.Go(func() { j.await(id, runner) })
+}
+
+// orphanLimit bounds how long an orphaned generation's memory stays counted.
+const orphanLimit = 5 * time.Minute
+
+func (j *job) await(id core.GenerationID, runner core.Runner) {
+	defer j.pool.Finish(j.call.ID, false)
+	ctx, cancel := context.WithTimeout(j.life, orphanLimit)
+	defer cancel()
+	t := time.NewTicker(time.Second)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		st, err := runner.Status(ctx, id)
+		if err != nil || st.Done {
+			return
+		}
+	}
+}
