Test streams over broken, silent and crossed connections

Cause: a stream must deliver each token once, in order, from one generation. Change: scripted connections in virtual time: broken, silent, slow, crossed, repeated and skipped tokens, a lost generation, an unreachable engine.

--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -64,7 +64,7 @@
 			return nil
 		}
 		if ctx.Err() != nil {
-			return p.ended(ctx)
+			return p.ended(ctx, err)
 		}
 		last = err
 		if !e.again(p, owner, err) {
@@ -95,6 +95,9 @@
 	}
 }
 
+// deadlineMargin lets the owner's own word on a passed deadline arrive: only the owner knows whether the call was run.
+const deadlineMargin = 20 * time.Millisecond
+
 // attempt runs the call once at one owner.
 func (e *Entry) attempt(ctx context.Context, p *progress, owner core.Peer) error {
 	req := p.g.call
@@ -105,7 +108,7 @@
 		req.Resume = &core.ResumePoint{Endpoint: p.at.Endpoint, Generation: p.at.Generation, From: p.next}
 	}
 	deadline, _ := ctx.Deadline()
-	req.DeadlineMS = max(time.Until(deadline).Milliseconds(), 1)
+	req.DeadlineMS = max((time.Until(deadline) - deadlineMargin).Milliseconds(), 1)
 
 	// The owner hears of a client that is gone before the call's connection
 	// ends, because a lost connection alone does not cancel the generation.
@@ -246,7 +249,11 @@
 }
 
 // ended returns the error of a call whose deadline passed or whose client is gone.
-func (p *progress) ended(ctx context.Context) error {
+func (p *progress) ended(ctx context.Context, err error) error {
+	var typed *core.Error
+	if errors.As(err, &typed) && typed.Run == core.RunNot {
+		return p.typed(err)
+	}
 	return &core.Error{
 		Kind: core.KindDeadline, Message: "the deadline passed before the answer was complete",
 		Remedy: "allow more time with " + timeoutHeader, Run: p.run(), TokensDelivered: p.next, Cause: ctx.Err(),
--- /dev/null
+++ b/io/follow/follow_test.go
@@ -0,0 +1,216 @@
+package follow_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+	"snipeshed/io/follow"
+)
+
+const (
+	generation = core.GenerationID("g1")
+	request    = core.RequestID("r1")
+)
+
+// step is what a scripted connection does next.
+type step struct {
+	ev    core.Event
+	err   error
+	wait  time.Duration
+	stall bool // silent until closed
+}
+
+func token(i core.Tokens) step { return step{ev: core.Event{Index: i, Text: "t"}} }
+func done(n core.Tokens) step  { return step{ev: core.Event{Done: true, Tokens: n, FinishReason: "stop"}} }
+func head(g core.GenerationID, r core.RequestID) step {
+	return step{ev: core.Event{GenerationID: g, RequestID: r}}
+}
+
+type connection struct {
+	steps  []step
+	closed chan struct{}
+	once   bool
+}
+
+func (c *connection) Next() (core.Event, error) {
+	if len(c.steps) == 0 {
+		return core.Event{}, io.ErrUnexpectedEOF
+	}
+	s := c.steps[0]
+	c.steps = c.steps[1:]
+	if s.stall {
+		<-c.closed
+		return core.Event{}, io.ErrClosedPipe
+	}
+	time.Sleep(s.wait)
+	return s.ev, s.err
+}
+
+func (c *connection) Close() error {
+	if !c.once {
+		c.once = true
+		close(c.closed)
+	}
+	return nil
+}
+
+type engine struct {
+	core.Runner
+	resumes   [][]step
+	froms     []core.Tokens
+	resumeErr error
+	status    core.GenerationStatus
+	statusErr error
+	asked     int
+}
+
+func (e *engine) Resume(_ context.Context, _ core.GenerationID, from core.Tokens) (core.Stream, error) {
+	e.froms = append(e.froms, from)
+	if e.resumeErr != nil {
+		return nil, e.resumeErr
+	}
+	if len(e.resumes) == 0 {
+		return nil, core.ErrGone
+	}
+	steps := e.resumes[0]
+	e.resumes = e.resumes[1:]
+	return &connection{steps: steps, closed: make(chan struct{})}, nil
+}
+
+func (e *engine) Status(context.Context, core.GenerationID) (core.GenerationStatus, error) {
+	e.asked++
+	return e.status, e.statusErr
+}
+
+type counts map[string]int
+
+func (c counts) Count(name string) { c[name]++ }
+
+func TestFollow(t *testing.T) {
+	tests := []struct {
+		name    string
+		first   []step
+		engine  engine
+		tokens  int
+		froms   []core.Tokens
+		count   string
+		kind    core.Kind
+		longest time.Duration
+	}{
+		{
+			name:  "one connection to the end",
+			first: []step{head(generation, request), token(0), token(1), done(2)}, tokens: 2,
+		},
+		{
+			name:   "a broken connection resumes from the next token",
+			first:  []step{head(generation, request), token(0), token(1)},
+			engine: engine{resumes: [][]step{{head(generation, request), token(2), done(3)}}},
+			tokens: 3, froms: []core.Tokens{2}, count: "stream_resumes",
+		},
+		{
+			name:   "repeated tokens after a resume are dropped",
+			first:  []step{head(generation, request), token(0), token(1)},
+			engine: engine{resumes: [][]step{{token(0), token(1), token(2), done(3)}}},
+			tokens: 3, froms: []core.Tokens{2}, count: "duplicate_tokens",
+		},
+		{
+			name:   "a skipped token is fetched again",
+			first:  []step{head(generation, request), token(0), token(2)},
+			engine: engine{resumes: [][]step{{token(1), token(2), done(3)}}},
+			tokens: 3, froms: []core.Tokens{1},
+		},
+		{
+			name:   "an end before all tokens have come is not taken for the end",
+			first:  []step{head(generation, request), token(0), done(2)},
+			engine: engine{resumes: [][]step{{token(1), done(2)}}},
+			tokens: 2, froms: []core.Tokens{1},
+		},
+		{
+			name:   "another generation's answer to a resume is refused",
+			first:  []step{head(generation, request), token(0)},
+			engine: engine{resumes: [][]step{{head("g2", request), token(1)}, {token(1), done(2)}}},
+			tokens: 2, froms: []core.Tokens{1, 1}, count: "crossed_answers",
+		},
+		{
+			name:  "another request's answer is never delivered",
+			first: []step{head(generation, "r2"), token(0)}, tokens: 0,
+			count: "crossed_answers", kind: core.KindStreamBroken,
+		},
+		{
+			name:   "a silent connection is left within two seconds when the engine is ahead",
+			first:  []step{head(generation, request), token(0), {stall: true}},
+			engine: engine{status: core.GenerationStatus{Tokens: 5}, resumes: [][]step{{token(1), done(2)}}},
+			tokens: 2, froms: []core.Tokens{1}, count: "silent_connections", longest: 2 * time.Second,
+		},
+		{
+			name:   "a slow engine is not a dead connection",
+			first:  []step{head(generation, request), token(0), {ev: core.Event{Index: 1}, wait: time.Minute}, done(2)},
+			engine: engine{status: core.GenerationStatus{Tokens: 1}}, tokens: 2,
+		},
+		{
+			name:   "a lost generation ends with the number of tokens",
+			first:  []step{head(generation, request), token(0)},
+			engine: engine{resumeErr: core.ErrGone}, tokens: 1, froms: []core.Tokens{1}, kind: core.KindStreamBroken,
+		},
+		{
+			name:   "an engine that stays unreachable is given up",
+			first:  []step{head(generation, request), token(0), {stall: true}},
+			engine: engine{statusErr: core.ErrNotSent, resumeErr: core.ErrNotSent}, tokens: 1,
+			kind: core.KindStreamBroken, longest: 10 * time.Second,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := counts{}
+				begin := time.Now()
+				f := follow.New(&tt.engine, &connection{steps: tt.first, closed: make(chan struct{})},
+					request, "", 0, follow.WithCounters(c))
+				defer f.Close()
+				n, err := read(f)
+				is.Equal(n, tt.tokens)
+				if tt.kind == "" {
+					is.NoErr(err)
+				} else {
+					is.Equal(core.KindOf(err), tt.kind)
+				}
+				if tt.froms != nil {
+					is.Equal(tt.engine.froms, tt.froms)
+				}
+				if tt.count != "" {
+					is.True(c[tt.count] > 0)
+				}
+				if tt.longest > 0 {
+					is.True(time.Since(begin) <= tt.longest)
+				}
+			})
+		})
+	}
+}
+
+// read returns how many tokens came, in order, before the end or an error.
+func read(f *follow.Follow) (int, error) {
+	n := 0
+	for {
+		ev, err := f.Next(context.Background())
+		switch {
+		case err != nil:
+			return n, err
+		case ev.Done:
+			return n, nil
+		case ev.GenerationID != "":
+		case int(ev.Index) != n:
+			return n, errors.New("token out of order")
+		default:
+			n++
+		}
+	}
+}
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -187,13 +187,24 @@
 		}
 		if err != nil {
 			j.abandon(ctx, f, runner)
-			return err
+			return ended(ctx, f, err)
 		}
 	}
 	j.pool.Finish(j.call.ID, true)
 	return nil
 }
 
+// ended gives the error of a passed deadline its kind.
+func ended(ctx context.Context, f *follow.Follow, err error) error {
+	if !errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		return err
+	}
+	return &core.Error{
+		Kind: core.KindDeadline, Message: "the deadline passed before the answer was complete",
+		Remedy: "allow more time", Run: core.RunYes, TokensDelivered: f.Received(), Cause: err,
+	}
+}
+
 func (j *job) forward(ev core.Event, ep core.EndpointID, f *follow.Follow) error {
 	if ev.GenerationID != "" {
 		return j.send(&core.Frame{Started: &core.ResumePoint{Endpoint: ep, Generation: ev.GenerationID, From: f.Received()}})
