Add a simulated engine with continuous batching

Cause: the policy, its benchmarks and the model runner stand-in need an engine whose memory fills up in mid-decode, without sockets and in virtual time.

--- /dev/null
+++ b/stand/batch/config.go
@@ -0,0 +1,73 @@
+package batch
+
+import (
+	"time"
+
+	"snipeshed/core"
+)
+
+// Config sets the size and speed of the simulated engine; zero values stand for the defaults.
+type Config struct {
+	// KVCapacity is the memory for sequences and cached prefixes (default 100,000 tokens).
+	KVCapacity core.Tokens
+	// CacheTokens limits the cached prefixes that no running sequence uses (default: half of KVCapacity; negative disables the cache).
+	CacheTokens core.Tokens
+	// BlockTokens is the unit of the prefix cache (default 16 tokens).
+	BlockTokens core.Tokens
+	// MaxRunning limits the sequences in one step (default 64).
+	MaxRunning int
+	// MaxStepTokens limits decoded and prompt tokens in one step (default 2,048).
+	MaxStepTokens core.Tokens
+	// WatermarkPercent of the memory is kept free when a sequence is admitted next to others (default 1, negative for none).
+	WatermarkPercent int64
+	// PreemptForUrgent also preempts running sequences for a more urgent waiting one that does not fit.
+	PreemptForUrgent bool
+	// StepBase is the duration of a step without sequences (default 8 ms).
+	StepBase time.Duration
+	// StepPerSequence is added per decoded sequence (default 100 µs).
+	StepPerSequence time.Duration
+	// StepPerPromptToken is added per prompt token computed (default 20 µs).
+	StepPerPromptToken time.Duration
+}
+
+const (
+	defaultKVCapacity         core.Tokens = 100_000
+	defaultBlockTokens        core.Tokens = 16
+	defaultMaxRunning                     = 64
+	defaultMaxStepTokens      core.Tokens = 2048
+	defaultWatermarkPercent               = 1
+	defaultStepBase                       = 8 * time.Millisecond
+	defaultStepPerSequence                = 100 * time.Microsecond
+	defaultStepPerPromptToken             = 20 * time.Microsecond
+)
+
+func (c Config) withDefaults() Config {
+	if c.KVCapacity == 0 {
+		c.KVCapacity = defaultKVCapacity
+	}
+	if c.CacheTokens == 0 {
+		c.CacheTokens = c.KVCapacity / 2
+	}
+	if c.BlockTokens == 0 {
+		c.BlockTokens = defaultBlockTokens
+	}
+	if c.MaxRunning == 0 {
+		c.MaxRunning = defaultMaxRunning
+	}
+	if c.MaxStepTokens == 0 {
+		c.MaxStepTokens = defaultMaxStepTokens
+	}
+	if c.WatermarkPercent == 0 {
+		c.WatermarkPercent = defaultWatermarkPercent
+	}
+	if c.StepBase == 0 {
+		c.StepBase = defaultStepBase
+	}
+	if c.StepPerSequence == 0 {
+		c.StepPerSequence = defaultStepPerSequence
+	}
+	if c.StepPerPromptToken == 0 {
+		c.StepPerPromptToken = defaultStepPerPromptToken
+	}
+	return c
+}
