--- a/stand/batch/batch.go
+++ b/stand/batch/batch.go
@@ -115,10 +115,7 @@
 
 // Step runs the engine up to now and returns what happened since the last call, in order.
 func (b *Batch) Step(now time.Time) []Event {
-	for {
-		if !b.busy && !b.begin() {
-			break
-		}
+	for b.busy || b.begin() {
 		if b.end.After(now) {
 			break
 		}
--- /dev/null
+++ b/stand/host/doc.go
@@ -0,0 +1,2 @@
+// Package host runs the HTTP listener of a stand-in.
+package host
--- /dev/null
+++ b/stand/host/host.go
@@ -0,0 +1,154 @@
+package host
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Host is an HTTP/1.1 listener that stand-ins embed.
+type Host struct {
+	addr    string
+	handler http.Handler
+	ln      net.Listener
+	srv     *http.Server
+	wg      sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+}
+
+// Option changes a Host.
+type Option func(*Host)
+
+// WithAddr sets the address to listen on; the default is a free port on loopback.
+func WithAddr(addr string) Option { return func(h *Host) { h.addr = addr } }
+
+// WithListener serves a listener that the caller made, such as a Pipe.
+func WithListener(ln net.Listener) Option { return func(h *Host) { h.ln = ln } }
+
+const headerTimeout = 10 * time.Second
+
+// New returns a Host that is not yet started.
+func New(handler http.Handler, opts ...Option) *Host {
+	h := &Host{addr: "127.0.0.1:0", handler: handler}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	for _, o := range opts {
+		o(h)
+	}
+	return h
+}
+
+// Start listens and serves until Close.
+func (h *Host) Start() error {
+	if h.ln == nil {
+		ln, err := net.Listen("tcp", h.addr)
+		if err != nil {
+			return fmt.Errorf("cannot listen on %s: %w", h.addr, err)
+		}
+		h.ln = ln
+	}
+	h.srv = &http.Server{
+		Handler:           h.counted(),
+		ReadHeaderTimeout: headerTimeout,
+		BaseContext:       func(net.Listener) context.Context { return h.ctx },
+	}
+	h.wg.Go(func() { _ = h.srv.Serve(h.ln) })
+	return nil
+}
+
+// counted lets Close wait for the handlers.
+func (h *Host) counted() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.wg.Add(1)
+		defer h.wg.Done()
+		h.handler.ServeHTTP(w, r)
+	})
+}
+
+// Addr returns the address it listens on.
+func (h *Host) Addr() string { return h.ln.Addr().String() }
+
+// URL returns the base URL.
+func (h *Host) URL() string { return "http://" + h.Addr() }
+
+// Context ends with Close.
+func (h *Host) Context() context.Context { return h.ctx }
+
+// Go runs f until it returns; Close waits for it.
+func (h *Host) Go(f func()) { h.wg.Go(f) }
+
+// Close cuts all connections, as the end of the process would, and waits for the handlers.
+func (h *Host) Close() error {
+	h.cancel()
+	var err error
+	if h.srv != nil {
+		err = h.srv.Close()
+	}
+	h.wg.Wait()
+	return err
+}
+
+// Sleep waits for d and reports whether the request is still wanted.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Cut ends the handler and closes its connection without an answer.
+func Cut() { panic(http.ErrAbortHandler) }
+
+// Reply writes a JSON answer.
+func Reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// Refuse writes an error answer.
+func Refuse(w http.ResponseWriter, status int, format string, args ...any) {
+	Reply(w, status, map[string]string{"error": fmt.Sprintf(format, args...)})
+}
+
+// Decode reads a JSON body of at most limit bytes, or answers 400 or 413 and returns false.
+func Decode(w http.ResponseWriter, r *http.Request, limit int64, v any) bool {
+	// Reads to the end, because the server notices a lost client only after that.
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err == nil {
+		err = json.Unmarshal(b, v)
+	}
+	if err == nil {
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		Refuse(w, http.StatusRequestEntityTooLarge, "the body exceeds %d bytes", limit)
+	} else {
+		Refuse(w, http.StatusBadRequest, "the body is not valid JSON: %v", err)
+	}
+	return false
+}
+
+// Switch returns the query parameter "on", which must be true or false, or answers 400.
+func Switch(w http.ResponseWriter, r *http.Request) (on, ok bool) {
+	on, err := strconv.ParseBool(r.URL.Query().Get("on"))
+	if err != nil {
+		Refuse(w, http.StatusBadRequest, "the query must say on=true or on=false")
+	}
+	return on, err == nil
+}
--- /dev/null
+++ b/stand/runner/cache.go
@@ -0,0 +1,87 @@
+package runner
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"snipeshed/stand/batch"
+	"snipeshed/stand/host"
+)
+
+// CacheEvent says that prefix blocks entered or left the cache.
+type CacheEvent struct {
+	Number int64 `json:"n"`
+	// Op is "stored" or "removed".
+	Op string `json:"op"`
+	// Blocks are hashes of prompt prefixes in hex.
+	Blocks []string `json:"blocks"`
+}
+
+// CacheEvents is an answer with the events after a number; a jump in the numbers is a gap.
+type CacheEvents struct {
+	// Last is the highest number published.
+	Last   int64        `json:"last"`
+	Events []CacheEvent `json:"events"`
+}
+
+// cacheLog publishes cache events late and with gaps.
+type cacheLog struct {
+	lag       time.Duration
+	dropEvery int
+	last      int64
+	list      []datedEvent
+}
+
+type datedEvent struct {
+	CacheEvent
+	at time.Time
+}
+
+// maxCacheEvents bounds the log; older events become a gap.
+const maxCacheEvents = 10_000
+
+func (l *cacheLog) add(now time.Time, e batch.Event) {
+	l.last++
+	if l.dropEvery > 0 && l.last%int64(l.dropEvery) == 0 {
+		return
+	}
+	d := datedEvent{CacheEvent{Number: l.last, Op: "stored"}, now}
+	if e.Kind == batch.Removed {
+		d.Op = "removed"
+	}
+	for _, h := range e.Blocks {
+		d.Blocks = append(d.Blocks, fmt.Sprintf("%016x", h))
+	}
+	l.list = append(l.list, d)
+	if len(l.list) > maxCacheEvents {
+		l.list = l.list[1:]
+	}
+}
+
+func (l *cacheLog) after(now time.Time, n int64) CacheEvents {
+	out := CacheEvents{Events: []CacheEvent{}}
+	for _, e := range l.list {
+		if e.at.After(now.Add(-l.lag)) {
+			break
+		}
+		out.Last = e.Number
+		if e.Number > n {
+			out.Events = append(out.Events, e.CacheEvent)
+		}
+	}
+	return out
+}
+
+func (r *Runner) cacheEvents(w http.ResponseWriter, hr *http.Request) {
+	n, err := strconv.ParseInt("0"+hr.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		host.Refuse(w, http.StatusBadRequest, "after is not an event number")
+		return
+	}
+	r.mu.Lock()
+	out := r.events.after(time.Now(), n)
+	r.mu.Unlock()
+	host.Reply(w, http.StatusOK, out)
+}
