--- /dev/null
+++ b/core/check/doc.go
@@ -0,0 +1,2 @@
+// Package check validates change tickets before they are accepted.
+package check
