Add the client of the object API in io/store

Cause: claims and tickets must know whether a failed write may have taken effect. Change: Store classifies each failure: no effect only when no connection was used, the breaker refused, or the status is 4xx; redirects are not followed and writes are not repeated. The breaker lets one call at a time try a store that is down; a write then sends a read first.

--- /dev/null
+++ b/io/store/store.go
@@ -0,0 +1,47 @@
+package store
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/io/link"
+)
+
+// Store is the client of the object API; it is safe for concurrent use.
+type Store struct {
+	core.Shared
+	base    string
+	client  *http.Client
+	timeout time.Duration
+	breaker *breaker
+	counts  counts
+}
+
+var _ core.Store = (*Store)(nil)
+
+// New returns a client of the settings' platform that opens connections through l.
+func New(shared core.Shared, cfg *conf.Settings, l *link.Link) *Store {
+	client := l.EndpointClient()
+	// A followed redirect would send a write twice.
+	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Store{
+		Shared:  shared,
+		base:    strings.TrimSuffix(cfg.GetPlatformUrl(), "/"),
+		client:  client,
+		timeout: time.Duration(cfg.GetStoreTimeoutMs()) * time.Millisecond,
+		breaker: newBreaker(int(cfg.GetBreakerFailures()), time.Duration(cfg.GetBreakerRetryMs())*time.Millisecond),
+	}
+}
+
+// Up reports whether a call would be sent; it is false while the circuit breaker refuses calls.
+func (s *Store) Up() bool { return s.breaker.up(s.Clock.Now()) }
+
+// Counts returns the calls sent so far by kind, and under "refused" those that the circuit breaker
+// held back and under "failed" those that failed by a timeout, a connection error or a 5xx status.
+func (s *Store) Counts() map[string]int64 { return s.counts.all() }
+
+// Close closes idle connections.
+func (s *Store) Close() { s.client.CloseIdleConnections() }
--- /dev/null
+++ b/io/store/store_test.go
@@ -0,0 +1,206 @@
+package store_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/io/link"
+	"snipeshed/io/store"
+)
+
+func open(t *testing.T, url string) *store.Store {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	cfg := &conf.Settings{PlatformUrl: url, StoreTimeoutMs: 150, BreakerFailures: 2, BreakerRetryMs: 100, DialTimeoutMs: 100}
+	s := store.New(core.NewShared(logrus.NewEntry(log)), cfg, link.New(cfg))
+	t.Cleanup(s.Close)
+	return s
+}
+
+func serve(t *testing.T, h http.HandlerFunc) *store.Store {
+	t.Helper()
+	srv := httptest.NewServer(h)
+	t.Cleanup(srv.Close)
+	return open(t, srv.URL)
+}
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(code) }
+}
+
+// Guards against telling a client "not run" after a write that may have taken effect, and against
+// "unknown" where the request provably was not processed.
+func TestWriteEffect(t *testing.T) {
+	hang := func(_ http.ResponseWriter, r *http.Request) { _, _ = io.ReadAll(r.Body); <-r.Context().Done() }
+	reset := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		c, _, _ := w.(http.Hijacker).Hijack()
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	}
+	for name, c := range map[string]struct {
+		h      http.HandlerFunc
+		effect core.Effect
+		is     error
+	}{
+		"conflict":           {status(412), core.EffectNone, core.ErrVersion},
+		"missing":            {status(404), core.EffectNone, core.ErrNotFound},
+		"rate limit":         {status(429), core.EffectNone, nil},
+		"bad request":        {status(400), core.EffectNone, nil},
+		"server error":       {status(500), core.EffectUnknown, nil},
+		"unavailable":        {status(503), core.EffectUnknown, nil},
+		"redirect":           {status(307), core.EffectUnknown, nil},
+		"no answer in time":  {hang, core.EffectUnknown, context.DeadlineExceeded},
+		"connection reset":   {reset, core.EffectUnknown, nil},
+		"answer without tag": {status(200), core.EffectUnknown, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := serve(t, c.h).Put(t.Context(), "a/b", []byte("v"), 0)
+			var e *core.StoreError
+			is.True(errors.As(err, &e))
+			is.Equal(e.Effect, c.effect)
+			is.True(c.is == nil || errors.Is(err, c.is))
+		})
+	}
+	t.Run("refused connection", func(t *testing.T) {
+		is := is.New(t)
+		srv := httptest.NewServer(status(200))
+		srv.Close()
+		_, err := open(t, srv.URL).Put(t.Context(), "a", nil, 1)
+		is.True(err != nil && !core.MayHaveTakenEffect(err))
+	})
+	t.Run("canceled before the call", func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := serve(t, status(200)).Put(ctx, "a", nil, 1)
+		is.True(err != nil && !core.MayHaveTakenEffect(err))
+	})
+}
+
+// Guards against repeating a write on a connection that the server closed, which would run it twice.
+func TestWriteIsSentOnce(t *testing.T) {
+	is := is.New(t)
+	var puts atomic.Int64
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			w.Header().Set("ETag", `"1"`)
+			return
+		}
+		puts.Add(1)
+		_, _ = io.ReadAll(r.Body)
+		c, _, _ := w.(http.Hijacker).Hijack()
+		c.Close()
+	})
+	_, err := s.Get(t.Context(), "a") // the PUT then reuses this connection
+	is.NoErr(err)
+	_, err = s.Put(t.Context(), "a", []byte("v"), 1)
+	is.True(core.MayHaveTakenEffect(err))
+	is.Equal(puts.Load(), int64(1))
+}
+
+// Guards against hammering a store that is down, and against a write that tries a recovering store first.
+func TestBreaker(t *testing.T) {
+	is := is.New(t)
+	var broken atomic.Bool
+	var writes atomic.Int64
+	broken.Store(true)
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPut {
+			writes.Add(1)
+		}
+		if broken.Load() {
+			w.WriteHeader(503)
+			return
+		}
+		w.Header().Set("ETag", `"7"`)
+		_, _ = io.WriteString(w, `{"revision":7,"objects":[]}`)
+	})
+	for range 2 {
+		_, err := s.Put(t.Context(), "a", nil, 0)
+		is.True(core.MayHaveTakenEffect(err))
+	}
+	is.True(!s.Up())
+	_, err := s.Put(t.Context(), "a", nil, 0)
+	is.True(err != nil && !core.MayHaveTakenEffect(err)) // refused
+	for !s.Up() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	_, err = s.Put(t.Context(), "a", nil, 0)
+	is.True(err != nil && !core.MayHaveTakenEffect(err)) // the read before it failed
+	is.Equal(writes.Load(), int64(2))
+	broken.Store(false)
+	for !s.Up() {
+		time.Sleep(5 * time.Millisecond)
+	}
+	v, err := s.Put(t.Context(), "a", nil, 0)
+	is.NoErr(err)
+	is.Equal(v, core.Version(7))
+	n := s.Counts()
+	is.Equal([]int64{n["put"], n["list"], n["refused"], n["failed"]}, []int64{3, 2, 1, 3})
+}
+
+// Guards against a client that reads the published protocol differently.
+func TestReads(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/v1/objects":
+			is.Equal(r.URL.RawQuery, "after=t%2F1&limit=5&prefix=t%2F")
+			_, _ = io.WriteString(w, `{"revision":9,"objects":[{"key":"t/2","value":"aGk=","version":8}]}`)
+		case "/v1/instances":
+			_, _ = io.WriteString(w, `{"revision":3,"instances":[{"id":"i","failure_domain":"a","kind":"endpoint","state":"live"}]}`)
+		default:
+			w.Header().Set("ETag", `"8"`)
+			_, _ = io.WriteString(w, r.URL.Path)
+		}
+	})
+	o, err := s.Get(t.Context(), "t/2")
+	is.NoErr(err)
+	is.Equal(o, core.Object{Key: "t/2", Value: []byte("/v1/objects/t/2"), Version: 8})
+	list, rev, err := s.List(t.Context(), "t/", "t/1", 5)
+	is.NoErr(err)
+	is.Equal(list, []core.Object{{Key: "t/2", Value: []byte("hi"), Version: 8}})
+	is.Equal(rev, core.Version(9))
+	instances, rev, err := s.Instances(t.Context(), 1)
+	is.NoErr(err)
+	is.Equal(instances[0].GetFailureDomain(), "a")
+	is.Equal(rev, core.Version(3))
+}
+
+// Guards against a watch that misses changes, or hangs on a connection that went silent.
+func TestWatch(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprintf(w, "\n%s\n%s\n", `{"key":"t/1","value":"aGk=","version":4}`, `{"key":"t/1","version":5,"deleted":true}`)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done() // silent from here on
+		close(closed)
+	})
+	var got []string
+	start := time.Now()
+	err := s.Watch(t.Context(), "t/", 3, func(c *core.Change) error {
+		got = append(got, fmt.Sprint(c))
+		return nil
+	})
+	is.True(err != nil)
+	is.Equal(got, []string{"<nil>", "&{{t/1 [104 105] 4} false}", "&{{t/1 [] 5} true}"})
+	is.True(time.Since(start) < 4*time.Second) // three heartbeats of one second
+	<-closed
+}
