Add the pool policy: lengths, fairness, memory forecast, queue, retry budget

Cause: a pool owner must decide with unknown output lengths, ranks, floors and large teams; only the baseline existed.

--- /dev/null
+++ b/core/admit/admit.go
@@ -0,0 +1,262 @@
+package admit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/core/length"
+)
+
+const percent = 100
+
+const (
+	defaultHeadroomPercent = 92
+	defaultSlackPercent    = 20
+	// defaultRunningLimit is the usual limit of engines on sequences in one step; a call beyond it would wait there, out of reach.
+	defaultRunningLimit = 64
+	// defaultBlockTokens is the size of the blocks that Call.Prefixes hash.
+	defaultBlockTokens core.Tokens = 16
+)
+
+// Admit forecasts memory and chooses endpoints; it is not safe for concurrent use.
+type Admit struct {
+	headroom     int64
+	slack        int64
+	runningLimit int
+	block        core.Tokens
+	length       *length.Length
+
+	ends    map[core.EndpointID]*endpoint
+	order   []*endpoint
+	running map[core.RequestID]*running
+	teams   map[core.TeamName]core.Tokens
+	scratch []point
+}
+
+type running struct {
+	call      core.Call
+	ep        *endpoint
+	estimate  length.Estimate
+	generated core.Tokens
+	// shared is the number of leading blocks counted once for all calls of the endpoint that have them.
+	shared int
+}
+
+// Option changes an Admit.
+type Option func(*Admit)
+
+// WithHeadroomPercent sets the share of an endpoint's memory that the forecast may fill.
+func WithHeadroomPercent(n int64) Option { return func(a *Admit) { a.headroom = n } }
+
+// WithSlackPercent sets the extra load, in percent of an endpoint's memory, that a cached prefix may justify.
+func WithSlackPercent(n int64) Option { return func(a *Admit) { a.slack = n } }
+
+// WithRunningLimit sets the largest number of running calls per endpoint.
+func WithRunningLimit(n int) Option { return func(a *Admit) { a.runningLimit = n } }
+
+// WithBlockTokens sets the size of the blocks that Call.Prefixes hash.
+func WithBlockTokens(n core.Tokens) Option { return func(a *Admit) { a.block = n } }
+
+// New returns an Admit without endpoints that takes lengths from l.
+func New(l *length.Length, opts ...Option) *Admit {
+	a := &Admit{
+		headroom: defaultHeadroomPercent, slack: defaultSlackPercent, runningLimit: defaultRunningLimit, block: defaultBlockTokens,
+		length: l, ends: map[core.EndpointID]*endpoint{}, running: map[core.RequestID]*running{}, teams: map[core.TeamName]core.Tokens{},
+	}
+	for _, o := range opts {
+		o(a)
+	}
+	return a
+}
+
+// SetRunners replaces the endpoints; calls at an endpoint that left stay counted until they finish.
+func (a *Admit) SetRunners(runners []core.RunnerInfo) {
+	a.order = a.order[:0]
+	for _, r := range runners {
+		e := a.end(r.ID)
+		e.info = r
+		a.order = append(a.order, e)
+	}
+	for id, e := range a.ends {
+		if !slices.Contains(a.order, e) {
+			e.info.Accepting = false
+			if len(e.running) == 0 {
+				delete(a.ends, id)
+			}
+		}
+	}
+}
+
+// Start counts a call at an endpoint, with some tokens generated when it was adopted.
+func (a *Admit) Start(c core.Call, ep core.EndpointID, generated core.Tokens) {
+	e := a.end(ep)
+	r := &running{call: c, ep: e, estimate: a.length.For(&c), generated: generated}
+	r.shared = e.match(&c)
+	e.pin(r)
+	e.running = append(e.running, r)
+	e.remember(&c)
+	a.running[c.ID] = r
+	a.teams[c.Team] += c.PromptTokens + generated
+}
+
+// Token records that a call has generated n tokens.
+func (a *Admit) Token(id core.RequestID, n core.Tokens) {
+	if r := a.running[id]; r != nil && n > r.generated {
+		a.teams[r.call.Team] += n - r.generated
+		r.ep.held += n - r.generated
+		r.generated = n
+	}
+}
+
+// Cached corrects a call's shared blocks by what the engine reported.
+func (a *Admit) Cached(id core.RequestID, n core.Tokens) {
+	r := a.running[id]
+	if r == nil {
+		return
+	}
+	r.ep.unpin(r)
+	r.shared = min(int(n/a.block), len(r.call.Prefixes))
+	r.ep.pin(r)
+}
+
+// Finish ends the count of a call.
+func (a *Admit) Finish(id core.RequestID) {
+	r := a.running[id]
+	if r == nil {
+		return
+	}
+	delete(a.running, id)
+	e := r.ep
+	e.unpin(r)
+	e.running = slices.DeleteFunc(e.running, func(o *running) bool { return o == r })
+	if left := a.teams[r.call.Team] - r.call.PromptTokens - r.generated; left > 0 {
+		a.teams[r.call.Team] = left
+	} else {
+		delete(a.teams, r.call.Team)
+	}
+	if len(e.running) == 0 && !slices.Contains(a.order, e) {
+		delete(a.ends, e.info.ID)
+	}
+}
+
+// TeamHeld returns the tokens of prompts and output that a team's running calls hold.
+func (a *Admit) TeamHeld(t core.TeamName) core.Tokens { return a.teams[t] }
+
+// Capacity returns the memory of the endpoints that accept calls.
+func (a *Admit) Capacity() core.Tokens {
+	var sum core.Tokens
+	for _, e := range a.order {
+		if e.info.Accepting {
+			sum += e.info.KVCapacity
+		}
+	}
+	return sum
+}
+
+// Runnable reports whether a prompt fits into the memory of any endpoint, accepting or not.
+func (a *Admit) Runnable(c *core.Call) bool {
+	return slices.ContainsFunc(a.order, func(e *endpoint) bool { return c.PromptTokens < e.info.KVCapacity })
+}
+
+// Choose returns the endpoint for a call: the longest cached prefix unless its load exceeds the lowest by the slack,
+// otherwise the lowest forecast. Reserve is the share of memory in percent that this call must leave free;
+// held lists endpoints that it must leave alone. When the call fits nowhere, the endpoint with the lowest forecast
+// is returned with false.
+func (a *Admit) Choose(_ time.Time, c *core.Call, reserve int64, held []core.EndpointID) (core.EndpointID, bool) {
+	est := a.length.For(c)
+	onlyAvoided := a.onlyAvoided(c)
+	var best, lowest, full *endpoint
+	var bestLoad, lowestLoad, fullLoad float64
+	bestMatch := 0
+	for _, e := range a.order {
+		if !e.info.Accepting || c.PromptTokens >= e.info.KVCapacity || slices.Contains(held, e.info.ID) || (!onlyAvoided && c.Avoids(e.info.ID)) {
+			continue
+		}
+		f := a.forecast(e, c, est)
+		load := float64(f) / float64(e.info.KVCapacity)
+		if len(e.running) >= a.runningLimit || (f > e.limit(a.headroom-reserve) && len(e.running) > 0) {
+			if full == nil || load < fullLoad {
+				full, fullLoad = e, load
+			}
+			continue
+		}
+		if lowest == nil || load < lowestLoad {
+			lowest, lowestLoad = e, load
+		}
+		m := e.cached(c)
+		if m > bestMatch || (best != nil && m == bestMatch && load < bestLoad) {
+			best, bestLoad, bestMatch = e, load, m
+		}
+	}
+	switch {
+	case lowest == nil && full == nil:
+		return "", false
+	case lowest == nil:
+		return full.info.ID, false
+	case best != nil && bestLoad <= lowestLoad+float64(a.slack)/percent:
+		return best.info.ID, true
+	}
+	return lowest.info.ID, true
+}
+
+// onlyAvoided reports whether every accepting endpoint already failed the call; then these are tried again.
+func (a *Admit) onlyAvoided(c *core.Call) bool {
+	return len(c.Avoid) > 0 && !slices.ContainsFunc(a.order, func(e *endpoint) bool { return e.info.Accepting && !c.Avoids(e.info.ID) })
+}
+
+// Forecast returns the expected peak memory of an endpoint; it is never below what its calls hold now.
+func (a *Admit) Forecast(ep core.EndpointID) core.Tokens {
+	if e := a.ends[ep]; e != nil {
+		return a.forecast(e, nil, length.Estimate{})
+	}
+	return 0
+}
+
+// Loads returns what each endpoint runs, holds and is expected to hold.
+func (a *Admit) Loads() []core.EndpointLoad {
+	out := make([]core.EndpointLoad, 0, len(a.order))
+	for _, e := range a.order {
+		out = append(out, core.EndpointLoad{ID: e.info.ID, Running: len(e.running), Forecast: a.forecast(e, nil, length.Estimate{}), Held: e.held})
+	}
+	return out
+}
+
+// point is a call's memory now and its remaining tokens.
+type point struct{ now, more core.Tokens }
+
+// forecast returns the peak over the upcoming completions of the memory held at that point: when the i-th longest
+// call completes, the i longest calls each have grown by its remaining length.
+func (a *Admit) forecast(e *endpoint, extra *core.Call, est length.Estimate) core.Tokens {
+	points := a.scratch[:0]
+	for _, r := range e.running {
+		points = append(points, point{e.private(r), r.estimate.Expected(r.generated)})
+	}
+	if extra != nil {
+		now := extra.PromptTokens - core.Tokens(e.match(extra))*a.block
+		points = append(points, point{now, est.Expected(0)})
+	}
+	a.scratch = points
+	slices.SortFunc(points, func(x, y point) int { return cmp.Compare(y.more, x.more) })
+	var sum, peak core.Tokens
+	for i, p := range points {
+		sum += p.now
+		peak = max(peak, sum+core.Tokens(i+1)*p.more)
+	}
+	return peak + e.sharedTokens()
+}
+
+func (a *Admit) end(id core.EndpointID) *endpoint {
+	e := a.ends[id]
+	if e == nil {
+		e = newEndpoint(id, a.block)
+		a.ends[id] = e
+	}
+	return e
+}
+
+func (e *endpoint) limit(pct int64) core.Tokens {
+	return core.Tokens(math.Floor(float64(e.info.KVCapacity) * float64(pct) / percent))
+}
--- /dev/null
+++ b/core/admit/endpoint.go
@@ -0,0 +1,88 @@
+package admit
+
+import "snipeshed/core"
+
+// maxPrefixes limits the remembered prefix blocks of an endpoint; at 16 tokens a block this is a million tokens,
+// more than engines keep.
+const maxPrefixes = 65536
+
+type endpoint struct {
+	info    core.RunnerInfo
+	block   core.Tokens
+	running []*running
+	// held is the memory of the running calls, with shared blocks counted once.
+	held core.Tokens
+	// pinned counts for each block the running calls that share it.
+	pinned map[uint64]int
+	// prefixes has the blocks that the endpoint probably has in its cache, in two generations:
+	// when the newer one is full, the older one is dropped.
+	newer, older map[uint64]struct{}
+}
+
+func newEndpoint(id core.EndpointID, block core.Tokens) *endpoint {
+	return &endpoint{
+		info: core.RunnerInfo{ID: id}, block: block, pinned: map[uint64]int{},
+		newer: map[uint64]struct{}{}, older: map[uint64]struct{}{},
+	}
+}
+
+// match returns how many leading blocks of a prompt are held by running calls already.
+func (e *endpoint) match(c *core.Call) int {
+	n := 0
+	for _, h := range c.Prefixes {
+		if e.pinned[h] == 0 {
+			break
+		}
+		n++
+	}
+	return n
+}
+
+// cached returns how many leading blocks of a prompt the endpoint probably has in its cache.
+func (e *endpoint) cached(c *core.Call) int {
+	n := 0
+	for _, h := range c.Prefixes {
+		_, a := e.newer[h]
+		_, b := e.older[h]
+		if !a && !b {
+			break
+		}
+		n++
+	}
+	return n
+}
+
+func (e *endpoint) remember(c *core.Call) {
+	if len(e.newer)+len(c.Prefixes) > maxPrefixes/2 {
+		e.older, e.newer = e.newer, map[uint64]struct{}{}
+	}
+	for _, h := range c.Prefixes {
+		e.newer[h] = struct{}{}
+	}
+}
+
+// private returns the memory of a call that it does not share.
+func (e *endpoint) private(r *running) core.Tokens {
+	return r.call.PromptTokens + r.generated - core.Tokens(r.shared)*e.block
+}
+
+func (e *endpoint) pin(r *running) {
+	for _, h := range r.call.Prefixes[:r.shared] {
+		if e.pinned[h]++; e.pinned[h] == 1 {
+			e.held += e.block
+		}
+	}
+	e.held += e.private(r)
+}
+
+func (e *endpoint) unpin(r *running) {
+	for _, h := range r.call.Prefixes[:r.shared] {
+		if e.pinned[h]--; e.pinned[h] == 0 {
+			delete(e.pinned, h)
+			e.held -= e.block
+		}
+	}
+	e.held -= e.private(r)
+}
+
+func (e *endpoint) sharedTokens() core.Tokens { return core.Tokens(len(e.pinned)) * e.block }
--- /dev/null
+++ b/core/budget/doc.go
@@ -0,0 +1,2 @@
+// Package budget limits retries to a share of the calls.
+package budget
--- /dev/null
+++ b/core/fair/doc.go
@@ -0,0 +1,2 @@
+// Package fair decides whose turn it is: teams by virtual counters of tokens served, ranks by their floors.
+package fair
--- /dev/null
+++ b/core/fair/fair.go
@@ -0,0 +1,218 @@
+package fair
+
+import (
+	"cmp"
+	"slices"
+
+	"snipeshed/core"
+)
+
+const (
+	// defaultHorizon is the number of tokens per running call over which a rank's deficit is made good.
+	// A shorter one starts more calls for the same deficit and then overshoots the floor.
+	defaultHorizon = 100
+	// maxDebt limits how far service above the floor delays the floor later on; without a limit,
+	// an hour of idle capacity would cost a rank its floor during the next flood.
+	maxDebt = 2048 // tokens
+	// maxDeficit limits how long a rank is preferred after it could not be served.
+	maxDeficit = 16384 // tokens
+)
+
+const percent = 100
+
+// Fair keeps virtual counters of teams and deficits of ranks; it is not safe for concurrent use.
+type Fair struct {
+	horizon float64
+	ranks   map[core.RankName]*rank
+	weights map[core.TeamName]int64
+	running int
+}
+
+type rank struct {
+	name    core.RankName
+	floor   float64
+	teams   map[core.TeamName]*team
+	waiting int
+	running int
+	// deficit is the number of tokens that the rank is below its floor.
+	deficit float64
+	// virtual is the highest counter at which a team was served; it stands for the active teams when none waits.
+	virtual float64
+}
+
+type team struct {
+	name    core.TeamName
+	counter float64
+	waiting int
+}
+
+// Option changes a Fair.
+type Option func(*Fair)
+
+// WithHorizon sets the number of tokens per running call over which a rank's deficit is made good.
+func WithHorizon(tokens int) Option { return func(f *Fair) { f.horizon = float64(tokens) } }
+
+// New returns a Fair without ranks or teams.
+func New(opts ...Option) *Fair {
+	f := &Fair{horizon: defaultHorizon, ranks: map[core.RankName]*rank{}}
+	for _, o := range opts {
+		o(f)
+	}
+	return f
+}
+
+// SetRules replaces floors and weights and forgets idle teams that the rules don't name.
+func (f *Fair) SetRules(rules core.PolicyRules) {
+	f.weights = rules.TeamWeights
+	for _, r := range f.ranks {
+		r.floor = 0
+		for name, t := range r.teams {
+			if _, known := f.weights[name]; !known && t.waiting == 0 {
+				delete(r.teams, name)
+			}
+		}
+	}
+	for _, rule := range rules.Ranks {
+		f.rank(rule.Name).floor = float64(rule.FloorPercent) / percent
+	}
+}
+
+// Enqueue records that a team has one more waiting call; a team that had none gets no credit for its idle time.
+func (f *Fair) Enqueue(rn core.RankName, tn core.TeamName) {
+	r := f.rank(rn)
+	t := r.team(tn)
+	if t.waiting == 0 {
+		t.counter = max(t.counter, r.lowest())
+	}
+	t.waiting++
+	r.waiting++
+}
+
+// Dequeue records that a waiting call left without being started.
+func (f *Fair) Dequeue(rn core.RankName, tn core.TeamName) {
+	r := f.rank(rn)
+	r.team(tn).waiting--
+	r.waiting--
+}
+
+// Start records that a waiting call was started; cost is its expected number of weighted tokens.
+func (f *Fair) Start(rn core.RankName, tn core.TeamName, cost core.Tokens) {
+	f.Dequeue(rn, tn)
+	r := f.rank(rn)
+	r.virtual = max(r.virtual, r.team(tn).counter)
+	f.Adopt(rn, tn, cost)
+}
+
+// Adopt records a running call that was not queued here.
+func (f *Fair) Adopt(rn core.RankName, tn core.TeamName, cost core.Tokens) {
+	f.rank(rn).running++
+	f.running++
+	f.Charge(rn, tn, cost)
+}
+
+// Finish records that a running call ended; correction is the actual cost less what was charged.
+func (f *Fair) Finish(rn core.RankName, tn core.TeamName, correction core.Tokens) {
+	f.rank(rn).running--
+	f.running--
+	f.Charge(rn, tn, correction)
+}
+
+// Charge adds to a team's counter; a negative cost never takes it below the active teams.
+func (f *Fair) Charge(rn core.RankName, tn core.TeamName, cost core.Tokens) {
+	r := f.rank(rn)
+	t := r.team(tn)
+	after := t.counter + float64(cost)/f.weight(tn)
+	if cost < 0 {
+		after = max(after, min(t.counter, r.virtual))
+	}
+	t.counter = after
+}
+
+// Serve records n tokens of output of a rank and moves every rank's deficit.
+func (f *Fair) Serve(rn core.RankName, n core.Tokens) {
+	f.rank(rn)
+	for _, r := range f.ranks {
+		r.deficit += r.floor * float64(n)
+		if r.name == rn {
+			r.deficit -= float64(n)
+		}
+		limit := float64(maxDeficit)
+		if r.waiting == 0 {
+			// A rank without waiting work earns no claim for later.
+			limit = 0
+		}
+		r.deficit = min(max(r.deficit, -maxDebt), limit)
+	}
+}
+
+// BelowFloor reports whether a rank with waiting work gets less than its floor, counting what its running calls will produce.
+func (f *Fair) BelowFloor(rn core.RankName) bool {
+	r := f.ranks[rn]
+	if r == nil || r.floor == 0 || r.waiting == 0 {
+		return false
+	}
+	return r.deficit+f.horizon*(r.floor*float64(f.running+1)-float64(r.running)) > 0
+}
+
+// Teams appends a rank's teams with waiting calls to buf, the lowest counter first.
+func (f *Fair) Teams(rn core.RankName, buf []core.TeamName) []core.TeamName {
+	r := f.ranks[rn]
+	if r == nil {
+		return buf
+	}
+	from := len(buf)
+	for _, t := range r.teams {
+		if t.waiting > 0 {
+			buf = append(buf, t.name)
+		}
+	}
+	slices.SortFunc(buf[from:], func(a, b core.TeamName) int {
+		// Names break ties, so that a replay makes the same decisions.
+		return cmp.Or(cmp.Compare(r.teams[a].counter, r.teams[b].counter), cmp.Compare(a, b))
+	})
+	return buf
+}
+
+// Counter returns a team's virtual counter in a rank.
+func (f *Fair) Counter(rn core.RankName, tn core.TeamName) float64 {
+	return f.rank(rn).team(tn).counter
+}
+
+// Weight returns a team's weight, 1 when the rules give none.
+func (f *Fair) Weight(tn core.TeamName) float64 { return f.weight(tn) }
+
+func (f *Fair) weight(tn core.TeamName) float64 {
+	if w := f.weights[tn]; w > 0 {
+		return float64(w)
+	}
+	return 1
+}
+
+func (f *Fair) rank(name core.RankName) *rank {
+	r := f.ranks[name]
+	if r == nil {
+		r = &rank{name: name, teams: map[core.TeamName]*team{}}
+		f.ranks[name] = r
+	}
+	return r
+}
+
+func (r *rank) team(name core.TeamName) *team {
+	t := r.teams[name]
+	if t == nil {
+		t = &team{name: name}
+		r.teams[name] = t
+	}
+	return t
+}
+
+// lowest returns the lowest counter among teams with waiting calls.
+func (r *rank) lowest() float64 {
+	low, found := r.virtual, false
+	for _, t := range r.teams {
+		if t.waiting > 0 && (!found || t.counter < low) {
+			low, found = t.counter, true
+		}
+	}
+	return low
+}
--- a/core/fifo/fifo.go
+++ b/core/fifo/fifo.go
@@ -19,6 +19,7 @@
 type Fifo struct {
 	runningLimit int
 	queueLimit   int
+	less         func(a, b *core.RunnerInfo) bool
 
 	queue   []core.Call
 	runners []core.RunnerInfo
@@ -45,6 +46,9 @@
 // WithQueueLimit sets the largest number of waiting calls.
 func WithQueueLimit(n int) Option { return func(f *Fifo) { f.queueLimit = n } }
 
+// WithOrder replaces round robin: the least endpoint with a free slot is taken.
+func WithOrder(less func(a, b *core.RunnerInfo) bool) Option { return func(f *Fifo) { f.less = less } }
+
 // New returns a Fifo without endpoints.
 func New(opts ...Option) *Fifo {
 	f := &Fifo{
@@ -171,16 +175,25 @@
 			onlyAvoided = false
 		}
 	}
+	best := -1
 	for i := range f.runners {
 		k := (f.next + i) % len(f.runners)
 		r := &f.runners[k]
 		if !r.Accepting || f.perEnd[r.ID] >= f.runningLimit || (!onlyAvoided && c.Avoids(r.ID)) {
 			continue
 		}
-		f.next = k + 1
-		return r.ID, true
+		if best < 0 || f.less(r, &f.runners[best]) {
+			best = k
+		}
+		if f.less == nil {
+			break
+		}
+	}
+	if best < 0 {
+		return "", false
 	}
-	return "", false
+	f.next = best + 1
+	return f.runners[best].ID, true
 }
 
 func (f *Fifo) run(c core.Call, ep core.EndpointID, generated core.Tokens) {
--- /dev/null
+++ b/core/length/doc.go
@@ -0,0 +1,2 @@
+// Package length estimates how many tokens a generation will still produce.
+package length
--- /dev/null
+++ b/core/queue/call.go
@@ -0,0 +1,28 @@
+package queue
+
+import (
+	"time"
+
+	"snipeshed/core"
+)
+
+// call is a waiting or running call.
+type call struct {
+	core.Call
+	arrived time.Time
+	started time.Time
+	// charged is the cost in weighted tokens that the team's counter has been charged.
+	charged   core.Tokens
+	generated core.Tokens
+	adopted   bool
+}
+
+// noDeadline orders calls without a deadline after all others.
+var noDeadline = time.Unix(1<<40, 0)
+
+func (c *call) due() time.Time {
+	if c.Deadline.IsZero() {
+		return noDeadline
+	}
+	return c.Deadline
+}
--- /dev/null
+++ b/core/queue/refuse.go
@@ -0,0 +1,43 @@
+package queue
+
+import (
+	"fmt"
+	"hash/fnv"
+	"time"
+
+	"snipeshed/core"
+)
+
+const (
+	minRetryAfter = time.Second
+	maxRetryAfter = time.Minute
+)
+
+// refusal tells the client that a call that was never sent was not run.
+func refusal(id core.RequestID, kind core.Kind, message string, after time.Duration) core.Action {
+	e := &core.Error{Kind: kind, Message: message, Run: core.RunNot}
+	switch kind {
+	case core.KindBadRequest:
+		e.Remedy = "shorten the prompt"
+	case core.KindDeadline:
+		e.Remedy = "raise Snipeshed-Timeout-Ms or repeat the call after the time in retry_after_ms"
+		e.RetryAfter = spread(id, after)
+	default:
+		e.Remedy = "repeat the call after the time in retry_after_ms"
+		e.RetryAfter = spread(id, after)
+	}
+	return core.Action{Kind: core.ActionRefuse, ID: id, Err: e}
+}
+
+// spread adds up to half by the request's id, so that refused clients don't come back at the same moment.
+func spread(id core.RequestID, d time.Duration) time.Duration {
+	d = min(max(d, minRetryAfter), maxRetryAfter)
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	const steps = 1024
+	return d + d/2*time.Duration(h.Sum32()%steps)/steps
+}
+
+func overload(r *rank, wait time.Duration, limit time.Duration) string {
+	return fmt.Sprintf("expected wait of %s in rank %q exceeds its limit of %s", wait.Round(time.Millisecond), r.rule.Name, limit.Round(time.Millisecond))
+}
