Measure the policies in virtual time: standin bench-policy

Cause: nothing measured what a policy does to stalls, ranks, floors and small teams. Change: stand/trial drives a policy and five simulated engines through two users' traces; standin bench-policy prints a line per run and a score per user. core/admit keeps each endpoint's calls sorted and renews expectations only when a call has grown by a sixteenth, because sorting for every candidate took most of the time.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -1,8 +1,6 @@
 package admit
 
 import (
-	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -33,7 +31,6 @@
 	order   []*endpoint
 	running map[core.RequestID]*running
 	teams   map[core.TeamName]core.Tokens
-	scratch []point
 }
 
 type running struct {
@@ -41,6 +38,8 @@
 	ep        *endpoint
 	estimate  length.Estimate
 	generated core.Tokens
+	// more is the expected number of tokens to come; it is renewed once moreUntil tokens are generated.
+	more, moreUntil core.Tokens
 	// shared is the number of leading blocks counted once for all calls of the endpoint that have them.
 	shared int
 }
@@ -94,9 +93,11 @@
 func (a *Admit) Start(c core.Call, ep core.EndpointID, generated core.Tokens) {
 	e := a.end(ep)
 	r := &running{call: c, ep: e, estimate: a.length.For(&c), generated: generated}
+	r.expect()
 	r.shared = e.match(&c)
 	e.pin(r)
 	e.running = append(e.running, r)
+	e.sorted = false
 	e.remember(&c)
 	a.running[c.ID] = r
 	a.teams[c.Team] += c.PromptTokens + generated
@@ -108,9 +109,21 @@
 		a.teams[r.call.Team] += n - r.generated
 		r.ep.held += n - r.generated
 		r.generated = n
+		if n >= r.moreUntil {
+			r.expect()
+			r.ep.sorted = false
+		}
 	}
 }
 
+// renewParts makes a call's expectation be renewed each time it has grown by a sixteenth; the histograms are no finer.
+const renewParts = 16
+
+func (r *running) expect() {
+	r.more = r.estimate.Expected(r.generated)
+	r.moreUntil = r.generated + r.generated/renewParts + 1
+}
+
 // Cached corrects a call's shared blocks by what the engine reported.
 func (a *Admit) Cached(id core.RequestID, n core.Tokens) {
 	r := a.running[id]
@@ -175,9 +188,15 @@
 		if !e.info.Accepting || c.PromptTokens >= e.info.KVCapacity || slices.Contains(held, e.info.ID) || (!onlyAvoided && c.Avoids(e.info.ID)) {
 			continue
 		}
-		f := a.forecast(e, c, est)
+		if len(e.running) >= a.runningLimit {
+			if load := 1 + float64(e.held)/float64(e.info.KVCapacity); full == nil || load < fullLoad {
+				full, fullLoad = e, load
+			}
+			continue
+		}
+		f := e.forecast(c, est.Expected(0))
 		load := float64(f) / float64(e.info.KVCapacity)
-		if len(e.running) >= a.runningLimit || (f > e.limit(a.headroom-reserve) && len(e.running) > 0) {
+		if f > e.limit(a.headroom-reserve) && len(e.running) > 0 {
 			if full == nil || load < fullLoad {
 				full, fullLoad = e, load
 			}
@@ -210,7 +229,7 @@
 // Forecast returns the expected peak memory of an endpoint; it is never below what its calls hold now.
 func (a *Admit) Forecast(ep core.EndpointID) core.Tokens {
 	if e := a.ends[ep]; e != nil {
-		return a.forecast(e, nil, length.Estimate{})
+		return e.forecast(nil, 0)
 	}
 	return 0
 }
@@ -219,33 +238,14 @@
 func (a *Admit) Loads() []core.EndpointLoad {
 	out := make([]core.EndpointLoad, 0, len(a.order))
 	for _, e := range a.order {
-		out = append(out, core.EndpointLoad{ID: e.info.ID, Running: len(e.running), Forecast: a.forecast(e, nil, length.Estimate{}), Held: e.held})
+		out = append(out, core.EndpointLoad{ID: e.info.ID, Running: len(e.running), Forecast: e.forecast(nil, 0), Held: e.held})
 	}
 	return out
 }
 
-// point is a call's memory now and its remaining tokens.
-type point struct{ now, more core.Tokens }
-
-// forecast returns the peak over the upcoming completions of the memory held at that point: when the i-th longest
-// call completes, the i longest calls each have grown by its remaining length.
-func (a *Admit) forecast(e *endpoint, extra *core.Call, est length.Estimate) core.Tokens {
-	points := a.scratch[:0]
-	for _, r := range e.running {
-		points = append(points, point{e.private(r), r.estimate.Expected(r.generated)})
-	}
-	if extra != nil {
-		now := extra.PromptTokens - core.Tokens(e.match(extra))*a.block
-		points = append(points, point{now, est.Expected(0)})
-	}
-	a.scratch = points
-	slices.SortFunc(points, func(x, y point) int { return cmp.Compare(y.more, x.more) })
-	var sum, peak core.Tokens
-	for i, p := range points {
-		sum += p.now
-		peak = max(peak, sum+core.Tokens(i+1)*p.more)
-	}
-	return peak + e.sharedTokens()
+// Free reports whether any endpoint may run one more call.
+func (a *Admit) Free() bool {
+	return slices.ContainsFunc(a.order, func(e *endpoint) bool { return e.info.Accepting && len(e.running) < a.runningLimit })
 }
 
 func (a *Admit) end(id core.EndpointID) *endpoint {
@@ -256,7 +256,3 @@
 	}
 	return e
 }
-
-func (e *endpoint) limit(pct int64) core.Tokens {
-	return core.Tokens(math.Floor(float64(e.info.KVCapacity) * float64(pct) / percent))
-}
--- a/core/admit/endpoint.go
+++ b/core/admit/endpoint.go
@@ -1,6 +1,11 @@
 package admit
 
-import "snipeshed/core"
+import (
+	"cmp"
+	"slices"
+
+	"snipeshed/core"
+)
 
 // maxPrefixes limits the remembered prefix blocks of an endpoint; at 16 tokens a block this is a million tokens,
 // more than engines keep.
@@ -10,6 +15,8 @@
 	info    core.RunnerInfo
 	block   core.Tokens
 	running []*running
+	// sorted tells whether running is in order of the expected remaining lengths, longest first.
+	sorted bool
 	// held is the memory of the running calls, with shared blocks counted once.
 	held core.Tokens
 	// pinned counts for each block the running calls that share it.
@@ -86,3 +93,33 @@
 }
 
 func (e *endpoint) sharedTokens() core.Tokens { return core.Tokens(len(e.pinned)) * e.block }
+
+// forecast returns the peak over the upcoming completions of the memory held at that point, with an extra call if
+// there is one: when the i-th longest call completes, the i longest calls each have grown by its remaining length.
+func (e *endpoint) forecast(extra *core.Call, extraMore core.Tokens) core.Tokens {
+	if !e.sorted {
+		slices.SortStableFunc(e.running, func(x, y *running) int { return cmp.Compare(y.more, x.more) })
+		e.sorted = true
+	}
+	var sum, peak, n core.Tokens
+	add := func(now, more core.Tokens) {
+		n++
+		sum += now
+		peak = max(peak, sum+n*more)
+	}
+	for _, r := range e.running {
+		if extra != nil && extraMore >= r.more {
+			add(extra.PromptTokens-core.Tokens(e.match(extra))*e.block, extraMore)
+			extra = nil
+		}
+		add(e.private(r), r.more)
+	}
+	if extra != nil {
+		add(extra.PromptTokens-core.Tokens(e.match(extra))*e.block, extraMore)
+	}
+	return peak + e.sharedTokens()
+}
+
+func (e *endpoint) limit(pct int64) core.Tokens {
+	return e.info.KVCapacity * core.Tokens(pct) / percent
+}
--- a/core/queue/dispatch.go
+++ b/core/queue/dispatch.go
@@ -10,14 +10,15 @@
 // When the first call of a rank fits nowhere, the endpoint with the lowest forecast is held for it:
 // later and smaller calls must not take the memory that it waits for.
 func (q *Queue) dispatch(now time.Time, acts []core.Action) []core.Action {
-	for {
+	for q.admit.Free() {
 		q.held = q.held[:0]
 		a, ok := q.next(now)
 		if !ok {
-			return acts
+			break
 		}
 		acts = append(acts, a)
 	}
+	return acts
 }
 
 // next starts one call, if any fits.
--- a/stand/cmds/main.go
+++ b/stand/cmds/main.go
@@ -20,7 +20,7 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Commands:       []*cli.Command{},
+		Commands:       []*cli.Command{policyCommand()},
 	}
 	if err := root.Run(ctx, args); err != nil {
 		fmt.Fprintf(stderr, "standin: %v\n", err)
--- /dev/null
+++ b/stand/trial/meter.go
@@ -0,0 +1,171 @@
+package trial
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"snipeshed/core"
+)
+
+// meter measures one run from the clients' side.
+type meter struct {
+	user       *User
+	phases     []phase
+	targets    map[core.RankName]time.Duration
+	gaps       *hdrhistogram.Histogram
+	firsts     map[core.RankName]*hdrhistogram.Histogram
+	inTarget   int
+	streams    int
+	stall      time.Duration
+	offers     map[core.RankName]int
+	refusals   map[core.RankName]int
+	wanted     map[core.TeamName]core.Tokens
+	served     map[core.TeamName]core.Tokens
+	recomputed core.Tokens
+	// flooded counts the tokens delivered during each phase by rank; a stream's tokens are those that it wanted there.
+	flooded []map[core.RankName]core.Tokens
+	// wantedIn counts the output of the calls that arrived during each phase.
+	wantedIn []map[core.RankName]core.Tokens
+	// smallOffers and smallRefusals count the calls of the small teams.
+	smallOffers, smallRefusals int
+	// offerIn and refusedIn count the calls that arrived during each phase.
+	offerIn, refusedIn []map[core.RankName]int
+	outcome            Outcome
+}
+
+// Histograms record microseconds from 1 µs to 20 minutes with two significant digits.
+const (
+	histMax    = 1_200_000_000
+	histDigits = 2
+)
+
+func newMeter(u *User, phases []phase) *meter {
+	m := &meter{
+		user: u, phases: phases, targets: map[core.RankName]time.Duration{}, gaps: hdrhistogram.New(1, histMax, histDigits),
+		firsts: map[core.RankName]*hdrhistogram.Histogram{}, offers: map[core.RankName]int{}, refusals: map[core.RankName]int{},
+		wanted: map[core.TeamName]core.Tokens{}, served: map[core.TeamName]core.Tokens{},
+	}
+	for _, r := range u.rules.Ranks {
+		m.targets[r.Name] = r.FirstTokenTarget
+		m.firsts[r.Name] = hdrhistogram.New(1, histMax, histDigits)
+	}
+	for range phases {
+		m.flooded = append(m.flooded, map[core.RankName]core.Tokens{})
+		m.wantedIn = append(m.wantedIn, map[core.RankName]core.Tokens{})
+		m.offerIn = append(m.offerIn, map[core.RankName]int{})
+		m.refusedIn = append(m.refusedIn, map[core.RankName]int{})
+	}
+	return m
+}
+
+func (m *meter) offered(now time.Time, a *Arrival) {
+	m.offers[a.Call.Rank]++
+	m.wanted[a.Call.Team] += a.Output
+	if small(a.Call.Team) {
+		m.smallOffers++
+	}
+	m.each(now, func(i int) {
+		m.offerIn[i][a.Call.Rank]++
+		m.wantedIn[i][a.Call.Rank] += a.Output
+	})
+}
+
+func (m *meter) refused(st *stream, _ time.Time) {
+	rank := st.arrival.Call.Rank
+	m.refusals[rank]++
+	m.outcome.Refused++
+	if small(st.arrival.Call.Team) {
+		m.smallRefusals++
+	}
+	m.each(st.at, func(i int) { m.refusedIn[i][rank]++ })
+}
+
+func (m *meter) first(st *stream, at time.Time) {
+	rank := st.arrival.Call.Rank
+	d := at.Sub(st.at)
+	_ = m.firsts[rank].RecordValue(min(d.Microseconds(), histMax))
+	if rank == urgent && d <= m.targets[rank] {
+		m.inTarget++
+	}
+	m.count(rank, at)
+}
+
+func (m *meter) gap(st *stream, at time.Time, d time.Duration) {
+	rank := st.arrival.Call.Rank
+	_ = m.gaps.RecordValue(min(d.Microseconds(), histMax))
+	m.stall += max(d-m.user.gapTarget[rank], 0)
+	m.count(rank, at)
+}
+
+func (m *meter) count(rank core.RankName, at time.Time) {
+	m.outcome.Tokens++
+	m.each(at, func(i int) { m.flooded[i][rank]++ })
+}
+
+func (m *meter) ended(st *stream) {
+	m.streams++
+	m.served[st.arrival.Call.Team] += st.arrival.Output
+}
+
+// each calls fn for each phase that now is in.
+func (m *meter) each(now time.Time, fn func(i int)) {
+	d := now.Sub(start)
+	for i, p := range m.phases {
+		if d >= p.from && d < p.to {
+			fn(i)
+		}
+	}
+}
+
+// smallest returns the lowest ratio of a small team's served tokens to its fair share: what it asked for, or an equal
+// part of all served tokens when that is less, with what the modest teams leave going to the others.
+func (m *meter) smallest() float64 {
+	var teams []core.TeamName
+	var total float64
+	for t := range m.wanted {
+		teams = append(teams, t)
+		total += float64(m.served[t])
+	}
+	slices.SortFunc(teams, func(a, b core.TeamName) int { return cmp.Compare(m.wanted[a], m.wanted[b]) })
+	low := 1.0
+	for i, t := range teams {
+		fair := min(float64(m.wanted[t]), total/float64(len(teams)-i))
+		total -= fair
+		if small(t) && fair > 0 {
+			low = min(low, float64(m.served[t])/fair)
+		}
+	}
+	return low
+}
+
+// kept returns a rank's part of all tokens delivered during a phase.
+func (m *meter) kept(i int, r core.RankName) float64 {
+	var total core.Tokens
+	for _, n := range m.flooded[i] {
+		total += n
+	}
+	return ratio(float64(m.flooded[i][r]), float64(total))
+}
+
+// keptOfFloor compares what a rank kept with its floor, or with what it asked for when that is less.
+func (m *meter) keptOfFloor(i int, r core.RankName) float64 {
+	var total core.Tokens
+	for _, n := range m.flooded[i] {
+		total += n
+	}
+	due := min(float64(total)*float64(m.user.floor(r))/100, float64(m.wantedIn[i][r]))
+	return min(1, ratio(float64(m.flooded[i][r]), due))
+}
+
+func small(t core.TeamName) bool { return strings.HasPrefix(string(t), "small") }
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
