Add calls to application services with protected actions

Cause: an action such as a confirmed swap must run at most once, whatever is lost, paused or down, and a client that was told not_run must be able to retry. Change: core/claim decides the steps of one protected action; io/action carries them out, relays other calls with retries before an answer is delivered, and looks actions up.

--- /dev/null
+++ b/core/claim/record.go
@@ -0,0 +1,60 @@
+package claim
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"snipeshed/core"
+)
+
+// State is the recorded state of a protected action.
+type State string
+
+// Values of State.
+const (
+	StateClaimed State = "claimed"
+	StateDone    State = "done"
+	StateNotRun  State = "not_run"
+)
+
+// Record is the object that the store holds for one idempotency key.
+type Record struct {
+	// Nonce is unique to the attempt; whoever made it is the attempt's only sender.
+	Nonce       string          `json:"nonce"`
+	Attempt     int             `json:"attempt"`
+	State       State           `json:"state"`
+	Fingerprint string          `json:"fingerprint"`
+	Holder      core.InstanceID `json:"holder"`
+	ClaimedAt   int64           `json:"claimed_at_unix_ms"`
+	// Deadline only separates in_progress from outcome_unknown for readers, so clock skew between instances is harmless.
+	Deadline int64   `json:"deadline_unix_ms"`
+	Result   *Result `json:"result,omitempty"`
+}
+
+// Result is an endpoint's recorded answer.
+type Result struct {
+	Status int                 `json:"status"`
+	Header map[string][]string `json:"header,omitempty"`
+	Body   []byte              `json:"body,omitempty"`
+	// BodyOmitted is set when the body was larger than the limit for recorded results.
+	BodyOmitted bool `json:"body_omitted,omitempty"`
+}
+
+// Marshal returns the record's JSON.
+func (r Record) Marshal() []byte {
+	b, _ := json.Marshal(r) // plain fields always marshal
+	return b
+}
+
+// Parse reads a record from JSON.
+func Parse(b []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Record{}, fmt.Errorf("action record is malformed: %w", err)
+	}
+	return r, nil
+}
+
+// Expired reports whether a claimed attempt is past its deadline.
+func (r Record) Expired(now time.Time) bool { return now.UnixMilli() >= r.Deadline }
--- /dev/null
+++ b/io/action/action.go
@@ -0,0 +1,106 @@
+package action
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/io/reply"
+)
+
+// Action relays calls to application services.
+type Action struct {
+	core.Shared
+	store    core.Store
+	config   core.ConfigSource
+	cfg      *conf.Settings
+	client   *http.Client
+	instance core.InstanceID
+	usable   func(core.EndpointID, string) bool
+	budget   Budget
+
+	shared http.RoundTripper
+	once   http.RoundTripper
+	pick   picker
+
+	// ctx ends background work when Close stops waiting for it.
+	ctx    context.Context
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	closed bool
+	wg     sync.WaitGroup
+}
+
+// New returns an Action.
+func New(shared core.Shared, store core.Store, config core.ConfigSource, opts ...Option) *Action {
+	a := &Action{Shared: shared, store: store, config: config, budget: noBudget{}, client: http.DefaultClient}
+	for _, o := range opts {
+		o(a)
+	}
+	if a.cfg == nil {
+		a.cfg = &conf.Settings{}
+		conf.SetDefaults(a.cfg)
+	}
+	if a.usable == nil {
+		a.usable = func(core.EndpointID, string) bool { return true }
+	}
+	a.shared, a.once = transports(a.client.Transport)
+	a.pick.open = map[core.EndpointID]int{}
+	a.ctx, a.cancel = context.WithCancel(context.Background())
+	return a
+}
+
+// Serve answers a call of an application service; it panics with http.ErrAbortHandler when an answer breaks off midway.
+func (a *Action) Serve(
+	w http.ResponseWriter, r *http.Request, id core.RequestID, cred core.Credential, service core.ServiceName, path string,
+) {
+	c, err := a.read(w, r, id, cred, service, path)
+	if err != nil {
+		reply.Error(w, id, err)
+		return
+	}
+	if c.protected {
+		a.serveProtected(w, r, c)
+		return
+	}
+	a.servePlain(w, r, c)
+}
+
+// Close stops accepting protected calls and waits until every record is written or ctx ends.
+func (a *Action) Close(ctx context.Context) error {
+	a.mu.Lock()
+	a.closed = true
+	a.mu.Unlock()
+	finished := make(chan struct{})
+	go func() {
+		a.wg.Wait()
+		close(finished)
+	}()
+	var err error
+	select {
+	case <-finished:
+	case <-ctx.Done():
+		err = ctx.Err()
+	}
+	a.cancel()
+	<-finished
+	closeIdle(a.shared)
+	closeIdle(a.once)
+	return err
+}
+
+// start runs fn in the background unless the Action is closed.
+func (a *Action) start(fn func()) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return false
+	}
+	a.wg.Go(fn)
+	return true
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/io/action/fake_test.go
@@ -0,0 +1,298 @@
+package action
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"snipeshed/core"
+	"snipeshed/core/claim"
+	"snipeshed/io/reply"
+	"snipeshed/wire"
+)
+
+type effect int
+
+const (
+	works      effect = iota
+	lostAfter         // takes effect, answer lost
+	lostBefore        // no effect, answer lost
+	late              // answer lost, takes effect after fault.wait
+	refused           // certainly no effect
+	slow              // waits, then works unless the caller has given up; the effect comes either way
+	paused            // works, and the caller is paused for fault.wait before it learns of it
+)
+
+type fault struct {
+	effect effect
+	wait   time.Duration
+}
+
+type outage struct {
+	from, until time.Time
+	effect      effect
+}
+
+var errLost = errors.New("connection lost")
+
+// memStore is a linearizable object API with faults: scripted per call, then by the rule.
+type memStore struct {
+	core.Store
+	mu      sync.Mutex
+	objects map[string]core.Object
+	last    core.Version
+	puts    []fault
+	gets    []fault
+	rule    func() fault
+	// outage is when calls beyond the script end with outage.effect.
+	outage outage
+	nputs  int
+	ngets  int
+	down   bool
+}
+
+func (s *memStore) Up() bool { s.mu.Lock(); defer s.mu.Unlock(); return !s.down }
+
+func (s *memStore) next(list *[]fault) (f fault) {
+	now := time.Now()
+	switch {
+	case len(*list) > 0:
+		f, *list = (*list)[0], (*list)[1:]
+	case !now.Before(s.outage.from) && now.Before(s.outage.until):
+		f.effect = s.outage.effect
+	case s.rule != nil:
+		f = s.rule()
+	}
+	return f
+}
+
+func (s *memStore) write(key string, value []byte, v core.Version) (core.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[key].Version != v {
+		return 0, core.ErrVersion
+	}
+	s.last++
+	s.objects[key] = core.Object{Key: key, Value: value, Version: s.last}
+	return s.last, nil
+}
+
+func (s *memStore) Put(ctx context.Context, key string, value []byte, v core.Version) (core.Version, error) {
+	s.mu.Lock()
+	s.nputs++
+	f := s.next(&s.puts)
+	s.mu.Unlock()
+	lost := &core.StoreError{Op: "put", Key: key, Effect: core.EffectUnknown, Cause: errLost}
+	switch f.effect {
+	case lostAfter:
+		_, _ = s.write(key, value, v)
+		return 0, lost
+	case lostBefore:
+		return 0, lost
+	case late:
+		time.AfterFunc(f.wait, func() { _, _ = s.write(key, value, v) })
+		return 0, lost
+	case refused:
+		return 0, &core.StoreError{Op: "put", Key: key, Effect: core.EffectNone, Cause: errLost}
+	case slow:
+		if !sleep(ctx, f.wait) {
+			_, _ = s.write(key, value, v)
+			return 0, lost
+		}
+	case paused:
+		n, err := s.write(key, value, v)
+		time.Sleep(f.wait)
+		return n, err
+	}
+	return s.write(key, value, v)
+}
+
+func (s *memStore) Get(ctx context.Context, key string) (core.Object, error) {
+	s.mu.Lock()
+	s.ngets++
+	f := s.next(&s.gets)
+	s.mu.Unlock()
+	if f.effect == slow && sleep(ctx, f.wait) {
+		f.effect = works
+	}
+	if f.effect != works && f.effect != paused {
+		return core.Object{}, &core.StoreError{Op: "get", Key: key, Cause: errLost}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[key]
+	if !ok {
+		return o, core.ErrNotFound
+	}
+	return o, nil
+}
+
+// runner is an application endpoint that ignores fencing numbers. It honours the hooks that tell a sender whether a
+// connection was made.
+type runner struct {
+	mu     sync.Mutex
+	faults []fault
+	rule   func() fault
+	answer string
+	// runs counts how often each key was run, sends how often it arrived at all.
+	runs, sends map[string]int
+	fencing     map[string]string
+}
+
+func (e *runner) RoundTrip(req *http.Request) (*http.Response, error) {
+	body, _ := io.ReadAll(req.Body)
+	e.mu.Lock()
+	f := fault{}
+	if len(e.faults) > 0 {
+		f, e.faults = e.faults[0], e.faults[1:]
+	} else if e.rule != nil {
+		f = e.rule()
+	}
+	e.mu.Unlock()
+	trace := httptrace.ContextClientTrace(req.Context())
+	trace.GetConn(req.URL.Host)
+	if f.effect == refused {
+		return nil, errors.New("connection refused")
+	}
+	trace.GotConn(httptrace.GotConnInfo{})
+	key := ""
+	for name, values := range req.Header {
+		if strings.EqualFold(name, headerKey) {
+			key = values[0]
+		}
+	}
+	run := func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.runs[key]++
+	}
+	e.mu.Lock()
+	e.sends[key]++
+	e.fencing[key] = req.Header.Get(headerFencing)
+	e.mu.Unlock()
+	switch f.effect {
+	case lostBefore:
+		return nil, errLost
+	case lostAfter:
+		run()
+		return nil, errLost
+	case late:
+		time.AfterFunc(f.wait, run)
+		return nil, errLost
+	case slow:
+		run()
+		if !sleep(req.Context(), f.wait) {
+			return nil, req.Context().Err()
+		}
+	default:
+		run()
+	}
+	answer := e.answer
+	if answer == "" {
+		answer = "ran " + string(body)
+	}
+	return &http.Response{
+		StatusCode: http.StatusOK, Header: http.Header{"Content-Type": {"text/plain"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}},
+		Body: io.NopCloser(strings.NewReader(answer)), ContentLength: int64(len(answer)), Request: req,
+	}, nil
+}
+
+type fixed struct{ cfg *core.Config }
+
+func (f fixed) Config() *core.Config { return f.cfg }
+func (f fixed) Fresh() error         { return nil }
+
+func testConfig(addresses ...string) fixed {
+	cfg := &core.Config{
+		Services: map[core.ServiceName]*wire.Service{
+			"swaps": {Name: "swaps", Protected: []*wire.ProtectedAction{{Method: "POST", PathPrefix: "/confirm"}}},
+		},
+		Teams:     map[core.TeamName]*wire.Team{"tallinn": {Name: "tallinn"}, "tartu": {Name: "tartu", Services: []string{"other"}}},
+		Endpoints: map[core.EndpointID]*wire.Endpoint{},
+	}
+	for i, addr := range addresses {
+		id := string(rune('a' + i))
+		cfg.Endpoints[core.EndpointID(id)] = &wire.Endpoint{Name: id, Address: addr, Service: "swaps"}
+	}
+	return fixed{cfg: cfg}
+}
+
+func quiet() core.Shared {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return core.NewShared(logrus.NewEntry(log))
+}
+
+// world is some instances with one store and one endpoint behind all addresses.
+type world struct {
+	store     *memStore
+	end       *runner
+	instances []*Action
+}
+
+func newWorld(instances int, addresses ...string) *world {
+	w := &world{
+		store: &memStore{objects: map[string]core.Object{}},
+		end:   &runner{runs: map[string]int{}, sends: map[string]int{}, fencing: map[string]string{}},
+	}
+	for i := range instances {
+		w.instances = append(w.instances, New(quiet(), w.store, testConfig(addresses...),
+			Client(&http.Client{Transport: w.end}), Instance(core.InstanceID(rune('1'+i)))))
+	}
+	return w
+}
+
+func (w *world) close(limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var err error
+	for _, a := range w.instances {
+		err = errors.Join(err, a.Close(ctx))
+	}
+	return err
+}
+
+func (w *world) record(key string) claim.Record {
+	w.store.mu.Lock()
+	defer w.store.mu.Unlock()
+	r, _ := claim.Parse(w.store.objects[objectKey("swaps", "tallinn", key)].Value)
+	return r
+}
+
+// call returns "kind/run" of an error or the status, with the body and " replayed".
+func (w *world) call(instance int, method, path, key, body string, timeout time.Duration) string {
+	r := httptest.NewRequest(method, "/services/swaps"+path, strings.NewReader(body))
+	r.Header.Set("Snipeshed-Timeout-Ms", jsonNumber(timeout.Milliseconds()))
+	if key != "" {
+		r.Header.Set(headerKey, key)
+	}
+	rec := httptest.NewRecorder()
+	w.instances[instance].Serve(rec, r, "r1", core.Credential{Team: "tallinn"}, "swaps", path)
+	return outcome(rec)
+}
+
+func outcome(rec *httptest.ResponseRecorder) string {
+	if rec.Code != http.StatusOK {
+		var b reply.Body
+		if err := json.Unmarshal(rec.Body.Bytes(), &b); err != nil {
+			return err.Error()
+		}
+		return string(b.Error.Kind) + "/" + string(b.Error.Run)
+	}
+	s := rec.Body.String()
+	if rec.Header().Get(headerReplay) != "" {
+		s += " replayed"
+	}
+	return s
+}
+
+func jsonNumber(n int64) string { b, _ := json.Marshal(n); return string(b) }
--- /dev/null
+++ b/io/action/lookup.go
@@ -0,0 +1,82 @@
+package action
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+
+	"snipeshed/core"
+	"snipeshed/core/claim"
+	"snipeshed/io/reply"
+)
+
+// status is the JSON shape of a lookup.
+type status struct {
+	Service   core.ServiceName `json:"service"`
+	State     string           `json:"state"`
+	Run       core.Run         `json:"run"`
+	Attempt   int              `json:"attempt"`
+	Holder    core.InstanceID  `json:"holder"`
+	ClaimedAt int64            `json:"claimed_at_unix_ms"`
+	Deadline  int64            `json:"deadline_unix_ms"`
+	Result    *claim.Result    `json:"result,omitempty"`
+}
+
+// Lookup answers what is recorded of a protected action: done, not_run, in_progress or outcome_unknown.
+func (a *Action) Lookup(
+	w http.ResponseWriter, r *http.Request, id core.RequestID, cred core.Credential, service core.ServiceName, key string,
+) {
+	s, err := a.lookup(r.Context(), cred, service, key)
+	if err != nil {
+		reply.Error(w, id, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerID, string(id))
+	_ = json.NewEncoder(w).Encode(s) // the client may be gone
+}
+
+func (a *Action) lookup(ctx context.Context, cred core.Credential, service core.ServiceName, key string) (status, error) {
+	if _, err := allowed(a.config.Config(), cred, service); err != nil {
+		return status{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, ms(a.cfg.GetStoreTimeoutMs()))
+	defer cancel()
+	o, err := a.store.Get(ctx, objectKey(service, cred.Team, key))
+	switch {
+	case errors.Is(err, core.ErrNotFound):
+		return status{}, &core.Error{
+			Kind: core.KindNotFound, Message: fmt.Sprintf("no action of service %q is recorded with this key", service),
+			Remedy: "if a call with this key may still be in flight, look again after its deadline", Run: core.RunUnknown,
+		}
+	case err != nil:
+		return status{}, &core.Error{
+			Kind: core.KindStoreDown, Message: "the action's record could not be read", Remedy: "look again later",
+			Run: core.RunUnknown, Cause: err,
+		}
+	}
+	rec, err := claim.Parse(o.Value)
+	if err != nil {
+		return status{}, &core.Error{
+			Kind: core.KindInternal, Message: "the action's record is malformed",
+			Remedy: "report the request id to the operators", Run: core.RunUnknown, Cause: err,
+		}
+	}
+	s := status{
+		Service: service, Attempt: rec.Attempt, Holder: rec.Holder, ClaimedAt: rec.ClaimedAt, Deadline: rec.Deadline,
+		Result: rec.Result,
+	}
+	switch {
+	case rec.State == claim.StateDone:
+		s.State, s.Run = "done", core.RunYes
+	case rec.State == claim.StateNotRun:
+		s.State, s.Run = "not_run", core.RunNot
+	case !rec.Expired(a.Clock.Now()):
+		s.State, s.Run = string(core.KindInProgress), core.RunUnknown
+	default:
+		s.State, s.Run = string(core.KindOutcomeUnknown), core.RunUnknown
+	}
+	return s, nil
+}
--- /dev/null
+++ b/io/action/protected_test.go
@@ -0,0 +1,263 @@
+package action
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core/claim"
+)
+
+// step is one client call, made wait after the one before it has been answered.
+type step struct {
+	instance int
+	wait     time.Duration
+	timeout  time.Duration
+	body     string
+	want     string
+}
+
+const (
+	ran         = "ran b"
+	replayed    = "ran b replayed"
+	unknown     = "outcome_unknown/unknown"
+	busy        = "in_progress/unknown"
+	noDeadline  = "deadline/not_run"
+	storeIsDown = "store_down/not_run"
+)
+
+func TestProtected(t *testing.T) {
+	second := time.Second
+	tests := []struct {
+		name             string
+		puts, gets, ends []fault
+		// The store is down from down[0] to down[1] after the start for calls beyond the script.
+		down   [2]time.Duration
+		effect effect
+		steps  []step
+		// runs and state are checked after all background work; puts only if not 0.
+		runs  int
+		state claim.State
+		nputs int
+	}{
+		{
+			name: "no fault: two writes, one run", steps: []step{{want: ran}}, runs: 1, state: claim.StateDone, nputs: 2,
+		},
+		{
+			name:  "retry reaches another instance",
+			steps: []step{{want: ran}, {instance: 1, want: replayed}}, runs: 1, state: claim.StateDone, nputs: 3,
+		},
+		{
+			name:  "same key with another payload",
+			steps: []step{{want: ran}, {instance: 1, body: "other", want: "key_reused/not_run"}, {want: replayed}}, runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "claim's answer lost after its effect",
+			puts: []fault{{effect: lostAfter}}, steps: []step{{want: ran}, {instance: 1, want: replayed}}, runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "claim's answer lost, effect after the read back",
+			puts: []fault{{effect: late, wait: second / 2}}, steps: []step{{want: ran}, {wait: second, instance: 1, want: replayed}},
+			runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "claim's answer lost, effect between the read back and the second write",
+			puts: []fault{{effect: late, wait: 30 * time.Millisecond}, {effect: slow, wait: second}}, steps: []step{{want: ran}},
+			runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "claim's answer lost and store unreadable past the deadline, effect after that",
+			puts: []fault{{effect: late, wait: 3 * second}}, down: [2]time.Duration{0, 10 * second}, effect: refused,
+			steps: []step{{timeout: second, want: unknown}, {wait: 20 * second, instance: 1, want: ran}, {want: replayed}},
+			runs:  1, state: claim.StateDone,
+		},
+		{
+			name: "claim without effect and answer lost, store unreadable past the deadline",
+			puts: []fault{{effect: lostBefore}}, down: [2]time.Duration{0, 10 * second}, effect: refused,
+			steps: []step{{timeout: second, want: unknown}, {wait: 20 * second, instance: 1, want: ran}},
+			runs:  1, state: claim.StateDone,
+		},
+		{
+			name: "store known to be down at the claim",
+			puts: []fault{{effect: refused}}, steps: []step{{want: storeIsDown}, {instance: 1, want: ran}}, runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "slow store: claim accepted after a second",
+			puts: []fault{{effect: slow, wait: second}}, steps: []step{{want: ran}}, runs: 1, state: claim.StateDone, nputs: 2,
+		},
+		{
+			name: "slow store: claim takes longer than the store's time limit",
+			puts: []fault{{effect: slow, wait: 5 * second}}, steps: []step{{want: ran}}, runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "holder paused between claim and send past its deadline",
+			puts: []fault{{effect: paused, wait: 5 * second}}, steps: []step{{timeout: second, want: noDeadline}, {instance: 1, want: ran}},
+			runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "paused past the deadline, and the answer of not_run lost",
+			puts: []fault{{effect: paused, wait: 5 * second}, {effect: lostAfter}}, steps: []step{{timeout: second, want: noDeadline}, {instance: 1, want: ran}},
+			runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "paused past the deadline, and not_run without effect until the store is back",
+			puts: []fault{{effect: paused, wait: 5 * second}}, down: [2]time.Duration{second, 20 * second}, effect: lostBefore,
+			steps: []step{
+				{timeout: second, want: unknown},
+				{instance: 1, timeout: second, want: unknown},
+				{wait: 40 * second, instance: 1, want: ran},
+			},
+			runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "endpoint refuses the connection",
+			ends: []fault{{effect: refused}, {effect: refused}}, steps: []step{{want: "no_endpoint/not_run"}, {instance: 1, want: ran}},
+			runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "one endpoint refuses the connection, another accepts it",
+			ends: []fault{{effect: refused}}, steps: []step{{want: ran}}, runs: 1, state: claim.StateDone, nputs: 2,
+		},
+		{
+			name: "endpoint refuses the connection and the store is down for not_run",
+			ends: []fault{{effect: refused}, {effect: refused}},
+			puts: []fault{{}}, down: [2]time.Duration{0, 20 * second}, effect: refused,
+			steps: []step{
+				{timeout: 2 * second, want: unknown},
+				{wait: 40 * second, instance: 1, want: ran},
+			},
+			runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "endpoint runs the action and its answer is lost",
+			ends: []fault{{effect: lostAfter}},
+			steps: []step{
+				{timeout: 2 * second, want: unknown},
+				{instance: 1, want: busy},
+				{wait: 3 * second, instance: 1, want: unknown},
+			},
+			runs: 1, state: claim.StateClaimed, nputs: 3,
+		},
+		{
+			name: "answer lost before the action ran",
+			ends: []fault{{effect: lostBefore}}, steps: []step{{timeout: second, want: unknown}, {wait: 2 * second, instance: 1, want: unknown}},
+			runs: 0, state: claim.StateClaimed,
+		},
+		{
+			name: "answer comes after the deadline and is recorded",
+			ends: []fault{{effect: slow, wait: 3 * second}}, steps: []step{{timeout: second, want: unknown}, {wait: 4 * second, instance: 1, want: replayed}},
+			runs: 1, state: claim.StateDone, nputs: 3,
+		},
+		{
+			name: "result's answer lost after its effect",
+			puts: []fault{{}, {effect: lostAfter}}, steps: []step{{want: ran}, {wait: second, instance: 1, want: replayed}}, runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "store down when the result is recorded",
+			puts: []fault{{}}, down: [2]time.Duration{0, 20 * second}, effect: refused,
+			steps: []step{
+				{timeout: 5 * second, want: ran},
+				{instance: 1, want: storeIsDown},
+				{wait: 40 * second, instance: 1, want: replayed},
+			},
+			runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "lost claim answer and lost endpoint answer",
+			puts: []fault{{effect: lostAfter}}, ends: []fault{{effect: lostAfter}},
+			steps: []step{{timeout: second, want: unknown}, {wait: 2 * second, instance: 1, want: unknown}}, runs: 1, state: claim.StateClaimed,
+		},
+		{
+			name: "two attempts end as not_run, the third runs",
+			ends: many(4, fault{effect: refused}), steps: []step{
+				{want: "no_endpoint/not_run"},
+				{instance: 1, want: "no_endpoint/not_run"},
+				{want: ran},
+			},
+			runs: 1, state: claim.StateDone,
+		},
+		{
+			name: "claim after not_run: its answer lost, effect late, not_run recorded in its place",
+			ends: many(2, fault{effect: refused}), puts: []fault{{}, {}, {}, {effect: late, wait: 3 * second}},
+			gets: []fault{{}}, down: [2]time.Duration{0, 10 * second}, effect: refused,
+			steps: []step{
+				{want: "no_endpoint/not_run"},
+				{instance: 1, timeout: second, want: unknown},
+				{wait: 20 * second, want: ran},
+			},
+			runs: 1, state: claim.StateDone,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t) // background work must end before a failure is reported
+				w := newWorld(2, "10.0.0.1:1", "10.0.0.2:1")
+				w.store.puts, w.store.gets, w.end.faults = tt.puts, tt.gets, tt.ends
+				now := time.Now()
+				w.store.outage = outage{from: now.Add(tt.down[0]), until: now.Add(tt.down[1]), effect: tt.effect}
+				for _, s := range tt.steps {
+					time.Sleep(s.wait)
+					if s.timeout == 0 {
+						s.timeout = 10 * time.Second
+					}
+					if s.body == "" {
+						s.body = "b"
+					}
+					is.Equal(w.call(s.instance, "POST", "/confirm/7", "k", s.body, s.timeout), s.want)
+				}
+				is.NoErr(w.close(time.Hour))
+				is.Equal(w.end.runs["k"], tt.runs)
+				is.True(w.end.sends["k"] <= 1)
+				is.Equal(w.record("k").State, tt.state)
+				if tt.nputs != 0 {
+					is.Equal(w.store.nputs, tt.nputs)
+				}
+			})
+		})
+	}
+}
+
+func many(n int, f fault) []fault {
+	list := make([]fault, n)
+	for i := range list {
+		list[i] = f
+	}
+	return list
+}
+
+func TestTwoInstancesAtOnce(t *testing.T) {
+	tests := []struct {
+		name string
+		puts []fault
+		want [2]string
+	}{
+		{name: "no fault", want: [2]string{ran, busy}},
+		{name: "both claims' answers lost", puts: []fault{{effect: lostAfter}, {effect: lostAfter}}, want: [2]string{ran, busy}},
+		{name: "the first holder is paused", puts: []fault{{effect: paused, wait: time.Second}}, want: [2]string{ran, busy}},
+		{name: "the first claim takes effect late", puts: []fault{{effect: late, wait: time.Second / 2}}, want: [2]string{busy, ran}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := newWorld(2, "10.0.0.1:1")
+				w.store.puts, w.end.rule = tt.puts, func() fault { return fault{effect: slow, wait: time.Second} }
+				var got [2]string
+				done := make(chan struct{})
+				go func() {
+					got[0] = w.call(0, "POST", "/confirm", "k", "b", 10*time.Second)
+					close(done)
+				}()
+				synctest.Wait()
+				got[1] = w.call(1, "POST", "/confirm", "k", "b", 10*time.Second)
+				<-done
+				is.Equal(got, tt.want)
+				is.NoErr(w.close(time.Hour))
+				is.Equal(w.end.runs["k"], 1)
+			})
+		})
+	}
+}
