Add the platform stand-in: object API and instance list

Cause: tickets, claims and membership rest on conditional writes, watches and a lagging list that fail in many ways. Change: stand/objs with versions, lists, watches with heartbeats, rate limits, call counts, outages that refuse or hang, slowness, lost answers and a lagged instance list, each with an admin call.

--- /dev/null
+++ b/stand/objs/insts.go
@@ -0,0 +1,98 @@
+package objs
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/stand/host"
+)
+
+// Instance is an entry of the instance list.
+type Instance struct {
+	ID            string             `json:"id"`
+	Address       string             `json:"address"`
+	FailureDomain core.FailureDomain `json:"failure_domain"`
+	// Kind is "snipeshed" or "endpoint".
+	Kind string `json:"kind"`
+	// State is "live", "leaving" or "gone".
+	State string `json:"state"`
+}
+
+// Instances is the answer of the instance list: what changed after the caller's revision, in order of id.
+type Instances struct {
+	Revision  int64      `json:"revision"`
+	Instances []Instance `json:"instances"`
+}
+
+type instanceChange struct {
+	Instance
+	at  time.Time
+	rev int64
+}
+
+// insts is the log of changes of the instance list.
+type insts struct {
+	changes []instanceChange
+}
+
+func (l *insts) set(now time.Time, i Instance) {
+	l.changes = append(l.changes, instanceChange{i, now, int64(len(l.changes)) + 1})
+}
+
+// since returns the list as it was at a time, without entries that the caller has; gone instances are left out of a whole list.
+func (l *insts) since(at time.Time, rev int64) Instances {
+	out := Instances{Instances: []Instance{}}
+	latest := map[string]instanceChange{}
+	for _, c := range l.changes {
+		if c.at.After(at) {
+			break
+		}
+		latest[c.ID] = c
+		out.Revision = c.rev
+	}
+	for _, c := range latest {
+		if c.rev > rev && (rev > 0 || c.State != "gone") {
+			out.Instances = append(out.Instances, c.Instance)
+		}
+	}
+	slices.SortFunc(out.Instances, func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// SetInstance registers an instance or changes its state; the list shows it after the lag.
+func (o *Objs) SetInstance(i Instance) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.insts.set(time.Now(), i)
+}
+
+func (o *Objs) getInstances(w http.ResponseWriter, r *http.Request) {
+	rev, err := strconv.ParseInt("0"+r.URL.Query().Get("since"), 10, 64)
+	if err != nil {
+		host.Refuse(w, http.StatusBadRequest, "since is not a revision")
+		return
+	}
+	o.mu.Lock()
+	o.counts.InstanceLists++
+	out := o.insts.since(time.Now().Add(-o.set.listLag), rev)
+	o.mu.Unlock()
+	host.Reply(w, http.StatusOK, out)
+}
+
+func (o *Objs) postInstance(w http.ResponseWriter, r *http.Request) {
+	var i Instance
+	if !host.Decode(w, r, maxValueBytes, &i) {
+		return
+	}
+	kind, state := i.Kind == "snipeshed" || i.Kind == "endpoint", i.State == "live" || i.State == "leaving" || i.State == "gone"
+	if i.ID == "" || !kind || !state {
+		host.Refuse(w, http.StatusBadRequest, "an instance needs an id, a kind (snipeshed, endpoint) and a state (live, leaving, gone)")
+		return
+	}
+	o.SetInstance(i)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/stand/objs/objs.go
@@ -0,0 +1,313 @@
+package objs
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/stand/host"
+)
+
+// Objs is an object API and an instance list that listen on HTTP.
+type Objs struct {
+	*host.Host
+	set settings
+
+	mu     sync.Mutex
+	table  *table
+	insts  insts
+	reads  rate
+	writes rate
+	counts Counts
+	faults faults
+}
+
+// Counts are the calls so far; a watch is one read however long it stays open.
+type Counts struct {
+	Gets          int64 `json:"gets"`
+	Lists         int64 `json:"lists"`
+	Watches       int64 `json:"watches"`
+	Puts          int64 `json:"puts"`
+	Deletes       int64 `json:"deletes"`
+	Conflicts     int64 `json:"conflicts"`
+	Limited       int64 `json:"limited"`
+	Refused       int64 `json:"refused"`
+	LostAnswers   int64 `json:"lost_answers"`
+	InstanceLists int64 `json:"instance_lists"`
+	OpenWatches   int64 `json:"open_watches"`
+	// Revision is the number of writes that took effect.
+	Revision core.Version `json:"revision"`
+}
+
+// New returns an Objs that is not yet started.
+func New(opts ...Option) *Objs {
+	set := defaults()
+	for _, opt := range opts {
+		opt(&set)
+	}
+	o := &Objs{
+		set:    set,
+		table:  newTable(set.history),
+		reads:  rate{perSecond: set.reads},
+		writes: rate{perSecond: set.writes},
+		faults: faults{changed: make(chan struct{}), delay: set.delay},
+	}
+	o.Host = host.New(o.routes(), set.host...)
+	return o
+}
+
+func (o *Objs) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/objects/{key...}", o.read(&o.counts.Gets, o.get))
+	mux.HandleFunc("GET /v1/objects", o.read(&o.counts.Lists, o.list))
+	mux.HandleFunc("GET /v1/watch", o.read(&o.counts.Watches, o.watch))
+	mux.HandleFunc("PUT /v1/objects/{key...}", o.write(&o.counts.Puts, o.put))
+	mux.HandleFunc("DELETE /v1/objects/{key...}", o.write(&o.counts.Deletes, o.remove))
+	mux.HandleFunc("GET /v1/instances", func(w http.ResponseWriter, r *http.Request) {
+		if o.enter(w, r, nil) {
+			o.getInstances(w, r)
+		}
+	})
+	o.adminRoutes(mux)
+	return mux
+}
+
+func (o *Objs) read(count *int64, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if o.enter(w, r, &o.reads) && host.Sleep(r.Context(), o.delay()) {
+			o.add(count, 1)
+			h(w, r)
+		}
+	}
+}
+
+func (o *Objs) write(count *int64, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if !o.enter(w, r, &o.writes) {
+			return
+		}
+		value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValueBytes))
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			host.Refuse(w, http.StatusRequestEntityTooLarge, "a value exceeds %d bytes", maxValueBytes)
+			return
+		}
+		if err != nil {
+			return // the client is gone
+		}
+		r.Body = io.NopCloser(strings.NewReader(string(value)))
+		// A write that has arrived takes effect even when its caller gives up during the delay.
+		if host.Sleep(o.Context(), o.delay()) {
+			o.add(count, 1)
+			h(w, r)
+		}
+	}
+}
+
+func (o *Objs) add(count *int64, n int64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	*count += n
+}
+
+// maxValueBytes is the object API's limit of one megabyte.
+const maxValueBytes = 1 << 20
+
+// maxListLimit bounds the answer of a list.
+const maxListLimit = 1000
+
+func etag(v core.Version) string { return `"` + strconv.FormatUint(uint64(v), 10) + `"` }
+
+// parseVersion parses a version with or without the quotes of an ETag; empty is 0.
+func parseVersion(s string) (core.Version, error) {
+	n, err := strconv.ParseUint("0"+strings.Trim(s, `"`), 10, 64)
+	return core.Version(n), err
+}
+
+func (o *Objs) get(w http.ResponseWriter, r *http.Request) {
+	obj, ok := o.Get(r.PathValue("key"))
+	if !ok {
+		host.Refuse(w, http.StatusNotFound, "object %q does not exist", r.PathValue("key"))
+		return
+	}
+	w.Header().Set("ETag", etag(obj.Version))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	_, _ = w.Write(obj.Value)
+}
+
+// Get returns an object without counting a call.
+func (o *Objs) Get(key string) (core.Object, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	obj, ok := o.table.objects[key]
+	return obj, ok
+}
+
+// List returns all objects with a prefix without counting a call.
+func (o *Objs) List(prefix string) []core.Object {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	out, _ := o.table.list(prefix, "", len(o.table.keys))
+	return out
+}
+
+// condition returns the version that a write requires, where 0 means that the object must not exist.
+func condition(r *http.Request) (core.Version, bool) {
+	if r.Method == http.MethodPut && r.Header.Get("If-None-Match") == "*" && r.Header.Get("If-Match") == "" {
+		return 0, true
+	}
+	v, err := parseVersion(r.Header.Get("If-Match"))
+	return v, err == nil && v > 0 && r.Header.Get("If-None-Match") == ""
+}
+
+func (o *Objs) put(w http.ResponseWriter, r *http.Request) {
+	value, _ := io.ReadAll(r.Body) // in memory
+	o.change(w, r, func(key string, v core.Version) (core.Version, bool) { return o.table.put(key, value, v) })
+}
+
+func (o *Objs) remove(w http.ResponseWriter, r *http.Request) { o.change(w, r, o.table.remove) }
+
+func (o *Objs) change(w http.ResponseWriter, r *http.Request, f func(string, core.Version) (core.Version, bool)) {
+	want, ok := condition(r)
+	if !ok {
+		host.Refuse(w, http.StatusPreconditionRequired, "a write needs If-Match: \"<version>\", or If-None-Match: * to create")
+		return
+	}
+	key := r.PathValue("key")
+	if key == "" {
+		host.Refuse(w, http.StatusBadRequest, "the key is empty")
+		return
+	}
+	o.mu.Lock()
+	v, ok := f(key, want)
+	lost := ok && o.faults.lose(key)
+	if !ok {
+		o.counts.Conflicts++
+	}
+	if lost {
+		o.counts.LostAnswers++
+	}
+	o.mu.Unlock()
+	switch {
+	case lost:
+		host.Cut()
+	case !ok:
+		if v > 0 {
+			w.Header().Set("ETag", etag(v))
+		}
+		host.Refuse(w, http.StatusPreconditionFailed, "object %q has version %d", key, v)
+	default:
+		w.Header().Set("ETag", etag(v))
+		if r.Method == http.MethodDelete {
+			w.WriteHeader(http.StatusNoContent)
+		}
+	}
+}
+
+// listedObject is an object in the answers of list and watch; the value is in base64.
+type listedObject struct {
+	Key     string       `json:"key"`
+	Version core.Version `json:"version"`
+	Value   []byte       `json:"value,omitempty"`
+	Deleted bool         `json:"deleted,omitempty"`
+}
+
+func (o *Objs) list(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi("0" + q.Get("limit"))
+	if err != nil {
+		host.Refuse(w, http.StatusBadRequest, "limit is not a number")
+		return
+	}
+	if limit == 0 || limit > maxListLimit {
+		limit = maxListLimit
+	}
+	o.mu.Lock()
+	objects, more := o.table.list(q.Get("prefix"), q.Get("after"), limit)
+	rev := o.table.revision
+	o.mu.Unlock()
+	listed := []listedObject{}
+	for _, obj := range objects {
+		listed = append(listed, listedObject{Key: obj.Key, Version: obj.Version, Value: obj.Value})
+	}
+	host.Reply(w, http.StatusOK, map[string]any{"revision": rev, "objects": listed, "more": more})
+}
+
+// watch streams the changes after a revision, or from now on without one; 410 says that the history does not reach back so far.
+func (o *Objs) watch(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	since, err := parseVersion(q.Get("since"))
+	if err != nil {
+		host.Refuse(w, http.StatusBadRequest, "since is not a revision")
+		return
+	}
+	o.mu.Lock()
+	if !q.Has("since") {
+		since = o.table.revision
+	}
+	_, ok := o.table.since("", since)
+	if ok {
+		o.counts.OpenWatches++
+	}
+	o.mu.Unlock()
+	if !ok {
+		host.Refuse(w, http.StatusGone, "the history does not reach back to revision %d; list and watch from the list's revision", since)
+		return
+	}
+	defer o.add(&o.counts.OpenWatches, -1)
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	rc := http.NewResponseController(w)
+	if rc.Flush() != nil {
+		return
+	}
+	beat := time.NewTicker(o.set.heartbeat)
+	defer beat.Stop()
+	for {
+		o.mu.Lock()
+		changes, ok := o.table.since(q.Get("prefix"), since)
+		since = max(since, o.table.revision)
+		changed, mode, fault := o.table.changed, o.faults.mode, o.faults.changed
+		o.mu.Unlock()
+		if !ok || mode == OutageRefuse {
+			host.Cut() // a reader that fell behind the history has to list again
+		}
+		if mode == OutageHang {
+			select {
+			case <-fault:
+			case <-r.Context().Done():
+				return
+			}
+			beat.Reset(o.set.heartbeat) // drops the beat that came due in the outage
+		}
+		if len(changes) > 0 && !host.Sleep(r.Context(), o.delay()) {
+			return
+		}
+		enc := json.NewEncoder(w)
+		for _, c := range changes {
+			if enc.Encode(listedObject{Key: c.Key, Version: c.Version, Value: c.Value, Deleted: c.Deleted}) != nil {
+				return
+			}
+		}
+		if len(changes) > 0 && rc.Flush() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-fault:
+		case <-beat.C:
+			if !o.hanging() {
+				if _, err := io.WriteString(w, "\n"); err != nil || rc.Flush() != nil {
+					return
+				}
+			}
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
