Add the application runner stand-in and a TCP forwarder

Cause: protected actions need an application that counts its runs, and silent links need connections that stall while new ones work. Change: stand/svc counts runs per Idempotency-Key and can check fencing numbers, refuse, slow down and lose answers; stand/link stalls, partitions, cuts, delays and refuses.

--- a/stand/host/host.go
+++ b/stand/host/host.go
@@ -152,3 +152,13 @@
 	}
 	return on, err == nil
 }
+
+// Count returns a query parameter that must be a number from 0 on, or answers 400.
+func Count(w http.ResponseWriter, r *http.Request, name string) (n int, ok bool) {
+	n, err := strconv.Atoi(r.URL.Query().Get(name))
+	if err != nil || n < 0 {
+		Refuse(w, http.StatusBadRequest, "the query must hold %s=n with a number from 0 on", name)
+		return 0, false
+	}
+	return n, true
+}
--- /dev/null
+++ b/stand/link/link.go
@@ -0,0 +1,181 @@
+package link
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+)
+
+// Link forwards TCP connections to a target and can stall, cut, delay and refuse them.
+type Link struct {
+	target string
+	addr   string
+
+	mu    sync.Mutex
+	ln    net.Listener
+	open  map[*pair]struct{}
+	delay time.Duration
+	dark  bool // whether new connections are stalled from the start
+	wg    sync.WaitGroup
+}
+
+// Option changes a Link.
+type Option func(*Link)
+
+// WithAddr sets the address to listen on; the default is a free port on loopback.
+func WithAddr(addr string) Option { return func(l *Link) { l.addr = addr } }
+
+// WithDelay sets the delay of each direction.
+func WithDelay(d time.Duration) Option { return func(l *Link) { l.delay = d } }
+
+// New returns a Link to the target address that is not yet started.
+func New(target string, opts ...Option) *Link {
+	l := &Link{target: target, addr: "127.0.0.1:0", open: map[*pair]struct{}{}}
+	for _, o := range opts {
+		o(l)
+	}
+	return l
+}
+
+// Start listens and forwards until Close.
+func (l *Link) Start() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.listen()
+}
+
+func (l *Link) listen() error {
+	ln, err := net.Listen("tcp", l.addr)
+	if err != nil {
+		return fmt.Errorf("cannot listen on %s: %w", l.addr, err)
+	}
+	l.ln, l.addr = ln, ln.Addr().String()
+	l.wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			if err == nil {
+				l.wg.Go(func() { l.forward(c) })
+			}
+		}
+	})
+	return nil
+}
+
+// Addr returns the address it listens on.
+func (l *Link) Addr() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.addr
+}
+
+// Stall makes all open connections silent: they stay open and pass no bytes and no end, while new ones work.
+func (l *Link) Stall() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.open {
+		p.stall()
+	}
+}
+
+// Partition makes open and new connections silent.
+func (l *Link) Partition() {
+	l.mu.Lock()
+	l.dark = true
+	l.mu.Unlock()
+	l.Stall()
+}
+
+// Restore ends stalls, a partition and refusal; what was held back is passed on.
+func (l *Link) Restore() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dark = false
+	for p := range l.open {
+		p.restore()
+	}
+	if l.ln == nil {
+		return l.listen()
+	}
+	return nil
+}
+
+// Cut resets all open connections.
+func (l *Link) Cut() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.open {
+		p.cut()
+	}
+}
+
+// Refuse resets all open connections and refuses new ones until Restore.
+func (l *Link) Refuse() {
+	l.mu.Lock()
+	if l.ln != nil {
+		l.ln.Close()
+		l.ln = nil
+	}
+	l.mu.Unlock()
+	l.Cut()
+}
+
+// Delay sets the delay of each direction for bytes that arrive from now on.
+func (l *Link) Delay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = d
+}
+
+// Close resets all connections and waits.
+func (l *Link) Close() error {
+	l.Refuse()
+	l.wg.Wait()
+	return nil
+}
+
+func (l *Link) currentDelay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delay
+}
+
+const dialTimeout = 5 * time.Second
+
+func (l *Link) forward(client net.Conn) {
+	p := &pair{client: client, closed: make(chan struct{})}
+	l.mu.Lock()
+	if l.ln == nil {
+		l.mu.Unlock()
+		reset(client)
+		return
+	}
+	if l.dark {
+		p.stall()
+	}
+	l.open[p] = struct{}{}
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		delete(l.open, p)
+		l.mu.Unlock()
+		p.cut()
+	}()
+	// A stalled connection reaches the target only after Restore.
+	if !p.wait() {
+		return
+	}
+	server, err := net.DialTimeout("tcp", l.target, dialTimeout)
+	if err != nil || !p.attach(server) {
+		return
+	}
+	var wg sync.WaitGroup
+	wg.Go(func() { p.pass(server, client, l.currentDelay) })
+	p.pass(client, server, l.currentDelay)
+	wg.Wait()
+	p.end(func(c net.Conn) { c.Close() })
+}
--- /dev/null
+++ b/stand/link/pair.go
@@ -0,0 +1,151 @@
+package link
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// pair is a client's connection and the one to the target.
+type pair struct {
+	client net.Conn
+	closed chan struct{}
+
+	mu     sync.Mutex
+	server net.Conn
+	gate   chan struct{} // closed by restore; nil while bytes pass
+	ended  bool
+}
+
+func (p *pair) stall() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.gate == nil {
+		p.gate = make(chan struct{})
+	}
+}
+
+func (p *pair) restore() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.gate != nil {
+		close(p.gate)
+		p.gate = nil
+	}
+}
+
+// wait waits while the pair is stalled and reports whether it is still open.
+func (p *pair) wait() bool {
+	for {
+		p.mu.Lock()
+		gate := p.gate
+		p.mu.Unlock()
+		if gate == nil {
+			select {
+			case <-p.closed:
+				return false
+			default:
+				return true
+			}
+		}
+		select {
+		case <-gate:
+		case <-p.closed:
+			return false
+		}
+	}
+}
+
+// attach adds the connection to the target, unless the pair was cut meanwhile.
+func (p *pair) attach(server net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		reset(server)
+		return false
+	}
+	p.server = server
+	return true
+}
+
+// cut resets both connections.
+func (p *pair) cut() { p.end(reset) }
+
+// end closes both connections, once; a reset would discard bytes that a slow reader has yet to take.
+func (p *pair) end(how func(net.Conn)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return
+	}
+	p.ended = true
+	close(p.closed)
+	how(p.client)
+	if p.server != nil {
+		how(p.server)
+	}
+}
+
+// reset closes a connection so that the other end sees a reset if anything was in flight.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0) // fails only when the connection is closed already
+	}
+	c.Close()
+}
+
+type chunk struct {
+	data []byte
+	due  time.Time
+}
+
+const (
+	chunkBytes = 32 << 10
+	// inFlight bounds the chunks that a delay holds, 8 MiB in each direction.
+	inFlight = 256
+)
+
+// pass copies from src to dst, each chunk after the delay, and then passes on the end.
+func (p *pair) pass(dst, src net.Conn, delay func() time.Duration) {
+	chunks := make(chan chunk, inFlight)
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() {
+		defer close(chunks)
+		buf := make([]byte, chunkBytes)
+		for {
+			n, err := src.Read(buf)
+			if n > 0 {
+				select {
+				case chunks <- chunk{append([]byte(nil), buf[:n]...), time.Now().Add(delay())}:
+				case <-p.closed:
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	})
+	for c := range chunks {
+		if d := time.Until(c.due); d > 0 {
+			select {
+			case <-time.After(d):
+			case <-p.closed:
+				continue
+			}
+		}
+		if !p.wait() {
+			continue
+		}
+		if _, err := dst.Write(c.data); err != nil {
+			p.cut()
+		}
+	}
+	if !p.wait() {
+		return
+	}
+	if t, ok := dst.(*net.TCPConn); ok {
+		_ = t.CloseWrite() // fails only when the connection is closed already
+	}
+}
--- a/stand/objs/admin.go
+++ b/stand/objs/admin.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -127,21 +126,15 @@
 		w.WriteHeader(http.StatusNoContent)
 	})
 	mux.HandleFunc("POST /admin/slow", func(w http.ResponseWriter, r *http.Request) {
-		ms, err := strconv.Atoi(r.URL.Query().Get("ms"))
-		if err != nil || ms < 0 {
-			host.Refuse(w, http.StatusBadRequest, "ms is not a duration in milliseconds")
-			return
+		if ms, ok := host.Count(w, r, "ms"); ok {
+			o.Slow(time.Duration(ms) * time.Millisecond)
+			w.WriteHeader(http.StatusNoContent)
 		}
-		o.Slow(time.Duration(ms) * time.Millisecond)
-		w.WriteHeader(http.StatusNoContent)
 	})
 	mux.HandleFunc("POST /admin/lose_answers", func(w http.ResponseWriter, r *http.Request) {
-		n, err := strconv.Atoi(r.URL.Query().Get("count"))
-		if err != nil || n < 0 {
-			host.Refuse(w, http.StatusBadRequest, "count is not a number of answers")
-			return
+		if n, ok := host.Count(w, r, "count"); ok {
+			o.LoseAnswers(n, r.URL.Query().Get("prefix"))
+			w.WriteHeader(http.StatusNoContent)
 		}
-		o.LoseAnswers(n, r.URL.Query().Get("prefix"))
-		w.WriteHeader(http.StatusNoContent)
 	})
 }
--- /dev/null
+++ b/stand/svc/option.go
@@ -0,0 +1,33 @@
+package svc
+
+import (
+	"net"
+	"time"
+
+	"snipeshed/stand/host"
+)
+
+type settings struct {
+	host         []host.Option
+	checkFencing bool
+	delay        time.Duration
+}
+
+// Option changes a Svc.
+type Option func(*settings)
+
+// WithAddr sets the address to listen on; the default is a free port on loopback.
+func WithAddr(addr string) Option {
+	return func(s *settings) { s.host = append(s.host, host.WithAddr(addr)) }
+}
+
+// WithListener serves a listener that the caller made.
+func WithListener(ln net.Listener) Option {
+	return func(s *settings) { s.host = append(s.host, host.WithListener(ln)) }
+}
+
+// WithFencingCheck sets whether a key's calls with an old fencing number are rejected (default true).
+func WithFencingCheck(on bool) Option { return func(s *settings) { s.checkFencing = on } }
+
+// WithDelay sets the duration of each call (default 0); see Svc.Slow.
+func WithDelay(d time.Duration) Option { return func(s *settings) { s.delay = d } }
