Add the operators' API in io/oper

Cause: tickets must be accepted once, in one order, with two operators and lost answers of the store.

--- /dev/null
+++ b/io/oper/apply_test.go
@@ -0,0 +1,150 @@
+package oper_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+	"snipeshed/core/state"
+	"snipeshed/io/oper"
+	"snipeshed/wire"
+)
+
+// step is one ticket given to one of two instances.
+type step struct {
+	at     int
+	ticket *wire.Ticket
+	// number is the one expected; 0 means a refusal of this kind, whose text has these parts.
+	number uint64
+	kind   core.Kind
+	run    core.Run
+	parts  []string
+}
+
+// Guards against a log in which a ticket is lost, doubled, accepted over a conflict, or reported as
+// refused although it was accepted.
+func TestApply(t *testing.T) {
+	a := ticket("a", 0, rank("urgent", 1))
+	for name, c := range map[string]struct {
+		faults []fault
+		steps  []step
+		log    string
+	}{
+		"different items": {nil, []step{
+			{at: 0, ticket: a, number: 1},
+			{at: 1, ticket: ticket("b", 0, rank("batch", 1)), number: 2},
+		}, "a b"},
+		"same item": {nil, []step{
+			{at: 0, ticket: a, number: 1},
+			{at: 1, ticket: ticket("b", 0, rank("urgent", 2)), kind: core.KindConflict, run: core.RunNot, parts: []string{"ticket 1 of author-a", "rank/urgent", "base 0", "ticket show 1"}},
+			{at: 1, ticket: ticket("b", 1, rank("urgent", 2)), number: 2},
+		}, "a b"},
+		"conflict with a removal": {nil, []step{
+			{at: 0, ticket: a, number: 1},
+			{at: 0, ticket: ticket("r", 1, removal("rank/urgent")), number: 2},
+			{at: 1, ticket: ticket("b", 1, rank("urgent", 2)), kind: core.KindConflict, run: core.RunNot, parts: []string{"ticket 2 of author-r"}},
+		}, "a r"},
+		"reference removed meanwhile": {nil, []step{
+			{at: 0, ticket: a, number: 1},
+			{at: 0, ticket: ticket("r", 1, removal("rank/urgent")), number: 2},
+			{at: 1, ticket: ticket("b", 1, team("t", "urgent")), kind: core.KindBadRequest, run: core.RunNot, parts: []string{"keys[0].rank"}},
+		}, "a r"},
+		"lost answer":     {[]fault{faultLost}, []step{{ticket: a, number: 1}}, "a"},
+		"dropped request": {[]fault{faultDropped, faultDropped}, []step{{ticket: a, number: 1}}, "a"},
+		"late request":    {[]fault{faultLate, faultLate, faultLate}, []step{{ticket: a, number: 1}}, "a"},
+		"refused writes":  {[]fault{faultRefused, faultRefused, faultRefused}, []step{{ticket: a, kind: core.KindStoreDown, run: core.RunNot}}, ""},
+		"retry at another instance": {nil, []step{
+			{at: 0, ticket: a, number: 1},
+			{at: 0, ticket: ticket("b", 1, rank("urgent", 5)), number: 2},
+			{at: 1, ticket: a, number: 1},
+			{at: 0, ticket: a, number: 1},
+		}, "a b"},
+		"id with other content": {nil, []step{
+			{ticket: a, number: 1},
+			{ticket: ticket("a", 0, rank("batch", 5)), kind: core.KindBadRequest, run: core.RunNot, parts: []string{"ticket 1 has"}},
+		}, "a"},
+		"base of the future": {nil, []step{{ticket: ticket("a", 4, rank("r", 1)), kind: core.KindBadRequest, run: core.RunNot, parts: []string{"field base"}}}, ""},
+		"no id":              {nil, []step{{ticket: ticket("", 0, rank("r", 1)), kind: core.KindBadRequest, run: core.RunNot}}, ""},
+		"no author":          {nil, []step{{ticket: &wire.Ticket{Id: "a"}, kind: core.KindBadRequest, run: core.RunNot}}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, st := is.New(t), newFake()
+				st.puts = c.faults
+				var spread []string
+				record := oper.WithAccepted(func(t *wire.Ticket) { spread = append(spread, t.GetId()) })
+				var instances [2]*oper.Oper
+				for i := range instances {
+					instances[i], _ = start(st, record)
+				}
+				for _, s := range c.steps {
+					got, err := instances[s.at].Apply(t.Context(), s.ticket)
+					is.Equal(got.GetNumber(), s.number)
+					if s.number == 0 {
+						refused(t, err, s)
+					}
+				}
+				is.Equal(strings.Join(st.log(t), " "), c.log)
+				is.Equal(strings.Join(spread, " "), c.log) // each accepted ticket is spread once
+			})
+		})
+	}
+}
+
+func refused(t *testing.T, err error, s step) {
+	t.Helper()
+	var e *core.Error
+	if !errors.As(err, &e) || e.Kind != s.kind || e.Run != s.run || e.Remedy == "" {
+		t.Fatalf("got %v, want kind %s and run %s with a remedy", err, s.kind, s.run)
+	}
+	for _, part := range s.parts {
+		if !strings.Contains(err.Error(), part) {
+			t.Errorf("error %q lacks %q", err, part)
+		}
+	}
+}
+
+// Guards against accepting a ticket twice when its operator retries after the instance restarted or the
+// answer stayed lost, and against claiming that it was not accepted.
+func TestOutcomeUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, st := is.New(t), newFake()
+		st.puts = []fault{faultOutage}
+		first, _ := start(st)
+		a := ticket("a", 0, rank("urgent", 1))
+		_, err := first.Apply(t.Context(), a)
+		refused(t, err, step{kind: core.KindOutcomeUnknown, run: core.RunUnknown})
+		st.down = false
+		second, _ := start(st) // a restarted instance knows nothing of the first attempt
+		got, err := second.Apply(t.Context(), a)
+		is.NoErr(err)
+		is.Equal(got.GetNumber(), uint64(1))
+		is.Equal(st.log(t), []string{"a"})
+	})
+}
+
+// Guards against an instance that is so far behind that it would create a number which a snapshot replaced.
+func TestTrimmedLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, st := is.New(t), newFake()
+		o, s := start(st)
+		for i, id := range []string{"a", "b", "c"} {
+			_, err := o.Apply(t.Context(), ticket(id, uint64(i), rank(id, 1)))
+			is.NoErr(err)
+		}
+		is.NoErr(st.Delete(t.Context(), state.TicketKey(1), 0))
+		behind, fresh := start(st)
+		_, err := behind.Apply(t.Context(), ticket("d", 0, rank("d", 1)))
+		refused(t, err, step{kind: core.KindStaleState, run: core.RunNot})
+		is.NoErr(fresh.Load(s.Snapshot()))
+		_, err = behind.Apply(t.Context(), ticket("d", 0, rank("d", 1))) // whether it is in the log is unknown
+		refused(t, err, step{kind: core.KindConflict, run: core.RunUnknown})
+		got, err := behind.Apply(t.Context(), ticket("d", 3, rank("d", 1)))
+		is.NoErr(err)
+		is.Equal(got.GetNumber(), uint64(4))
+	})
+}
--- /dev/null
+++ b/io/oper/auth.go
@@ -0,0 +1,49 @@
+package oper
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"github.com/twitchtv/twirp"
+
+	"snipeshed/core"
+)
+
+// authorized lets a request through that carries the operators' key or, when the settings hold none, comes from loopback.
+func (o *Oper) authorized(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := o.authorize(r); err != nil {
+			_ = twirp.WriteError(w, toTwirp(err)) // the caller may be gone
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (o *Oper) authorize(r *http.Request) error {
+	want := strings.ToLower(o.cfg.GetOperatorKeySha256())
+	if want == "" {
+		if p, err := netip.ParseAddrPort(r.RemoteAddr); err == nil && p.Addr().Unmap().IsLoopback() {
+			return nil
+		}
+		return &core.Error{
+			Kind: core.KindBadCredential, Run: core.RunNot,
+			Message: "operators' calls are allowed from loopback only",
+			Remedy:  "set operator_key_sha256 in the settings of the instance, or call from the same machine",
+		}
+	}
+	key := strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ")
+	sum := sha256.Sum256([]byte(key))
+	if subtle.ConstantTimeCompare([]byte(hex.EncodeToString(sum[:])), []byte(want)) == 1 {
+		return nil
+	}
+	return &core.Error{
+		Kind: core.KindBadCredential, Run: core.RunNot,
+		Message: "the operators' key is missing or wrong",
+		Remedy:  "send the key whose digest is operator_key_sha256 in the settings of the instance",
+	}
+}
--- /dev/null
+++ b/io/oper/compare.go
@@ -0,0 +1,95 @@
+package oper
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"snipeshed/core"
+	"snipeshed/core/state"
+	"snipeshed/wire"
+)
+
+// Compare returns the items that differ between the configurations after two tickets; a number of 0 for To
+// means the configuration in force here.
+func (o *Oper) Compare(ctx context.Context, req *wire.CompareRequest) (*wire.CompareResponse, error) {
+	from, to, head := core.TicketNumber(req.GetFrom()), core.TicketNumber(req.GetTo()), o.state.Number()
+	if to == 0 {
+		to = head
+	}
+	if max(from, to) > head {
+		return nil, &core.Error{
+			Kind: core.KindNotFound, Run: core.RunNot,
+			Message: fmt.Sprintf("ticket %d is not in force here; the last one is %d", max(from, to), head),
+			Remedy:  "use lower numbers",
+		}
+	}
+	diffs, err := o.ledger.compare(ctx, min(from, to), max(from, to))
+	if err != nil {
+		return nil, unread(err)
+	}
+	if from > to {
+		for _, d := range diffs {
+			d.Before, d.After = d.After, d.Before
+		}
+	}
+	return &wire.CompareResponse{Differences: diffs}, nil
+}
+
+// compare returns the differences between two configurations, low before high, in the order of the items' keys.
+func (l *ledger) compare(ctx context.Context, low, high core.TicketNumber) ([]*wire.Difference, error) {
+	changes, err := l.between(ctx, low, high)
+	if err != nil {
+		return nil, err
+	}
+	diffs := map[string]*wire.Difference{}
+	for _, t := range changes {
+		for _, item := range t.GetItems() {
+			key := state.ItemKey(item)
+			diffs[key] = &wire.Difference{Item: key, After: present(item), SetBy: t.GetNumber()}
+		}
+	}
+	if err := l.before(ctx, low, diffs); err != nil {
+		return nil, err
+	}
+	var sorted []*wire.Difference
+	for _, key := range slices.Sorted(maps.Keys(diffs)) {
+		if d := diffs[key]; !proto.Equal(d.GetBefore(), d.GetAfter()) {
+			sorted = append(sorted, d)
+		}
+	}
+	return sorted, nil
+}
+
+// before fills in the items' states at ticket n by reading the log backwards until all are found.
+func (l *ledger) before(ctx context.Context, n core.TicketNumber, diffs map[string]*wire.Difference) error {
+	missing := maps.Clone(diffs)
+	for n > 0 && len(missing) > 0 {
+		start := n - min(n, listPage)
+		page, err := l.between(ctx, start, n)
+		if err != nil {
+			return err
+		}
+		for _, t := range slices.Backward(page) {
+			for _, item := range t.GetItems() {
+				if d, ok := missing[state.ItemKey(item)]; ok {
+					d.Before = present(item)
+					delete(missing, d.GetItem())
+				}
+			}
+		}
+		n = start
+	}
+	return nil
+}
+
+// present returns nil for a removal.
+func present(item *wire.Item) *wire.Item {
+	if item.GetRemove() != nil {
+		return nil
+	}
+	return item
+}
--- /dev/null
+++ b/io/oper/error.go
@@ -0,0 +1,68 @@
+package oper
+
+import (
+	"context"
+	"errors"
+
+	"github.com/twitchtv/twirp"
+
+	"snipeshed/core"
+)
+
+// Names of the metadata of a Twirp error that carry the fields of a core.Error.
+const (
+	metaKind   = "kind"
+	metaRun    = "run"
+	metaRemedy = "remedy"
+)
+
+var codes = map[core.Kind]twirp.ErrorCode{
+	core.KindBadRequest:     twirp.InvalidArgument,
+	core.KindBadCredential:  twirp.Unauthenticated,
+	core.KindNotFound:       twirp.NotFound,
+	core.KindConflict:       twirp.Aborted,
+	core.KindStoreDown:      twirp.Unavailable,
+	core.KindStaleState:     twirp.Unavailable,
+	core.KindDeadline:       twirp.DeadlineExceeded,
+	core.KindOutcomeUnknown: twirp.Unknown,
+}
+
+func typedErrors(next twirp.Method) twirp.Method {
+	return func(ctx context.Context, req any) (any, error) {
+		resp, err := next(ctx, req)
+		if err != nil {
+			return nil, toTwirp(err)
+		}
+		return resp, nil
+	}
+}
+
+func toTwirp(err error) twirp.Error {
+	var e *core.Error
+	if !errors.As(err, &e) {
+		e = &core.Error{Kind: core.KindInternal, Message: err.Error(), Run: core.RunUnknown}
+	}
+	code, ok := codes[e.Kind]
+	if !ok {
+		code = twirp.Internal
+	}
+	message := e.Message
+	if e.Cause != nil {
+		message += ": " + e.Cause.Error()
+	}
+	return twirp.NewError(code, message).
+		WithMeta(metaKind, string(e.Kind)).WithMeta(metaRun, string(e.Run)).WithMeta(metaRemedy, e.Remedy)
+}
+
+// ErrorFrom returns the *core.Error that a server of this API sent. An error that did not come from the
+// server is returned as it is: the request may or may not have arrived.
+func ErrorFrom(err error) error {
+	var e twirp.Error
+	if !errors.As(err, &e) || e.Meta(metaKind) == "" {
+		return err
+	}
+	return &core.Error{
+		Kind: core.Kind(e.Meta(metaKind)), Run: core.Run(e.Meta(metaRun)),
+		Message: e.Msg(), Remedy: e.Meta(metaRemedy),
+	}
+}
