Test relayed calls, refusals, headers, large results and lookups

Cause: only the protected flow had scenarios. Change: tables of scenarios for retries, refusals, headers, net/http's own retries, broken answers, result sizes and lookups.

--- /dev/null
+++ b/io/action/plain_test.go
@@ -0,0 +1,270 @@
+package action
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+)
+
+type strict struct{ noBudget }
+
+func (strict) Retry(time.Time, core.TeamName, core.EndpointID) bool { return false }
+
+// Guards against a second transmission of a call that may not be repeated, and against retries beyond the budget.
+func TestPlain(t *testing.T) {
+	tests := []struct {
+		name   string
+		method string
+		ends   []fault
+		budget Budget
+		want   string
+		sends  int
+	}{
+		{name: "no fault", method: "GET", want: ran, sends: 1},
+		{name: "idempotent, answer lost, another endpoint answers", method: "GET", ends: []fault{{effect: lostAfter}}, want: ran, sends: 2},
+		{name: "idempotent, every answer lost", method: "PUT", ends: many(3, fault{effect: lostAfter}), want: unknown, sends: 3},
+		{name: "idempotent, budget spent", method: "GET", ends: []fault{{effect: lostAfter}}, budget: strict{}, want: unknown, sends: 1},
+		{name: "not idempotent, answer lost", method: "POST", ends: []fault{{effect: lostAfter}}, want: unknown, sends: 1},
+		{name: "not idempotent, connection refused once", method: "PATCH", ends: []fault{{effect: refused}}, want: ran, sends: 1},
+		{name: "refused, then lost", method: "POST", ends: []fault{{effect: refused}, {effect: lostBefore}}, want: unknown, sends: 1},
+		{name: "every connection refused", method: "POST", ends: many(3, fault{effect: refused}), want: "no_endpoint/not_run", sends: 0},
+		{name: "no answer before the deadline", method: "GET", ends: []fault{{effect: slow, wait: time.Minute}}, want: "deadline/unknown", sends: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := newWorld(1, "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
+				w.end.faults = tt.ends
+				if tt.budget != nil {
+					w.instances[0].budget = tt.budget
+				}
+				is.Equal(w.call(0, tt.method, "/notes", "k", "b", 10*time.Second), tt.want)
+				is.Equal(w.end.sends["k"], tt.sends)
+				is.Equal(w.store.nputs, 0)
+				is.NoErr(w.close(time.Minute))
+			})
+		})
+	}
+}
+
+// Guards against calls that reach an endpoint although they should be refused, above all unprotected ones.
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name, method, path, service, team string
+		header                            http.Header
+		body                              string
+		down                              bool
+		unusable                          bool
+		want                              string
+	}{
+		{name: "protected without a key", path: "/confirm", want: "bad_request/not_run"},
+		{name: "protected path in another case", path: "/Confirm/7", want: "bad_request/not_run"},
+		{name: "dot segments that lead to a protected path", path: "/notes/../confirm", want: "bad_request/not_run"},
+		{name: "empty segment before a protected path", path: "//confirm", want: "bad_request/not_run"},
+		{name: "two keys", path: "/confirm", header: http.Header{headerKey: {"a", "b"}}, want: "bad_request/not_run"},
+		{name: "key too long", path: "/confirm", header: http.Header{headerKey: {strings.Repeat("k", 256)}}, want: "bad_request/not_run"},
+		{name: "bad timeout", path: "/notes", header: http.Header{headerTimeout: {"-1"}}, want: "bad_request/not_run"},
+		{name: "body too large", path: "/notes", body: strings.Repeat("b", 4<<20+1), want: "body_too_large/not_run"},
+		{name: "service that does not exist", path: "/notes", service: "none", want: "unknown_service/not_run"},
+		{name: "service that the team may not call", path: "/notes", team: "tartu", want: "bad_credential/not_run"},
+		{name: "store known to be down", path: "/confirm", header: http.Header{headerKey: {"k"}}, down: true, want: storeIsDown},
+		{name: "no usable endpoint", path: "/confirm", header: http.Header{headerKey: {"k"}}, unusable: true, want: "no_endpoint/not_run"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1, "10.0.0.1:1")
+			w.store.down = tt.down
+			w.instances[0].usable = func(core.EndpointID, string) bool { return !tt.unusable }
+			r := httptest.NewRequest("POST", "/services/swaps/x", strings.NewReader(tt.body))
+			for name, values := range tt.header {
+				r.Header[name] = values
+			}
+			if tt.service == "" {
+				tt.service = "swaps"
+			}
+			if tt.team == "" {
+				tt.team = "tallinn"
+			}
+			rec := httptest.NewRecorder()
+			w.instances[0].Serve(rec, r, "r1", core.Credential{Team: core.TeamName(tt.team)}, core.ServiceName(tt.service), tt.path)
+			is.Equal(outcome(rec), tt.want)
+			is.Equal(len(w.end.sends), 0)
+			is.Equal(w.store.nputs, 0)
+			is.NoErr(w.close(time.Minute))
+		})
+	}
+}
+
+// Guards against net/http's own retry: it repeats a request with an Idempotency-Key header and no body when a kept
+// connection is lost, even for a POST.
+func TestTransportSendsOnce(t *testing.T) {
+	for _, path := range []string{"/notes", "/confirm"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			var posts atomic.Int32
+			srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.Method == http.MethodPost {
+					posts.Add(1)
+					is.Equal(r.ContentLength, int64(0))
+					is.Equal(r.Header.Get(headerKey), "k")
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer srv.Close()
+			w := newWorld(1)
+			w.instances[0] = New(quiet(), w.store, testConfig(srv.Listener.Addr().String()))
+			is.Equal(w.call(0, "GET", "/notes", "", "", time.Second), "") // leaves a connection open
+			is.Equal(w.call(0, "POST", path, "k", "", time.Second), unknown)
+			is.Equal(posts.Load(), int32(1))
+			is.NoErr(w.close(time.Minute))
+		})
+	}
+}
+
+// Guards against leaks of credentials, spoofed fencing numbers, followed redirects and relayed hop-by-hop headers.
+func TestHeaders(t *testing.T) {
+	is := is.New(t)
+	got := make(chan http.Header, 1)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got <- r.Header
+		w.Header().Set("Location", "/elsewhere")
+		w.Header().Set("Keep-Alive", "timeout=5")
+		w.Header().Set("X-Answer", "1")
+		w.WriteHeader(http.StatusTemporaryRedirect)
+	}))
+	defer srv.Close()
+	a := New(quiet(), &memStore{objects: map[string]core.Object{}}, testConfig(srv.Listener.Addr().String()))
+	r := httptest.NewRequest("POST", "/services/swaps/notes", strings.NewReader("b"))
+	for name, value := range map[string]string{
+		"Authorization": "Bearer secret", "Fencing-Number": "99", "Connection": "X-Private", "X-Private": "1",
+		"X-HTTP-Method-Override": "DELETE", "X-Kept": "1", "Snipeshed-Timeout-Ms": "5000",
+	} {
+		r.Header.Set(name, value)
+	}
+	rec := httptest.NewRecorder()
+	a.Serve(rec, r, "r1", core.Credential{Team: "tallinn"}, "swaps", "notes")
+	h := <-got
+	for _, name := range []string{"Authorization", "Fencing-Number", "X-Private", "X-Http-Method-Override"} {
+		is.Equal(h.Get(name), "")
+	}
+	is.Equal(h.Get("X-Kept"), "1")
+	is.Equal(h.Get("Request-Id"), "r1")
+	is.True(h.Get(headerTimeout) != "")
+	is.Equal(rec.Code, http.StatusTemporaryRedirect)
+	is.Equal(rec.Header().Get("X-Answer"), "1")
+	is.Equal(rec.Header().Get("Keep-Alive"), "")
+	is.NoErr(a.Close(t.Context()))
+}
+
+// Guards against an incomplete answer that a client takes for a complete one.
+func TestBrokenAnswer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = http.ReadRequest(bufio.NewReader(c))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
+		c.Close()
+	}()
+	a := New(quiet(), &memStore{objects: map[string]core.Object{}}, testConfig(l.Addr().String()))
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.Serve(w, r, "r1", core.Credential{Team: "tallinn"}, "swaps", "/notes")
+	}))
+	defer front.Close()
+	resp, err := front.Client().Get(front.URL)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	is.Equal(string(b), "half")
+	is.True(err != nil)
+	is.NoErr(a.Close(t.Context()))
+}
+
+// Guards against results that are cut off when they are recorded, and checks what a lookup shows of each.
+func TestLargeResults(t *testing.T) {
+	tests := []struct {
+		name, answer  string
+		first, second string
+		lookup        string
+	}{
+		{name: "recorded whole", answer: "1234", first: "1234", second: "1234 replayed", lookup: `"body":"MTIzNA=="`},
+		{name: "too large to record", answer: "12345", first: "12345", second: "outcome_unknown/run", lookup: `"body_omitted":true`},
+		{name: "too large to relay", answer: "123456789", first: "outcome_unknown/run", second: "outcome_unknown/run", lookup: `"body_omitted":true`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			w := newWorld(1, "10.0.0.1:1")
+			cfg := &conf.Settings{MaxBodyBytes: 8}
+			conf.SetDefaults(cfg)
+			limit := int64(4)
+			cfg.ActionResultBytes = &limit
+			w.instances[0].cfg, w.end.answer = cfg, tt.answer
+			is.Equal(w.call(0, "POST", "/confirm", "k", "b", time.Second), tt.first)
+			is.Equal(w.call(0, "POST", "/confirm", "k", "b", time.Second), tt.second)
+			is.True(strings.Contains(w.lookup("k"), tt.lookup))
+			is.Equal(w.end.runs["k"], 1)
+			is.NoErr(w.close(time.Minute))
+		})
+	}
+}
+
+func (w *world) lookup(key string) string {
+	rec := httptest.NewRecorder()
+	w.instances[0].Lookup(rec, httptest.NewRequest("GET", "/v1/actions/swaps/"+key, nil), "r1", core.Credential{Team: "tallinn"}, "swaps", key)
+	return rec.Body.String()
+}
+
+// Guards against a lookup that says more than the record proves.
+func TestLookup(t *testing.T) {
+	tests := []struct {
+		name string
+		ends []fault
+		keys string
+		wait time.Duration
+		down bool
+		want string
+	}{
+		{name: "done", want: `"state":"done","run":"run","attempt":1`},
+		{name: "not run", ends: []fault{{effect: refused}}, want: `"state":"not_run","run":"not_run","attempt":1`},
+		{name: "in progress", ends: []fault{{effect: lostAfter}}, want: `"state":"in_progress","run":"unknown"`},
+		{name: "outcome unknown", ends: []fault{{effect: lostAfter}}, wait: time.Minute, want: `"state":"outcome_unknown","run":"unknown"`},
+		{name: "no record", keys: "other", want: `"kind":"not_found","message":"no action of service \"swaps\" is recorded with this key"`},
+		{name: "store down", down: true, want: `"kind":"store_down"`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := newWorld(1, "10.0.0.1:1")
+				w.end.faults = tt.ends
+				w.call(0, "POST", "/confirm", "k"+tt.keys, "b", 10*time.Second)
+				time.Sleep(tt.wait)
+				if tt.down {
+					w.store.gets = []fault{{effect: refused}}
+				}
+				is.True(strings.Contains(w.lookup("k"), tt.want))
+				is.NoErr(w.close(time.Minute))
+			})
+		})
+	}
+}
