Add the operators' commands and example tickets

Cause: operators need to apply, read and compare tickets, check files offline and see the fleet's state. A usage error is one line instead of the whole help text. Adds examples/ for the two users.

--- /dev/null
+++ b/cli/apply.go
@@ -0,0 +1,130 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"snipeshed/core"
+	"snipeshed/wire"
+)
+
+const (
+	// applyTries is how often a ticket whose outcome is unknown is sent; its id makes that safe.
+	applyTries = 3
+	tryDelay   = time.Second
+)
+
+func applyCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "apply",
+		Usage:     "applies a ticket and prints its number",
+		ArgsUsage: "FILE",
+		Description: "FILE is a ticket as JSON, or - for stdin. Without a base in the file, the last ticket in force at the\n" +
+			"instance is taken, which does not notice changes by others before it; snipeshed ticket show --draft\n" +
+			"prints a ticket with the base that was read.\nExample: snipeshed ticket apply --wait examples/hashimoto.json",
+		Flags: operatorFlags(
+			&cli.BoolFlag{Name: "wait", Usage: "wait until the ticket is in force at every instance, and print each"},
+			&cli.DurationFlag{Name: "wait-timeout", Usage: "longest wait", Value: time.Minute},
+			&cli.StringFlag{Name: "author", Usage: "author if the file names none", Sources: cli.EnvVars("SNIPESHED_AUTHOR", "USER")},
+			&cli.StringFlag{Name: "id", Usage: "id of an earlier call whose outcome is unknown"},
+			&cli.Uint64Flag{Name: "base", Usage: "number of the last ticket that the author had read"},
+		),
+		Action: apply,
+	}
+}
+
+func apply(ctx context.Context, c *cli.Command) error {
+	if c.Args().Len() != 1 {
+		return usageError(c, "one ticket file is needed")
+	}
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	t, err := readTicket(c.Args().First(), os.Stdin)
+	if err != nil {
+		return err
+	}
+	if err := complete(ctx, c, cl, t); err != nil {
+		return err
+	}
+	accepted, err := cl.applyKnown(ctx, t)
+	if err != nil {
+		return retryable(c, t, err)
+	}
+	fmt.Fprintf(c.Root().Writer, "ticket %d accepted, id %s\n", accepted.GetNumber(), accepted.GetId())
+	if !c.Bool("wait") {
+		return nil
+	}
+	return cl.wait(ctx, c.Root().Writer, accepted.GetNumber(), c.Duration("wait-timeout"))
+}
+
+// complete fills in what the file leaves out. A ticket that comes with an id may have been applied
+// before, so its base must stay as it was then.
+func complete(ctx context.Context, c *cli.Command, cl *client, t *wire.Ticket) error {
+	if c.IsSet("id") {
+		t.Id = c.String("id")
+	}
+	if c.IsSet("base") {
+		t.Base = c.Uint64("base")
+	}
+	if t.GetAuthor() == "" {
+		t.Author = c.String("author")
+	}
+	if t.GetId() != "" {
+		return nil
+	}
+	t.Id = core.NewRandomID()
+	if t.GetBase() != 0 || c.IsSet("base") {
+		return nil
+	}
+	resp, err := cl.Show(ctx, &wire.ShowRequest{})
+	if err != nil {
+		return cl.explain(err)
+	}
+	t.Base = resp.GetConfiguration().GetNumber()
+	return nil
+}
+
+// applyKnown applies a ticket, and again with the same id while the outcome is unknown.
+func (c *client) applyKnown(ctx context.Context, t *wire.Ticket) (*wire.Ticket, error) {
+	unknown := error(nil)
+	for try := 1; ; try++ {
+		accepted, err := c.Apply(ctx, t)
+		if err == nil {
+			return accepted, nil
+		}
+		err = c.explain(err)
+		var typed *core.Error
+		switch {
+		case notSent(err) && unknown == nil:
+			return nil, err
+		case !errors.As(err, &typed) || typed.Run == core.RunUnknown:
+			unknown = err
+		case unknown == nil || typed.Kind != core.KindStoreDown:
+			return nil, err // a refusal after reading the log
+		}
+		if try == applyTries || ctx.Err() != nil {
+			return nil, &core.Error{Kind: core.KindOutcomeUnknown, Message: "the ticket may have been accepted", Run: core.RunUnknown, Cause: unknown}
+		}
+		select {
+		case <-time.After(tryDelay):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// retryable adds the command that finds out what became of a ticket.
+func retryable(c *cli.Command, t *wire.Ticket, err error) error {
+	var typed *core.Error
+	if errors.As(err, &typed) && typed.Kind == core.KindOutcomeUnknown {
+		typed.Remedy = fmt.Sprintf("run snipeshed ticket apply --id %s --base %d --author %q %s, which accepts it at most once",
+			t.GetId(), t.GetBase(), t.GetAuthor(), c.Args().First())
+	}
+	return err
+}
--- /dev/null
+++ b/cli/cli_test.go
@@ -0,0 +1,181 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"snipeshed/cli"
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/core/state"
+	"snipeshed/io/link"
+	"snipeshed/io/oper"
+	"snipeshed/io/store"
+	"snipeshed/stand/objs"
+	"snipeshed/wire"
+)
+
+// world is one instance's operators' API on the stand-in of the object API.
+type world struct {
+	*objs.Objs
+	address string
+	// lag is how many tickets the other instance of the fleet is behind at each of its digests.
+	lag   []uint64
+	state *state.State
+}
+
+func (w *world) Instances() []*wire.Instance {
+	return []*wire.Instance{{Id: "other", FailureDomain: "b", State: "live"}}
+}
+
+func (w *world) Digest(context.Context, *wire.Instance) (*wire.Digest, error) {
+	lag := w.lag[0]
+	if len(w.lag) > 1 {
+		w.lag = w.lag[1:]
+	}
+	return &wire.Digest{Ticket: uint64(w.state.Number()) - lag}, nil
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	w := &world{Objs: objs.New(), lag: []uint64{0}, state: state.New()}
+	is.New(t).NoErr(w.Start())
+	t.Cleanup(func() { is.New(t).NoErr(w.Close()) })
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	shared := core.NewShared(logrus.NewEntry(log))
+	cfg := &conf.Settings{Instance: "one", FailureDomain: "a", PlatformUrl: w.URL()}
+	conf.SetDefaults(cfg)
+	st := store.New(shared, cfg, link.New(cfg))
+	t.Cleanup(st.Close)
+	srv := httptest.NewServer(oper.New(shared, cfg, st, w.state, oper.WithFleet(w)).Handler())
+	t.Cleanup(srv.Close)
+	w.address = strings.TrimPrefix(srv.URL, "http://")
+	return w
+}
+
+// run runs a command line and returns what it printed; "FILE" in it is a file with the given content.
+func (w *world) run(t *testing.T, line, file string) (code int, stdout, stderr string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "ticket.json")
+	is.New(t).NoErr(os.WriteFile(path, []byte(file), 0o600))
+	t.Setenv("SNIPESHED_ADDRESS", w.address)
+	t.Setenv("USER", "piret")
+	var out, errs bytes.Buffer
+	args := strings.Fields(strings.ReplaceAll("snipeshed "+line, "FILE", path))
+	code = cli.Main(args, &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+const (
+	urgent = `{"items":[{"rank":{"name":"urgent","priority":"10"}}]}`
+	batch  = `{"id":"b","base":"0","author":"kenji","items":[{"rank":{"name":"batch"}}]}`
+	raised = `{"base":"0","items":[{"rank":{"name":"urgent","priority":"20"}}]}`
+	edited = `{"id":"e","base":"2","items":[{"rank":{"name":"urgent","priority":"20"}}]}`
+)
+
+// Guards against a command that prints something else than happened, or an error without a remedy.
+// The commands run in order against one log.
+func TestCommands(t *testing.T) {
+	w := newWorld(t)
+	w.lag = []uint64{1, 0}
+	for _, c := range []struct {
+		name, line, file string
+		// want are parts of stdout, or of stderr when the command shall fail.
+		want []string
+		fail bool
+	}{
+		{"apply and wait", "ticket apply --wait FILE", urgent, []string{"ticket 1 accepted, id ", "ticket 1 in force at one (a) after 0.0 s", "in force at other (b) after 0.5 s", "at all 2 instances"}, false},
+		{"lost answer", "ticket apply FILE", batch, []string{"ticket 2 accepted, id b"}, false},
+		{"retry", "ticket apply FILE", batch, []string{"ticket 2 accepted, id b"}, false},
+		{"conflict", "ticket apply --base 0 FILE", raised, []string{"snipeshed: conflict: ticket 1 of piret changed rank/urgent after the base 0", "ticket show 1"}, true},
+		{"unknown field", "ticket apply FILE", `{"itemz":[]}`, []string{"ticket.json is not a valid Ticket", `unknown field "itemz"`}, true},
+		{"number given", "ticket apply FILE", `{"number":"3"}`, []string{"leave them out"}, true},
+		{"bad reference", "ticket apply FILE", `{"items":[{"team":{"name":"t","services":["x"]}}]}`, []string{"items[0].team.services[0]", `"x"`, "no such service"}, true},
+		{"edit", "ticket apply FILE", edited, []string{"ticket 3 accepted"}, false},
+		{"list", "ticket list", "", []string{"NUMBER", "1 ", "piret", "rank/urgent", "kenji"}, false},
+		{"list after", "ticket list --after 1 --limit 1", "", []string{"2 ", "rank/batch"}, false},
+		{"show ticket", "ticket show 2", "", []string{`"id": "b"`, `"accepted_unix_ms"`}, false},
+		{"show configuration", "ticket show", "", []string{`"number": "3"`, `"set_by": "2"`}, false},
+		{"draft", "ticket show --draft rank/batch", "", []string{`"base": "3"`, `"name": "batch"`}, false},
+		{"draft of nothing", "ticket show --draft rank/x", "", []string{`"rank/x" does not exist`}, true},
+		{"missing ticket", "ticket show 9", "", []string{"not_found: ticket 9", "ticket list"}, true},
+		{"compare", "ticket compare 1", "", []string{"rank/batch, set by ticket 2", `+ {"rank":{"name":"batch"}}`, `- {"rank":{"name":"urgent","priority":"10"}}`}, false},
+		{"compare equal", "ticket compare 3 3", "", []string{"no differences"}, false},
+		{"status", "status", "", []string{"instance one, ticket 3, store up", "other     b       live   3"}, false},
+		{"status as JSON", "status --json", "", []string{`"store_up": true`}, false},
+		{"no instance", "status --address 127.0.0.1:1", "", []string{"127.0.0.1:1 did not answer", "check --address"}, true},
+		{"wrong address", "status --address here", "", []string{`"here"`, "127.0.0.1:8082"}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if c.name == "lost answer" {
+				w.LoseAnswers(1, state.TicketPrefix)
+			}
+			code, stdout, stderr := w.run(t, c.line, c.file)
+			got := stdout
+			if c.fail {
+				got = stderr
+				is.New(t).Equal(strings.Count(stderr, "\n"), 1) // one line
+			}
+			if (code != 0) != c.fail {
+				t.Fatalf("exit code %d, stdout %q, stderr %q", code, stdout, stderr)
+			}
+			for _, part := range c.want {
+				if !strings.Contains(got, part) {
+					t.Errorf("output lacks %q:\n%s", part, got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a wait that ends well although an instance lags, and an outage that reads like an acceptance.
+func TestFailures(t *testing.T) {
+	is, w := is.New(t), newWorld(t)
+	w.lag = []uint64{1}
+	code, _, stderr := w.run(t, "ticket apply --wait --wait-timeout 100ms FILE", urgent)
+	is.Equal(code, 1)
+	is.True(strings.Contains(stderr, "ticket 1 is accepted, but not seen in force at other (at 0)"))
+	w.SetOutage(objs.OutageRefuse)
+	code, _, stderr = w.run(t, "ticket apply FILE", `{"id":"x","base":"1","items":[{"rank":{"name":"batch"}}]}`)
+	is.Equal(code, 1)
+	is.True(strings.Contains(stderr, "store_down: this call wrote no ticket"))
+	w.SetOutage(objs.OutageNone)
+	is.Equal(len(w.List(state.TicketPrefix)), 1)
+}
+
+// Guards against examples that are invalid, and against demo keys in the README that no ticket holds.
+func TestExamples(t *testing.T) {
+	is, w := is.New(t), &world{}
+	readme, err := os.ReadFile("../examples/README.md")
+	is.NoErr(err)
+	keys := regexp.MustCompile("`(demo-[a-z-]+)`").FindAllStringSubmatch(string(readme), -1)
+	tickets := ""
+	for _, name := range []string{"kodusvahetus", "hashimoto"} {
+		path := fmt.Sprintf("../examples/%s.json", name)
+		code, _, stderr := w.run(t, "check --ticket "+path, "")
+		is.Equal(stderr, "")
+		is.Equal(code, 0)
+		b, err := os.ReadFile(path)
+		is.NoErr(err)
+		tickets += string(b)
+	}
+	is.Equal(strings.Count(tickets, `"sha256"`), len(keys))
+	for _, key := range keys {
+		sum := sha256.Sum256([]byte(key[1]))
+		is.True(strings.Contains(tickets, hex.EncodeToString(sum[:])))
+	}
+}
--- /dev/null
+++ b/cli/compare.go
@@ -0,0 +1,80 @@
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/urfave/cli/v3"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"snipeshed/wire"
+)
+
+func compareCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "compare",
+		Usage:       "prints the items that differ between the configurations after two tickets",
+		ArgsUsage:   "FROM [TO]",
+		Description: "TO is by default the configuration in force.\nExample: snipeshed ticket compare 12 17",
+		Flags:       operatorFlags(&cli.BoolFlag{Name: "json", Usage: "print JSON"}),
+		Action:      compare,
+	}
+}
+
+func compare(ctx context.Context, c *cli.Command) error {
+	if n := c.Args().Len(); n < 1 || n > 2 {
+		return usageError(c, "one or two ticket numbers are needed")
+	}
+	from, err := numberArg(c, 0)
+	if err != nil {
+		return err
+	}
+	to, err := numberArg(c, 1)
+	if err != nil {
+		return err
+	}
+	cl, err := newClient(c)
+	if err != nil {
+		return err
+	}
+	resp, err := cl.Compare(ctx, &wire.CompareRequest{From: from, To: to})
+	if err != nil {
+		return cl.explain(err)
+	}
+	w := c.Root().Writer
+	if c.Bool("json") {
+		return writeJSON(w, resp)
+	}
+	if len(resp.GetDifferences()) == 0 {
+		fmt.Fprintln(w, "no differences")
+	}
+	for _, d := range resp.GetDifferences() {
+		fmt.Fprintf(w, "%s, set by ticket %d\n", d.GetItem(), d.GetSetBy())
+		for _, side := range []struct {
+			sign string
+			item *wire.Item
+		}{{"-", d.GetBefore()}, {"+", d.GetAfter()}} {
+			if side.item == nil {
+				continue
+			}
+			line, err := oneLine(side.item)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(w, "  %s %s\n", side.sign, line)
+		}
+	}
+	return nil
+}
+
+// oneLine returns an item as JSON in one line.
+func oneLine(item *wire.Item) (string, error) {
+	b, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(item)
+	if err != nil {
+		return "", err
+	}
+	var raw json.RawMessage = b
+	b, err = json.Marshal(raw) // drops the spaces that protojson varies
+	return string(b), err
+}
