Add membership with rendezvous owners in core/member

Cause: owners, relays and endpoint states need one view of the instance list that stays correct when lists lag, repeat or arrive out of order. Change: Member folds list entries by revision, keeps instances' own word that they leave per run of their process, suspects peers for a limited time and ranks live members by rendezvous hash.

--- /dev/null
+++ b/core/member/member.go
@@ -0,0 +1,218 @@
+package member
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"snipeshed/core"
+	"snipeshed/wire"
+)
+
+// Kinds and states of entries in the instance list.
+const (
+	KindInstance = "snipeshed"
+	KindEndpoint = "endpoint"
+	StateLive    = "live"
+	StateLeaving = "leaving"
+	StateGone    = "gone"
+)
+
+// maxGone bounds the entries kept of instances that are gone; a reader that is
+// older than all of them gets the full list. At 1,200 replacements per day it
+// covers most of a day.
+const maxGone = 1024
+
+var _ core.Members = (*Member)(nil)
+
+// Member holds the instance list and what is known of the instances; it is safe for concurrent use.
+type Member struct {
+	self       core.Peer
+	suspectFor time.Duration
+
+	mu       sync.RWMutex
+	entries  map[string]*wire.Instance
+	revision uint64
+	// floor is the highest revision of an entry that was dropped from entries.
+	floor    uint64
+	words    map[core.InstanceID]word
+	suspects map[core.InstanceID]time.Time
+	// fleet holds the listed instances of snipeshed that are not gone, and self, in the order of their ids.
+	fleet     []ranked
+	endpoints map[string]bool
+}
+
+// ranked is an instance with the hash of its id and its state in the list.
+type ranked struct {
+	core.Peer
+	hash uint64
+	live bool
+}
+
+// New returns a Member that knows only this instance.
+func New(self core.Peer, suspectFor time.Duration) *Member {
+	m := &Member{
+		self: self, suspectFor: suspectFor,
+		entries:  map[string]*wire.Instance{},
+		words:    map[core.InstanceID]word{},
+		suspects: map[core.InstanceID]time.Time{},
+	}
+	m.entries[string(self.ID)] = &wire.Instance{
+		Id: string(self.ID), Address: self.Address, FailureDomain: string(self.FailureDomain),
+		Kind: KindInstance, State: StateLive,
+	}
+	m.rebuild()
+	return m
+}
+
+// Self returns this instance.
+func (m *Member) Self() core.Peer { return m.self }
+
+// Owners returns up to n instances for a resource by rendezvous hash, best first, without leaving and suspect ones.
+func (m *Member) Owners(now time.Time, resource string, n int) []core.Peer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	best := m.best(now, resource, n, func(ranked) bool { return true })
+	if len(best) == 0 && n > 0 {
+		// Without any other member this instance is the only one that can serve.
+		return []core.Peer{m.self}
+	}
+	return best
+}
+
+// Relays returns the k members of a failure domain that watch the platform.
+func (m *Member) Relays(now time.Time, domain core.FailureDomain, k int) []core.Peer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return m.best(now, "relay/"+string(domain), k, func(r ranked) bool { return r.FailureDomain == domain })
+}
+
+// IsRelay reports whether this instance is one of the k relays of its failure domain.
+func (m *Member) IsRelay(now time.Time, k int) bool {
+	return slices.ContainsFunc(m.Relays(now, m.self.FailureDomain, k), func(p core.Peer) bool { return p.ID == m.self.ID })
+}
+
+// Suspect passes an instance over for a while because it did not answer.
+func (m *Member) Suspect(now time.Time, id core.InstanceID) {
+	if id == m.self.ID {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.suspects[id] = now.Add(m.suspectFor)
+}
+
+// Trust ends the suspicion of an instance because it answered.
+func (m *Member) Trust(id core.InstanceID) {
+	m.mu.RLock()
+	_, found := m.suspects[id]
+	m.mu.RUnlock()
+	if found {
+		m.mu.Lock()
+		delete(m.suspects, id)
+		m.mu.Unlock()
+	}
+}
+
+// EndpointLeaving reports whether the instance list says that the endpoint with this address is leaving or gone.
+func (m *Member) EndpointLeaving(address string) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	live, listed := m.endpoints[address]
+	return listed && !live
+}
+
+// Peers returns the other members that are not suspect; leaving ones still answer and are included.
+func (m *Member) Peers(now time.Time) []core.Peer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	peers := make([]core.Peer, 0, len(m.fleet))
+	for _, r := range m.fleet {
+		if r.ID != m.self.ID && !m.suspect(now, r.ID) {
+			peers = append(peers, r.Peer)
+		}
+	}
+	return peers
+}
+
+// Peer returns a member by its id.
+func (m *Member) Peer(id core.InstanceID) (core.Peer, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	i, found := m.find(id)
+	if !found {
+		return core.Peer{}, false
+	}
+	return m.fleet[i].Peer, true
+}
+
+// Fleet returns the ids of all listed members in their order, this instance included; it is equal at equal revisions.
+func (m *Member) Fleet() ([]core.InstanceID, uint64) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	ids := make([]core.InstanceID, len(m.fleet))
+	for i, r := range m.fleet {
+		ids[i] = r.ID
+	}
+	return ids, m.revision
+}
+
+// Others returns the other members that are live and not leaving, suspect ones included.
+func (m *Member) Others() []core.Peer {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	others := make([]core.Peer, 0, len(m.fleet))
+	for _, r := range m.fleet {
+		if r.ID != m.self.ID && r.live && !m.words[r.ID].leaving {
+			others = append(others, r.Peer)
+		}
+	}
+	return others
+}
+
+func (m *Member) find(id core.InstanceID) (int, bool) {
+	return slices.BinarySearchFunc(m.fleet, id, func(r ranked, id core.InstanceID) int { return cmp.Compare(r.ID, id) })
+}
+
+func (m *Member) suspect(now time.Time, id core.InstanceID) bool {
+	until, found := m.suspects[id]
+	return found && now.Before(until)
+}
+
+func (m *Member) best(now time.Time, resource string, n int, fits func(ranked) bool) []core.Peer {
+	type scored struct {
+		score uint64
+		peer  core.Peer
+	}
+	h := xxhash.Sum64String(resource)
+	var top []scored
+	for _, r := range m.fleet {
+		if !r.live || m.words[r.ID].leaving || m.suspect(now, r.ID) || !fits(r) {
+			continue
+		}
+		s := scored{score: score(r.hash, h), peer: r.Peer}
+		i, _ := slices.BinarySearchFunc(top, s, func(a, b scored) int {
+			return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.peer.ID, b.peer.ID))
+		})
+		if i < n {
+			top = slices.Insert(top, i, s)
+			top = top[:min(len(top), n)]
+		}
+	}
+	peers := make([]core.Peer, len(top))
+	for i, s := range top {
+		peers[i] = s.peer
+	}
+	return peers
+}
+
+func score(member, resource uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], member)
+	binary.LittleEndian.PutUint64(b[8:], resource)
+	return xxhash.Sum64(b[:])
+}
--- /dev/null
+++ b/core/member/member_test.go
@@ -0,0 +1,247 @@
+package member
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"snipeshed/core"
+	"snipeshed/wire"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var start = time.Unix(1_800_000_000, 0)
+
+func instance(i int, state string, revision uint64) *wire.Instance {
+	return &wire.Instance{
+		Id: fmt.Sprintf("i%03d", i), Address: fmt.Sprintf("127.0.0.1:%d", 10000+i),
+		FailureDomain: fmt.Sprintf("zone-%d", i%3), Kind: KindInstance, State: state, Revision: revision,
+	}
+}
+
+func fleet(n int) *Member {
+	m := New(core.Peer{ID: "i000", Address: "127.0.0.1:10000", FailureDomain: "zone-0"}, 5*time.Second)
+	var list []*wire.Instance
+	for i := range n {
+		list = append(list, instance(i, StateLive, 1))
+	}
+	m.Fold(list, 0, 1)
+	return m
+}
+
+func ids(peers []core.Peer) (ids []core.InstanceID) {
+	for _, p := range peers {
+		ids = append(ids, p.ID)
+	}
+	return ids
+}
+
+// Guards against moving resources of members that stay when another one leaves.
+func TestOwnersMoveMinimally(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(2, 40).Draw(t, "fleet")
+		gone := rapid.IntRange(1, n-1).Draw(t, "gone")
+		m := fleet(n)
+		id := core.InstanceID(instance(gone, "", 0).GetId())
+		before := map[string][]core.InstanceID{}
+		for i := range 50 {
+			r := fmt.Sprintf("pool/%d", i)
+			before[r] = ids(m.Owners(start, r, n))
+		}
+		switch rapid.IntRange(0, 2).Draw(t, "how") {
+		case 0:
+			m.Fold([]*wire.Instance{instance(gone, StateGone, 2)}, 1, 2)
+		case 1:
+			m.Hear(start, id, 7, true)
+		case 2:
+			m.Suspect(start, id)
+		}
+		for r, old := range before {
+			var want []core.InstanceID
+			for _, o := range old {
+				if o != id {
+					want = append(want, o)
+				}
+			}
+			if got := ids(m.Owners(start, r, n)); fmt.Sprint(got) != fmt.Sprint(want) {
+				t.Fatalf("owners of %s are %v, want %v", r, got, want)
+			}
+		}
+	})
+}
+
+// Guards against entries that fall back to an older revision when lists arrive out of order, twice or in part.
+func TestFoldKeepsNewest(t *testing.T) {
+	states := []string{StateLive, StateLeaving, StateGone}
+	rapid.Check(t, func(t *rapid.T) {
+		m := fleet(1)
+		newest := map[string]*wire.Instance{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "folds") {
+			rev := rapid.Uint64Range(2, 30).Draw(t, "revision")
+			e := instance(rapid.IntRange(1, 5).Draw(t, "instance"), states[rapid.IntRange(0, 2).Draw(t, "state")], rev)
+			if old := newest[e.GetId()]; old != nil && old.GetRevision() == rev {
+				e = old // one revision of the list has one state
+			}
+			m.Fold([]*wire.Instance{e}, uint64(1000+i), uint64(1001+i))
+			if old := newest[e.GetId()]; old == nil || old.GetRevision() < rev {
+				newest[e.GetId()] = e
+			}
+		}
+		got, _, _ := m.Since(1)
+		for _, e := range got {
+			if want := newest[e.GetId()]; want.GetState() != e.GetState() || want.GetRevision() != e.GetRevision() {
+				t.Fatalf("entry %v, want %v", e, want)
+			}
+		}
+		if len(got) != len(newest) || m.Revision() != 1 {
+			t.Fatalf("%d entries at revision %d, want %d at 1: a part with a gap must not advance the revision", len(got), m.Revision(), len(newest))
+		}
+	})
+}
+
+// Guards against members that never converge when they copy each other's changes in any order.
+func TestSinceConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := fleet(6), fleet(6)
+		changedAt, list := map[int]uint64{}, map[int]string{}
+		for rev := uint64(2); rev < 12; rev++ {
+			i := int(rev % 6)
+			changedAt[i], list[i] = rev, rapid.SampledFrom([]string{StateLive, StateLeaving, StateGone}).Draw(t, "state")
+			m := a
+			if rapid.Bool().Draw(t, "second polls") {
+				m = b
+			}
+			var changed []*wire.Instance
+			for j, state := range list {
+				if changedAt[j] > m.Revision() {
+					// The platform gives only the revision of its answer.
+					changed = append(changed, instance(j, state, rev))
+				}
+			}
+			m.Fold(changed, m.Revision(), rev)
+			if rapid.Bool().Draw(t, "exchange") {
+				a.Fold(b.Since(a.Revision()))
+				b.Fold(a.Since(b.Revision()))
+			}
+		}
+		a.Fold(b.Since(a.Revision()))
+		b.Fold(a.Since(b.Revision()))
+		x, rx := a.Fleet()
+		y, ry := b.Fleet()
+		if fmt.Sprint(x, rx) != fmt.Sprint(y, ry) {
+			t.Fatalf("fleets differ: %v at %d, %v at %d", x, rx, y, ry)
+		}
+	})
+}
+
+func TestMember(t *testing.T) {
+	hear := func(run uint64, leaving bool) func(*Member) {
+		return func(m *Member) { m.Hear(start, "i001", run, leaving) }
+	}
+	list := func(state string, revision uint64) func(*Member) {
+		return func(m *Member) { m.Fold([]*wire.Instance{instance(1, state, revision)}, m.Revision(), revision) }
+	}
+	tests := []struct {
+		name  string
+		steps []func(*Member)
+		after time.Duration
+		owner bool
+	}{
+		{name: "live in the list", owner: true},
+		{name: "says that it leaves", steps: []func(*Member){hear(7, true)}},
+		{name: "lagging list says live after its own word", steps: []func(*Member){hear(7, true), list(StateLive, 9)}},
+		{name: "its digests cross", steps: []func(*Member){hear(7, true), hear(7, false)}},
+		{name: "starts again", steps: []func(*Member){hear(7, true), hear(8, false)}, owner: true},
+		{name: "starts again with its clock set back", steps: []func(*Member){hear(7, true), hear(6, false)}, owner: true},
+		{name: "leaving in the list", steps: []func(*Member){list(StateLeaving, 2)}},
+		{name: "gone and listed again", steps: []func(*Member){hear(7, true), list(StateGone, 2), list(StateLive, 3)}, owner: true},
+		{name: "older list says live", steps: []func(*Member){list(StateGone, 3), list(StateLive, 2)}},
+		{name: "passed-on word of an older run", steps: []func(*Member){hear(8, false), func(m *Member) {
+			m.HearOf(start, &wire.Word{Id: "i001", Run: 7, Leaving: true})
+		}}, owner: true},
+		{name: "passed-on word", steps: []func(*Member){func(m *Member) {
+			m.HearOf(start, &wire.Word{Id: "i001", Run: 7, Leaving: true})
+		}}},
+		{name: "suspect", steps: []func(*Member){func(m *Member) { m.Suspect(start, "i001") }}, after: 4999 * time.Millisecond},
+		{name: "suspicion over", steps: []func(*Member){func(m *Member) { m.Suspect(start, "i001") }}, after: 5 * time.Second, owner: true},
+		{name: "absent from a newer full list", steps: []func(*Member){func(m *Member) {
+			m.Fold([]*wire.Instance{instance(0, StateLive, 2), instance(2, StateLive, 2)}, 0, 2)
+		}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			m := fleet(3)
+			for _, step := range tt.steps {
+				step(m)
+			}
+			owner := false
+			for _, p := range m.Owners(start.Add(tt.after), "pool/1", 3) {
+				owner = owner || p.ID == "i001"
+			}
+			is.Equal(owner, tt.owner)
+		})
+	}
+}
+
+// Guards against relays outside their failure domain and against members that disagree about them.
+func TestRelays(t *testing.T) {
+	is := is.New(t)
+	m := fleet(12)
+	relays := m.Relays(start, "zone-0", 2)
+	is.Equal(len(relays), 2)
+	for _, p := range relays {
+		is.Equal(p.FailureDomain, core.FailureDomain("zone-0"))
+	}
+	other := New(core.Peer{ID: "i001", FailureDomain: "zone-1"}, time.Second)
+	other.Fold(m.Since(0))
+	is.Equal(other.Relays(start, "zone-0", 2), relays)
+	m.Suspect(start, relays[0].ID)
+	m.Suspect(start, relays[1].ID)
+	is.Equal(len(m.Relays(start, "zone-0", 2)), 2)
+	is.True(m.Relays(start, "zone-0", 2)[0] != relays[0])
+}
+
+// Guards against new work for an endpoint that the list reports as leaving, and against refusing an address that a new one took over.
+func TestEndpointLeaving(t *testing.T) {
+	is := is.New(t)
+	m := fleet(1)
+	ep := func(id, state string, rev uint64) *wire.Instance {
+		return &wire.Instance{Id: id, Address: "127.0.0.1:9", Kind: KindEndpoint, State: state, Revision: rev}
+	}
+	is.True(!m.EndpointLeaving("127.0.0.1:9"))
+	m.Fold([]*wire.Instance{ep("e1", StateLive, 2)}, 1, 2)
+	is.True(!m.EndpointLeaving("127.0.0.1:9"))
+	m.Fold([]*wire.Instance{ep("e1", StateLeaving, 3)}, 2, 3)
+	is.True(m.EndpointLeaving("127.0.0.1:9"))
+	m.Fold([]*wire.Instance{ep("e1", StateGone, 4)}, 3, 4)
+	is.True(m.EndpointLeaving("127.0.0.1:9"))
+	m.Fold([]*wire.Instance{ep("e2", StateLive, 5)}, 4, 5)
+	is.True(!m.EndpointLeaving("127.0.0.1:9"))
+}
+
+// Guards against growth by entries of instances that are gone.
+func TestPrune(t *testing.T) {
+	is := is.New(t)
+	m := fleet(2)
+	for i := range uint64(3 * maxGone) {
+		m.Fold([]*wire.Instance{{Id: fmt.Sprint("x", i), Kind: KindInstance, State: StateGone, Revision: i + 2}}, i+1, i+2)
+	}
+	is.True(len(m.entries) <= maxGone+2)
+	entries, since, upTo := m.Since(1)
+	is.Equal(since, uint64(0)) // the reader is older than the kept entries and gets the full list
+	is.Equal(len(entries), 2)
+	is.Equal(upTo, uint64(3*maxGone+1))
+}
