Add spread of tickets and members among instances in io/relay

Cause: instances need the same configuration within seconds without a coordination service, also while the store is down. Only answers vouch, counted from when the question was asked, so a digest that a stalled link holds back cannot.

--- a/core/member/list.go
+++ b/core/member/list.go
@@ -129,6 +129,7 @@
 			}
 		}
 		r := ranked{hash: xxhash.Sum64String(e.GetId()), live: live, Peer: m.self}
+		r.listed = e.GetRevision() > 0 && e.GetState() != StateGone
 		if id != m.self.ID {
 			r.Peer = core.Peer{ID: id, Address: e.GetAddress(), FailureDomain: core.FailureDomain(e.GetFailureDomain())}
 		}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -40,17 +40,29 @@
 	// floor is the highest revision of an entry that was dropped from entries.
 	floor    uint64
 	words    map[core.InstanceID]word
-	suspects map[core.InstanceID]time.Time
+	suspects map[core.InstanceID]suspicion
 	// fleet holds the listed instances of snipeshed that are not gone, and self, in the order of their ids.
 	fleet     []ranked
 	endpoints map[string]bool
 }
 
+// maxDoubled bounds how often the time of a suspicion doubles while the instance never answers. Without
+// doubling, a dead instance that is still listed would take back its resources every few seconds.
+const maxDoubled = 3
+
+// suspicion passes an instance over until a time; times counts the failures since it last answered.
+type suspicion struct {
+	until time.Time
+	times int
+}
+
 // ranked is an instance with the hash of its id and its state in the list.
 type ranked struct {
 	core.Peer
 	hash uint64
 	live bool
+	// listed is false for this instance while the list does not hold it.
+	listed bool
 }
 
 // New returns a Member that knows only this instance.
@@ -59,7 +71,7 @@
 		self: self, suspectFor: suspectFor,
 		entries:  map[string]*wire.Instance{},
 		words:    map[core.InstanceID]word{},
-		suspects: map[core.InstanceID]time.Time{},
+		suspects: map[core.InstanceID]suspicion{},
 	}
 	m.entries[string(self.ID)] = &wire.Instance{
 		Id: string(self.ID), Address: self.Address, FailureDomain: string(self.FailureDomain),
@@ -103,7 +115,11 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.suspects[id] = now.Add(m.suspectFor)
+	s := m.suspects[id]
+	if now.Before(s.until) {
+		return // calls that were in progress together fail together
+	}
+	m.suspects[id] = suspicion{until: now.Add(m.suspectFor << min(s.times, maxDoubled)), times: s.times + 1}
 }
 
 // Trust ends the suspicion of an instance because it answered.
@@ -150,13 +166,15 @@
 	return m.fleet[i].Peer, true
 }
 
-// Fleet returns the ids of all listed members in their order, this instance included; it is equal at equal revisions.
+// Fleet returns the ids of the listed members in their order; all instances return the same at equal revisions above 0.
 func (m *Member) Fleet() ([]core.InstanceID, uint64) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	ids := make([]core.InstanceID, len(m.fleet))
-	for i, r := range m.fleet {
-		ids[i] = r.ID
+	ids := make([]core.InstanceID, 0, len(m.fleet))
+	for _, r := range m.fleet {
+		if r.listed {
+			ids = append(ids, r.ID)
+		}
 	}
 	return ids, m.revision
 }
@@ -179,8 +197,7 @@
 }
 
 func (m *Member) suspect(now time.Time, id core.InstanceID) bool {
-	until, found := m.suspects[id]
-	return found && now.Before(until)
+	return now.Before(m.suspects[id].until)
 }
 
 func (m *Member) best(now time.Time, resource string, n int, fits func(ranked) bool) []core.Peer {
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -176,6 +176,15 @@
 		}}},
 		{name: "suspect", steps: []func(*Member){func(m *Member) { m.Suspect(start, "i001") }}, after: 4999 * time.Millisecond},
 		{name: "suspicion over", steps: []func(*Member){func(m *Member) { m.Suspect(start, "i001") }}, after: 5 * time.Second, owner: true},
+		{name: "silent again after its suspicion", steps: []func(*Member){func(m *Member) {
+			m.Suspect(start, "i001")
+			m.Suspect(start.Add(6*time.Second), "i001")
+		}}, after: 15 * time.Second},
+		{name: "silent again after it answered", steps: []func(*Member){func(m *Member) {
+			m.Suspect(start, "i001")
+			m.Trust("i001")
+			m.Suspect(start.Add(6*time.Second), "i001")
+		}}, after: 11 * time.Second, owner: true},
 		{name: "absent from a newer full list", steps: []func(*Member){func(m *Member) {
 			m.Fold([]*wire.Instance{instance(0, StateLive, 2), instance(2, StateLive, 2)}, 0, 2)
 		}}},
--- a/core/member/word.go
+++ b/core/member/word.go
@@ -15,6 +15,8 @@
 	run     uint64
 	leaving bool
 	heard   time.Time
+	// news is set when the word changed whether the instance leaves.
+	news bool
 }
 
 // Hear takes what an instance itself says and reports whether it was news.
@@ -40,8 +42,9 @@
 	if !m.heardNews(old, found, run, leaving, direct) {
 		return false
 	}
-	m.words[id] = word{run: run, leaving: leaving, heard: now}
-	return found && old.leaving || leaving
+	news := leaving != old.leaving
+	m.words[id] = word{run: run, leaving: leaving, heard: now, news: news}
+	return news
 }
 
 // heardNews compares runs by the start time of the instance's process. A word
@@ -58,14 +61,14 @@
 	}
 }
 
-// Words returns the instances that said within a time that they leave.
+// Words returns the words heard within a time by which an instance leaves or is back after a new start.
 func (m *Member) Words(now time.Time, within time.Duration) []*wire.Word {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	var words []*wire.Word
 	for id, w := range m.words {
-		if w.leaving && now.Sub(w.heard) <= within {
-			words = append(words, &wire.Word{Id: string(id), Run: w.run, Leaving: true})
+		if w.news && now.Sub(w.heard) <= within {
+			words = append(words, &wire.Word{Id: string(id), Run: w.run, Leaving: w.leaving})
 		}
 	}
 	slices.SortFunc(words, func(a, b *wire.Word) int { return cmp.Compare(a.GetId(), b.GetId()) })
--- /dev/null
+++ b/io/relay/push.go
@@ -0,0 +1,119 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+
+	"snipeshed/core"
+	"snipeshed/wire"
+)
+
+// Targets of a push (design 5.1).
+const (
+	pushInside  = 2
+	pushOutside = 1
+)
+
+// pushNews sends everything new to a few peers as soon as it is learned.
+func (r *Relay) pushNews() {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case <-r.news:
+		}
+		for d := r.takeNews(); d != nil; d = r.takeNews() {
+			for _, p := range r.targets() {
+				r.spawn(func() {
+					if r.push(r.ctx, p, d) == nil {
+						return
+					}
+					// Another target takes the place of one that did not answer.
+					for _, q := range r.targets() {
+						if q != p && r.inside(q) == r.inside(p) {
+							_ = r.push(r.ctx, q, d)
+							return
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// takeNews returns what has not been pushed yet, or nil.
+func (r *Relay) takeNews() *wire.Delta {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	d := &wire.Delta{Words: r.words}
+	r.words = nil
+	if n := r.state.Number(); n > r.pushed {
+		ts, ok := r.state.Since(r.pushed, maxTickets)
+		d.Tickets = cut(ts)
+		r.pushed += core.TicketNumber(len(d.Tickets))
+		if !ok || len(d.Tickets) == 0 {
+			// A snapshot was loaded; peers that lack it ask for it.
+			r.pushed = n
+		}
+	}
+	if r.listNews {
+		r.listNews = false
+		d.Instances, d.ListSince, d.ListRevision = r.members.Since(r.listed)
+		r.listed = d.GetListRevision()
+	}
+	if len(d.Words) == 0 && len(d.Tickets) == 0 && len(d.Instances) == 0 {
+		return nil
+	}
+	return d
+}
+
+// targets returns random partners to push to; they are connected already.
+func (r *Relay) targets() []core.Peer {
+	now := r.Clock.Now()
+	r.mu.Lock()
+	peers := slices.Clone(r.partners)
+	r.mu.Unlock()
+	alive := r.members.Peers(now)
+	peers = slices.DeleteFunc(peers, func(p core.Peer) bool { return !slices.Contains(alive, p) })
+	shuffle(peers)
+	shuffle(alive)
+	inside, outside := pushInside, pushOutside
+	var targets []core.Peer
+	for _, p := range append(peers, alive...) {
+		left := &outside
+		if r.inside(p) {
+			left = &inside
+		}
+		if *left > 0 && !slices.Contains(targets, p) {
+			targets = append(targets, p)
+			*left--
+		}
+	}
+	return targets
+}
+
+func shuffle(peers []core.Peer) {
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+}
+
+func (r *Relay) push(ctx context.Context, p core.Peer, news *wire.Delta) error {
+	d := &wire.Delta{
+		Digest: r.digest(), Tickets: news.GetTickets(), Words: news.GetWords(),
+		Instances: news.GetInstances(), ListSince: news.GetListSince(), ListRevision: news.GetListRevision(),
+	}
+	asked := r.Clock.Now()
+	var answer *wire.Digest
+	err := r.call(ctx, p, func(ctx context.Context, c wire.Peer) (err error) {
+		answer, err = c.Push(ctx, d)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	r.takeDigest(asked, answer)
+	if answer.GetTicket() > uint64(r.state.Number()) {
+		r.pullFrom(p.ID)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/relay/snap.go
@@ -0,0 +1,184 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+
+	"google.golang.org/protobuf/proto"
+
+	"snipeshed/core"
+	"snipeshed/wire"
+)
+
+const snapshotPrefix = "snapshots/"
+
+// maxChunkBytes leaves room below the object API's limit of 1 MB.
+const maxChunkBytes = 900_000
+
+// snapshotPage bounds one listing of snapshots, which returns the values, to 8 MB.
+const snapshotPage = 8
+
+// keptSnapshots lets an instance finish reading a snapshot while the next one is written.
+const keptSnapshots = 2
+
+func chunkKey(n core.TicketNumber, i, total int) string {
+	return fmt.Sprintf("%s%010d/%04d-of-%04d", snapshotPrefix, n, i, total)
+}
+
+func parseChunkKey(key string) (n core.TicketNumber, i, total int, ok bool) {
+	_, err := fmt.Sscanf(key, snapshotPrefix+"%d/%d-of-%d", &n, &i, &total)
+	return n, i, total, err == nil && chunkKey(n, i, total) == key
+}
+
+// chunks splits a snapshot. The entries are in the order of their keys, so two
+// instances that write the same number write the same chunks.
+func chunks(s *wire.Snapshot) []*wire.Snapshot {
+	part := &wire.Snapshot{Number: s.GetNumber()}
+	parts := []*wire.Snapshot{part}
+	size := 0
+	for _, e := range s.GetEntries() {
+		n := proto.Size(e)
+		if size += n; size > maxChunkBytes && len(part.Entries) > 0 {
+			part = &wire.Snapshot{Number: s.GetNumber()}
+			parts = append(parts, part)
+			size = n
+		}
+		part.Entries = append(part.Entries, e)
+	}
+	return parts
+}
+
+// writeSnapshots writes a snapshot each time that snapshot_every tickets have been applied.
+func (r *Relay) writeSnapshots(ctx context.Context) {
+	for r.sleep(ctx, jittered(ms(r.cfg.GetGossipIntervalMs()))) {
+		every := core.TicketNumber(r.cfg.GetSnapshotEvery())
+		n := r.state.Number()
+		r.mu.Lock()
+		due := n/every > r.snapped/every
+		r.mu.Unlock()
+		if !due {
+			continue
+		}
+		if err := r.writeSnapshot(ctx, n-n%every); err != nil {
+			r.Log.WithError(err).Warn("snapshot cannot be written")
+			continue
+		}
+		r.mu.Lock()
+		r.snapped = max(r.snapped, n)
+		r.mu.Unlock()
+	}
+}
+
+// writeSnapshot writes the state unless the store has a snapshot since a number.
+func (r *Relay) writeSnapshot(ctx context.Context, since core.TicketNumber) error {
+	found, _, err := r.store.List(ctx, snapshotPrefix, fmt.Sprintf("%s%010d", snapshotPrefix, since), 1)
+	if err != nil || len(found) > 0 {
+		return err
+	}
+	s := r.state.Snapshot()
+	parts := chunks(s)
+	for i, part := range parts {
+		b, err := proto.MarshalOptions{Deterministic: true}.Marshal(part)
+		if err != nil {
+			return err
+		}
+		key := chunkKey(core.TicketNumber(s.GetNumber()), i, len(parts))
+		if _, err := r.store.Put(ctx, key, b, 0); err != nil && !errors.Is(err, core.ErrVersion) {
+			return err
+		}
+	}
+	r.Log.WithField("ticket", s.GetNumber()).Info("snapshot written")
+	return r.deleteOldSnapshots(ctx)
+}
+
+func (r *Relay) deleteOldSnapshots(ctx context.Context) error {
+	objects, err := r.listSnapshots(ctx)
+	if err != nil {
+		return err
+	}
+	complete := completeSnapshots(objects)
+	if len(complete) <= keptSnapshots {
+		return nil
+	}
+	oldest := complete[len(complete)-keptSnapshots].number
+	for _, o := range objects {
+		if n, _, _, ok := parseChunkKey(o.Key); !ok || n >= oldest {
+			continue
+		}
+		err := r.store.Delete(ctx, o.Key, o.Version)
+		if err != nil && !errors.Is(err, core.ErrVersion) && !errors.Is(err, core.ErrNotFound) {
+			return err
+		}
+	}
+	return nil
+}
+
+// loadSnapshot loads the newest complete snapshot of the store if it is newer than the state.
+func (r *Relay) loadSnapshot(ctx context.Context) error {
+	objects, err := r.listSnapshots(ctx)
+	if err != nil {
+		return err
+	}
+	complete := completeSnapshots(objects)
+	if len(complete) == 0 || complete[len(complete)-1].number <= r.state.Number() {
+		return nil
+	}
+	best := complete[len(complete)-1]
+	whole := &wire.Snapshot{}
+	for _, value := range best.chunks {
+		part := &wire.Snapshot{}
+		if err := proto.Unmarshal(value, part); err != nil {
+			return fmt.Errorf("snapshot %d is malformed: %w", best.number, err)
+		}
+		whole.Number = part.GetNumber()
+		whole.Entries = append(whole.Entries, part.GetEntries()...)
+	}
+	r.mu.Lock()
+	r.snapped = max(r.snapped, best.number)
+	r.mu.Unlock()
+	return r.load(whole)
+}
+
+func (r *Relay) listSnapshots(ctx context.Context) ([]core.Object, error) {
+	var all []core.Object
+	after := ""
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, ms(r.cfg.GetStoreTimeoutMs()))
+		objects, _, err := r.store.List(callCtx, snapshotPrefix, after, snapshotPage)
+		cancel()
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, objects...)
+		if len(objects) < snapshotPage {
+			return all, nil
+		}
+		after = objects[len(objects)-1].Key
+	}
+}
+
+type stored struct {
+	number core.TicketNumber
+	chunks [][]byte
+	total  int
+}
+
+// completeSnapshots returns the snapshots that lack no chunk, oldest first.
+func completeSnapshots(objects []core.Object) []stored {
+	var all []stored
+	for _, o := range objects { // in the order of keys, so by number and then by chunk
+		n, i, total, ok := parseChunkKey(o.Key)
+		if !ok {
+			continue
+		}
+		if len(all) == 0 || all[len(all)-1].number != n {
+			all = append(all, stored{number: n, total: total})
+		}
+		if s := &all[len(all)-1]; i == len(s.chunks) && total == s.total {
+			s.chunks = append(s.chunks, o.Value)
+		}
+	}
+	return slices.DeleteFunc(all, func(s stored) bool { return len(s.chunks) != s.total })
+}
--- /dev/null
+++ b/io/relay/store.go
@@ -0,0 +1,169 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/core/state"
+)
+
+// listPage bounds the tickets read in one call of the object API.
+const listPage = 256
+
+// watchSilence ends a watch whose heartbeats, one each second, stay away.
+const watchSilence = 3 * time.Second
+
+var (
+	errGap    = errors.New("tickets before those in the store are missing")
+	errSilent = errors.New("watch was silent too long")
+)
+
+// catchUp applies the tickets in the store that this instance lacks and returns the revision of the answer.
+func (r *Relay) catchUp(ctx context.Context) (core.Version, error) {
+	rev, err := r.readTickets(ctx)
+	if errors.Is(err, errGap) {
+		if err = r.loadSnapshot(ctx); err != nil {
+			return 0, err
+		}
+		rev, err = r.readTickets(ctx)
+	}
+	return rev, err
+}
+
+func (r *Relay) readTickets(ctx context.Context) (core.Version, error) {
+	for {
+		asked := r.Clock.Now()
+		callCtx, cancel := context.WithTimeout(ctx, ms(r.cfg.GetStoreTimeoutMs()))
+		objects, rev, err := r.store.List(callCtx, state.TicketPrefix, state.TicketKey(r.state.Number()), listPage)
+		cancel()
+		if err != nil {
+			return 0, err
+		}
+		for _, o := range objects {
+			if err := r.applyObject(o); err != nil {
+				return 0, err
+			}
+		}
+		if len(objects) < listPage {
+			r.vouch.contact(asked)
+			return rev, nil
+		}
+	}
+}
+
+func (r *Relay) applyObject(o core.Object) error {
+	t, err := state.DecodeTicket(o.Key, o.Value)
+	if err != nil {
+		return err
+	}
+	if _, err := r.apply(one(t)); err != nil {
+		return err
+	}
+	if uint64(r.state.Number()) < t.GetNumber() {
+		return fmt.Errorf("%w: have %d, read %d", errGap, r.state.Number(), t.GetNumber())
+	}
+	return nil
+}
+
+// playRole watches the platform while this instance is a relay of its failure domain.
+func (r *Relay) playRole() {
+	interval := ms(r.cfg.GetGossipIntervalMs())
+	stop := func() {}
+	defer func() { stop() }()
+	relay := false
+	for {
+		is := r.members.IsRelay(r.Clock.Now(), int(r.cfg.GetRelaysPerDomain()))
+		switch {
+		case is && !relay:
+			stop = r.beginRole()
+		case !is && relay:
+			stop()
+			stop = func() {}
+		}
+		relay = is
+		if !r.sleep(r.ctx, interval) {
+			return
+		}
+	}
+}
+
+// beginRole starts to watch, poll and write snapshots; the returned function ends that and waits.
+func (r *Relay) beginRole() func() {
+	ctx, cancel := context.WithCancel(r.ctx)
+	done := make(chan struct{}, 3)
+	for _, fn := range []func(context.Context){r.watch, r.poll, r.writeSnapshots} {
+		r.spawn(func() {
+			fn(ctx)
+			done <- struct{}{}
+		})
+	}
+	r.Log.Info("watching the platform for this failure domain")
+	return func() {
+		cancel()
+		for range cap(done) {
+			<-done
+		}
+		r.Log.Info("no longer watching the platform")
+	}
+}
+
+func (r *Relay) watch(ctx context.Context) {
+	for ctx.Err() == nil {
+		rev, err := r.catchUp(ctx)
+		if err == nil {
+			err = r.follow(ctx, rev)
+		}
+		if ctx.Err() == nil {
+			r.Log.WithError(err).Debug("watch of tickets ended")
+		}
+		r.sleep(ctx, jittered(ms(r.cfg.GetBreakerRetryMs())))
+	}
+}
+
+// follow applies tickets as they are written, until the watch breaks or falls silent.
+func (r *Relay) follow(ctx context.Context, since core.Version) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(watchSilence, func() { cancel(errSilent) })
+	defer silence.Stop()
+	last := r.Clock.Now()
+	err := r.store.Watch(ctx, state.TicketPrefix, since, func(c *core.Change) error {
+		now := r.Clock.Now()
+		if now.Sub(last) > watchSilence {
+			// Heartbeats that were held back on the way do not vouch.
+			return errSilent
+		}
+		last = now
+		silence.Reset(watchSilence)
+		if c != nil && !c.Deleted {
+			if err := r.applyObject(c.Object); err != nil {
+				return err
+			}
+		}
+		r.vouch.contact(now)
+		return nil
+	})
+	return errors.Join(err, context.Cause(ctx))
+}
+
+func (r *Relay) poll(ctx context.Context) {
+	for {
+		r.readList(ctx)
+		if !r.sleep(ctx, ms(r.cfg.GetListPollMs())) {
+			return
+		}
+	}
+}
+
+func (r *Relay) readList(ctx context.Context) {
+	since := r.members.Revision()
+	list, revision, err := r.list.List(ctx, since)
+	if err != nil {
+		r.Log.WithError(err).Debug("instance list cannot be read")
+		return
+	}
+	r.fold(list, since, revision)
+}
--- /dev/null
+++ b/io/relay/world_test.go
@@ -0,0 +1,349 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/core/member"
+	"snipeshed/core/state"
+	"snipeshed/wire"
+)
+
+var errCut = errors.New("connection refused")
+
+// world is a fleet in virtual time: peers call each other directly, and the platform is in memory.
+type world struct {
+	t     *testing.T
+	mu    sync.Mutex
+	nodes []*node
+	// peerErr fails calls from one instance to another, storeErr those to the platform.
+	peerErr  func(from, to *node) error
+	storeErr func(n *node) error
+	objects  map[string]core.Object
+	revision core.Version
+	list     []*wire.Instance
+	listRev  uint64
+	watches  int
+	puts     int
+}
+
+type node struct {
+	*Relay
+	w     *world
+	peer  core.Peer
+	state *state.State
+	cfg   *conf.Settings
+}
+
+var errSilentPeer = errors.New("silent")
+
+func newWorld(t *testing.T) *world {
+	return &world{
+		t: t, objects: map[string]core.Object{},
+		peerErr:  linked,
+		storeErr: up,
+	}
+}
+
+func up(*node) error             { return nil }
+func down(*node) error           { return errCut }
+func silent(*node) error         { return errSilentPeer }
+func linked(_, _ *node) error    { return nil }
+func separated(_, _ *node) error { return errCut }
+
+// cut replaces the failures between instances.
+func (w *world) cut(fn func(from, to *node) error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.peerErr = fn
+}
+
+// platform replaces the failures of the platform.
+func (w *world) platform(fn func(n *node) error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.storeErr = fn
+}
+
+func (w *world) watching() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.watches
+}
+
+// add makes an instance in a failure domain; listed puts it into the instance list.
+func (w *world) add(domain string, change ...func(*conf.Settings)) *node {
+	w.mu.Lock()
+	i := len(w.nodes)
+	n := &node{w: w, state: state.New(), peer: core.Peer{
+		ID: core.InstanceID(fmt.Sprintf("i%02d", i)), Address: fmt.Sprintf("10.0.0.1:%d", i), FailureDomain: core.FailureDomain(domain),
+	}}
+	w.nodes = append(w.nodes, n)
+	w.mu.Unlock()
+	n.cfg = &conf.Settings{}
+	conf.SetDefaults(n.cfg)
+	for _, c := range change {
+		c(n.cfg)
+	}
+	w.setListed(n, member.StateLive)
+	n.make()
+	return n
+}
+
+func (n *node) make() {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	members := member.New(n.peer, ms(n.cfg.GetSuspectMs()))
+	r := New(core.NewShared(logrus.NewEntry(log)), n.cfg, members, n.state, n, roster{n}, WithDialer(n.dialPeer))
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	n.Relay = r
+}
+
+// fleet makes and starts instances in failure domains and waits until they are ready.
+func (w *world) fleet(size, domains int) []*node {
+	for i := range size {
+		w.add(fmt.Sprintf("zone-%d", i%domains))
+	}
+	for _, n := range w.nodes {
+		n.Start()
+	}
+	for _, n := range w.nodes {
+		<-n.Ready()
+	}
+	return w.nodes
+}
+
+func (w *world) close() {
+	for _, n := range w.nodes {
+		n.Close()
+	}
+}
+
+func (w *world) setListed(n *node, state string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listRev++
+	w.list = slices.DeleteFunc(slices.Clone(w.list), func(e *wire.Instance) bool { return e.GetId() == string(n.peer.ID) })
+	w.list = append(w.list, &wire.Instance{
+		Id: string(n.peer.ID), Address: n.peer.Address, FailureDomain: string(n.peer.FailureDomain),
+		Kind: member.KindInstance, State: state, Revision: w.listRev,
+	})
+}
+
+func ticket(n uint64) *wire.Ticket {
+	return &wire.Ticket{Number: n, Id: fmt.Sprint("t", n), Items: []*wire.Item{
+		{Body: &wire.Item_Team{Team: &wire.Team{Name: "tallinn", Weight: int64(n)}}},
+	}}
+}
+
+// accept writes the next ticket into the store.
+func (w *world) accept() *wire.Ticket {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	number := uint64(1)
+	for k := range w.objects {
+		if strings.HasPrefix(k, state.TicketPrefix) {
+			number++
+		}
+	}
+	t := ticket(number)
+	b, _ := state.EncodeTicket(t)
+	w.revision++
+	key := state.TicketKey(core.TicketNumber(number))
+	w.objects[key] = core.Object{Key: key, Value: b, Version: w.revision}
+	return t
+}
+
+func (n *node) dialPeer(address string) (wire.Peer, func()) {
+	return &wireTo{from: n, address: address}, func() {}
+}
+
+// wireTo calls a peer as a connection would, with its own copies of the messages.
+type wireTo struct {
+	from    *node
+	address string
+}
+
+func (l *wireTo) server(ctx context.Context) (*server, error) {
+	time.Sleep(time.Millisecond)
+	w := l.from.w
+	w.mu.Lock()
+	i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.peer.Address == l.address })
+	if i < 0 {
+		w.mu.Unlock()
+		return nil, errCut
+	}
+	n := w.nodes[i]
+	r, fails := n.Relay, w.peerErr
+	w.mu.Unlock()
+	err := fails(l.from, n)
+	if errors.Is(err, errSilentPeer) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &server{r}, err
+}
+
+func (l *wireTo) Exchange(ctx context.Context, d *wire.Digest) (*wire.Delta, error) {
+	s, err := l.server(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out, err := s.Exchange(ctx, proto.CloneOf(d))
+	return proto.CloneOf(out), err
+}
+
+func (l *wireTo) Push(ctx context.Context, d *wire.Delta) (*wire.Digest, error) {
+	s, err := l.server(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return s.Push(ctx, proto.CloneOf(d))
+}
+
+func (l *wireTo) State(ctx context.Context, d *wire.Digest) (*wire.Snapshot, error) {
+	s, err := l.server(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out, err := s.State(ctx, d)
+	return proto.CloneOf(out), err
+}
+
+// reach fails as the store does for this instance.
+func (n *node) reach(ctx context.Context) error {
+	n.w.mu.Lock()
+	fails := n.w.storeErr
+	n.w.mu.Unlock()
+	err := fails(n)
+	if errors.Is(err, errSilentPeer) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
+func (n *node) Get(context.Context, string) (core.Object, error) { panic("not used") }
+func (n *node) Up() bool                                         { panic("not used") }
+
+func (n *node) Put(ctx context.Context, key string, value []byte, ifVersion core.Version) (core.Version, error) {
+	if err := n.reach(ctx); err != nil {
+		return 0, err
+	}
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	if n.w.objects[key].Version != ifVersion {
+		return 0, core.ErrVersion
+	}
+	n.w.puts++
+	n.w.revision++
+	n.w.objects[key] = core.Object{Key: key, Value: value, Version: n.w.revision}
+	return n.w.revision, nil
+}
+
+func (n *node) Delete(ctx context.Context, key string, _ core.Version) error {
+	if err := n.reach(ctx); err != nil {
+		return err
+	}
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	delete(n.w.objects, key)
+	return nil
+}
+
+func (n *node) List(ctx context.Context, prefix, after string, limit int) ([]core.Object, core.Version, error) {
+	if err := n.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	var found []core.Object
+	for k, o := range n.w.objects {
+		if strings.HasPrefix(k, prefix) && k > after {
+			found = append(found, o)
+		}
+	}
+	slices.SortFunc(found, func(a, b core.Object) int { return strings.Compare(a.Key, b.Key) })
+	return found[:min(limit, len(found))], n.w.revision, nil
+}
+
+// Watch looks for changes every 10 ms and sends a heartbeat each second, as the object API does.
+func (n *node) Watch(ctx context.Context, prefix string, since core.Version, fn func(*core.Change) error) error {
+	n.w.mu.Lock()
+	n.w.watches++
+	n.w.mu.Unlock()
+	defer func() {
+		n.w.mu.Lock()
+		n.w.watches--
+		n.w.mu.Unlock()
+	}()
+	for i := 1; ; i++ {
+		if !n.sleep(ctx, 10*time.Millisecond) {
+			return ctx.Err()
+		}
+		if err := n.reach(ctx); err != nil {
+			return err
+		}
+		n.w.mu.Lock()
+		var changes []core.Object
+		for k, o := range n.w.objects {
+			if strings.HasPrefix(k, prefix) && o.Version > since {
+				changes = append(changes, o)
+			}
+		}
+		since = n.w.revision
+		n.w.mu.Unlock()
+		slices.SortFunc(changes, func(a, b core.Object) int { return strings.Compare(a.Key, b.Key) })
+		for _, o := range changes {
+			if err := fn(&core.Change{Object: o}); err != nil {
+				return err
+			}
+		}
+		if i%100 == 0 {
+			if err := fn(nil); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+type roster struct{ *node }
+
+func (r roster) List(ctx context.Context, since uint64) ([]*wire.Instance, uint64, error) {
+	if err := r.reach(ctx); err != nil {
+		return nil, 0, err
+	}
+	r.w.mu.Lock()
+	defer r.w.mu.Unlock()
+	var out []*wire.Instance
+	for _, e := range r.w.list {
+		if e.GetRevision() > since {
+			out = append(out, proto.CloneOf(e))
+		}
+	}
+	return out, r.w.listRev, nil
+}
+
+// inBubble runs a scenario in virtual time and closes the fleet, which fails if a goroutine stays.
+func inBubble(t *testing.T, fn func(t *testing.T, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		fn(t, w)
+		w.close()
+	})
+}
--- /dev/null
+++ b/io/roster/doc.go
@@ -0,0 +1,2 @@
+// Package roster reads the platform's instance list.
+package roster
