Add the commands standin platform, runner and app

Cause: the demo and tests over processes need the stand-ins as programs. Change: one command each with flags, help with an example, and one line on stderr and exit code 1 for a wrong flag or a port in use.

--- /dev/null
+++ b/stand/cmds/app.go
@@ -0,0 +1,33 @@
+package cmds
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"snipeshed/stand/svc"
+)
+
+func appCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "app",
+		Usage: "runs an application runner that counts its runs",
+		Description: `Example: standin app --address 127.0.0.1:7201 --delay 20ms --check-fencing=false
+
+Admin calls: GET /admin/counts; POST /admin/refuse?on=true|false,
+/admin/slow?ms=n and /admin/lose_answers?count=n.`,
+		OnUsageError: usageError,
+		Flags: []cli.Flag{
+			addressFlag(),
+			&cli.DurationFlag{Name: "delay", Usage: "duration of each call", Validator: notNegativeDuration},
+			&cli.BoolFlag{Name: "check-fencing", Usage: "reject a key's calls with an old fencing number; =false ignores the numbers", Value: true},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return serve(ctx, c, svc.New(
+				svc.WithAddr(c.String("address")),
+				svc.WithDelay(c.Duration("delay")),
+				svc.WithFencingCheck(c.Bool("check-fencing")),
+			))
+		},
+	}
+}
--- a/stand/cmds/main.go
+++ b/stand/cmds/main.go
@@ -20,7 +20,9 @@
 		Writer:         stdout,
 		ErrWriter:      stderr,
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
-		Commands:       []*cli.Command{},
+		OnUsageError:   usageError,
+		Action:         rootAction,
+		Commands:       []*cli.Command{platformCommand(), runnerCommand(), appCommand()},
 	}
 	if err := root.Run(ctx, args); err != nil {
 		fmt.Fprintf(stderr, "standin: %v\n", err)
@@ -28,3 +30,11 @@
 	}
 	return 0
 }
+
+// rootAction runs when no command matches.
+func rootAction(_ context.Context, c *cli.Command) error {
+	if c.Args().Present() {
+		return fmt.Errorf("unknown command %q; see standin --help", c.Args().First())
+	}
+	return cli.ShowRootCommandHelp(c)
+}
--- /dev/null
+++ b/stand/cmds/main_test.go
@@ -0,0 +1,75 @@
+package cmds_test
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"snipeshed/stand/cmds"
+)
+
+func TestWrongUse(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer ln.Close()
+	for _, tc := range []struct {
+		name, guards string
+		args         []string
+		want         string
+	}{
+		{"unknown command", "a mistyped command that does nothing", []string{"plattform"}, `standin: unknown command "plattform"; see standin --help`},
+		{"unknown flag", "a page of help in place of the fault", []string{"platform", "--bogus"}, `standin: flag provided but not defined: -bogus; see standin platform --help`},
+		{"value of the wrong type", "a value taken for the default", []string{"app", "--delay", "x"}, `standin: invalid value "x" for flag -delay: time: invalid duration "x"; see standin app --help`},
+		{"value out of range", "an engine that never steps", []string{"runner", "--speed", "0"}, `standin: invalid value "0" for flag -speed: the speed must be positive; see standin runner --help`},
+		{"negative value", "a negative delay", []string{"platform", "--delay", "-1s"}, `standin: invalid value "-1s" for flag -delay: -1s is negative; see standin platform --help`},
+		{"argument", "an argument that is ignored", []string{"runner", "extra"}, `standin: unexpected argument "extra"; see standin runner --help`},
+		{"port in use", "a stand-in that runs without its port", []string{"platform", "--address", ln.Addr().String()}, `standin: cannot listen on ` + ln.Addr().String() + `: bind: address already in use`},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			t.Log("guards against " + tc.guards)
+			var stdout, stderr bytes.Buffer
+			is.Equal(cmds.Main(append([]string{"standin"}, tc.args...), &stdout, &stderr), 1)
+			is.Equal(stderr.String(), tc.want+"\n")
+			is.Equal(stdout.String(), "")
+		})
+	}
+}
+
+// Guards against a command that does not serve, or does not stop at SIGTERM.
+func TestCommands(t *testing.T) {
+	for _, tc := range []struct {
+		args []string
+		path string
+	}{
+		{[]string{"platform"}, "/admin/counts"},
+		{[]string{"runner", "--model", "m"}, "/v1/load"},
+		{[]string{"app", "--check-fencing=false"}, "/admin/counts"},
+	} {
+		t.Run(tc.args[0], func(t *testing.T) {
+			is := is.New(t)
+			r, w := io.Pipe()
+			code := make(chan int)
+			go func() { code <- cmds.Main(append([]string{"standin"}, tc.args...), w, io.Discard) }()
+			line, err := bufio.NewReader(r).ReadString('\n')
+			is.NoErr(err)
+			resp, err := http.Get(strings.Fields(line)[3] + tc.path)
+			is.NoErr(err)
+			resp.Body.Close()
+			is.Equal(resp.StatusCode, 200)
+			is.NoErr(syscall.Kill(syscall.Getpid(), syscall.SIGTERM)) // caught while the command runs
+			is.Equal(<-code, 0)
+
+			var help bytes.Buffer
+			is.Equal(cmds.Main([]string{"standin", tc.args[0], "--help"}, &help, io.Discard), 0)
+			is.True(strings.Contains(help.String(), "Example: standin "+tc.args[0]))
+		})
+	}
+}
--- /dev/null
+++ b/stand/cmds/serve.go
@@ -0,0 +1,56 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/urfave/cli/v3"
+)
+
+// server is a stand-in.
+type server interface {
+	Start() error
+	URL() string
+	Close() error
+}
+
+// serve runs a stand-in until the command is interrupted.
+func serve(ctx context.Context, c *cli.Command, s server) error {
+	if c.Args().Present() {
+		return fmt.Errorf("unexpected argument %q; see %s --help", c.Args().First(), c.FullName())
+	}
+	if err := s.Start(); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.Root().Writer, "%s listens on %s\n", c.Name, s.URL())
+	<-ctx.Done()
+	return s.Close()
+}
+
+// usageError reports a wrong flag in one line, without the help text.
+func usageError(_ context.Context, c *cli.Command, err error, _ bool) error {
+	return fmt.Errorf("%w; see %s --help", err, c.FullName())
+}
+
+func addressFlag() cli.Flag {
+	return &cli.StringFlag{Name: "address", Usage: "address to listen on; port 0 takes a free one", Value: "127.0.0.1:0"}
+}
+
+func notNegative(v float64) error {
+	if v < 0 {
+		return fmt.Errorf("%v is negative", v)
+	}
+	return nil
+}
+
+func notNegativeInt(v int) error { return notNegative(float64(v)) }
+
+func notNegativeInt64(v int64) error { return notNegative(float64(v)) }
+
+func notNegativeDuration(v time.Duration) error {
+	if v < 0 {
+		return fmt.Errorf("%v is negative", v)
+	}
+	return nil
+}
--- a/stand/host/host.go
+++ b/stand/host/host.go
@@ -49,6 +49,10 @@
 func (h *Host) Start() error {
 	if h.ln == nil {
 		ln, err := net.Listen("tcp", h.addr)
+		var op *net.OpError
+		if errors.As(err, &op) {
+			err = op.Err // without the address, which the message names already
+		}
 		if err != nil {
 			return fmt.Errorf("cannot listen on %s: %w", h.addr, err)
 		}
