Assemble the instance and run the whole path in one process

Cause: the parts had to be seen serving a request from end to end. Change: app puts listeners, relay, pools, entry, actions and the operators' API together and stops gracefully; stand/fleet starts stand-ins and instances; standin demo applies both users' example tickets; standin bench measures the relay; the two example tickets no longer share endpoints.

--- /dev/null
+++ b/examples/doc.go
@@ -0,0 +1,2 @@
+// Package examples holds one example ticket for each of the two users, for the demo and the tests.
+package examples
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -44,7 +44,7 @@
 func (e *Entry) generate(ctx context.Context, g *generation, s sink) error {
 	ctx, cancel := context.WithDeadline(ctx, g.arrived.Add(g.timeout))
 	defer cancel()
-	e.Budget.Call(string(g.call.Team))
+	e.Budget.Call(g.call.Team, "")
 	p := &progress{g: g, sink: s, tried: map[core.InstanceID]bool{}}
 	var last error
 	for i := 0; i < maxAttempts; i++ {
@@ -204,14 +204,14 @@
 		e.suspect(owner, err)
 		p.tried[owner.ID] = true
 		p.maybeRun = true
-		return p.at != nil || e.Budget.Retry(string(p.g.call.Team))
+		return p.at != nil || e.retry(p)
 	case kind == core.KindLeaving:
 		p.tried[owner.ID] = true
 		return true
 	case kind == core.KindNoEndpoint && p.at == nil:
 		p.badPools = append(p.badPools, p.pool)
 		p.pool = ""
-		return e.Budget.Retry(string(p.g.call.Team))
+		return e.retry(p)
 	case kind == core.KindStreamBroken:
 		return e.regenerate(p)
 	}
@@ -220,7 +220,7 @@
 
 // regenerate starts over when nothing has reached the client; a stream is never spliced from two generations.
 func (e *Entry) regenerate(p *progress) bool {
-	if !p.sink.reset() || !e.Budget.Retry(string(p.g.call.Team)) {
+	if !p.sink.reset() || !e.retry(p) {
 		return false
 	}
 	if p.at != nil {
@@ -231,6 +231,19 @@
 	return true
 }
 
+// retry takes a retry from the budgets of the team and of the endpoint that failed.
+func (e *Entry) retry(p *progress) bool {
+	var failed core.EndpointID
+	if p.at != nil {
+		failed = p.at.Endpoint
+	}
+	ok := e.Budget.Retry(p.g.call.Team, failed)
+	if !ok {
+		e.Meter.Count("retries_over_budget")
+	}
+	return ok
+}
+
 func (e *Entry) suspect(owner core.Peer, err error) {
 	if owner.ID == e.Members.Self().ID {
 		return
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -34,10 +34,10 @@
 
 // RetryBudget limits retries; *budget.Budget is one.
 type RetryBudget interface {
-	// Call records a first attempt.
-	Call(name string)
-	// Retry reports whether one more attempt is within the budget and takes it.
-	Retry(name string) bool
+	// Call counts a first attempt; the endpoint is empty while it is not known.
+	Call(team core.TeamName, ep core.EndpointID)
+	// Retry takes one retry and reports whether there was one.
+	Retry(team core.TeamName, failed core.EndpointID) bool
 }
 
 // Parts are what an Entry needs of its instance.
--- a/io/relay/apply.go
+++ b/io/relay/apply.go
@@ -74,6 +74,9 @@
 
 // hear takes what the sender of a digest says of itself.
 func (r *Relay) hear(d *wire.Digest) {
+	if d.GetFrom() == "" {
+		return // an operator's question, not an instance
+	}
 	if r.members.Hear(r.Clock.Now(), core.InstanceID(d.GetFrom()), d.GetRun(), d.GetLeaving()) {
 		r.passOn(&wire.Word{Id: d.GetFrom(), Run: d.GetRun(), Leaving: d.GetLeaving()})
 	}
--- /dev/null
+++ b/stand/bench/bench.go
@@ -0,0 +1,223 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"syscall"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/stand/batch"
+	"snipeshed/stand/fleet"
+	"snipeshed/stand/runner"
+)
+
+// Bench is one run of the benchmark.
+type Bench struct {
+	out io.Writer
+
+	latencyStreams int
+	latencyTokens  int
+	loadStreams    int
+	loadTokens     int
+}
+
+// Option changes a Bench.
+type Option func(*Bench)
+
+// WithLatency sets streams and tokens of the latency phase.
+func WithLatency(streams, tokens int) Option {
+	return func(b *Bench) { b.latencyStreams, b.latencyTokens = streams, tokens }
+}
+
+// WithLoad sets streams and tokens of the throughput phase.
+func WithLoad(streams, tokens int) Option {
+	return func(b *Bench) { b.loadStreams, b.loadTokens = streams, tokens }
+}
+
+// New returns a Bench that writes key=value lines to out.
+func New(out io.Writer, opts ...Option) *Bench {
+	b := &Bench{out: out, latencyStreams: 32, latencyTokens: 300, loadStreams: 256, loadTokens: 2000}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
+}
+
+// engineConfig is an engine whose own steps are short and regular, so that the relay's share shows.
+func engineConfig(step time.Duration) batch.Config {
+	return batch.Config{
+		KVCapacity: 1 << 30, MaxRunning: 1024, MaxStepTokens: 1 << 20,
+		StepBase: step, StepPerSequence: time.Nanosecond, StepPerPromptToken: time.Nanosecond,
+	}
+}
+
+const (
+	latencyStep = 10 * time.Millisecond
+	loadStep    = 5 * time.Millisecond
+	startLimit  = 15 * time.Second
+)
+
+// Run measures and prints.
+func (b *Bench) Run(ctx context.Context) error {
+	if err := b.latency(ctx); err != nil {
+		return err
+	}
+	return b.load(ctx)
+}
+
+// site is one runner behind two instances.
+type site struct {
+	*fleet.Fleet
+	owner, other *fleet.Node
+}
+
+func newSite(ctx context.Context, step time.Duration) (*site, error) {
+	f, err := fleet.New()
+	if err != nil {
+		return nil, err
+	}
+	s := &site{Fleet: f}
+	if err := s.start(ctx, step); err != nil {
+		_ = f.Close() // the first error counts
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *site) start(ctx context.Context, step time.Duration) error {
+	if _, err := s.AddRunner(runner.WithBatch(engineConfig(step)), runner.WithModel(fleet.Model, "1")); err != nil {
+		return err
+	}
+	for range 2 {
+		if _, err := s.AddNode(); err != nil {
+			return err
+		}
+	}
+	if err := s.WaitReady(startLimit); err != nil {
+		return err
+	}
+	t, err := s.Nodes[0].Apply(ctx, s.Ticket())
+	if err != nil {
+		return err
+	}
+	if err := s.WaitTicket(startLimit, t.GetNumber()); err != nil {
+		return err
+	}
+	if err := s.WaitAccepting(startLimit, 1); err != nil {
+		return err
+	}
+	s.owner, s.other = s.Nodes[0], s.Nodes[1]
+	if s.Nodes[0].Owner(core.PoolID(fleet.Model+"/0")) != s.Nodes[0].ID {
+		s.owner, s.other = s.other, s.owner
+	}
+	return nil
+}
+
+// path is a way to the engine.
+type path struct {
+	name string
+	open func(ctx context.Context, tokens int) (*http.Request, error)
+}
+
+func (s *site) paths() []path {
+	return []path{
+		{"direct", func(ctx context.Context, n int) (*http.Request, error) {
+			return directRequest(ctx, s.Runners[0].Addr(), n)
+		}},
+		{"one_hop", func(ctx context.Context, n int) (*http.Request, error) {
+			return chatRequest(ctx, s.owner.ClientAddress(), n)
+		}},
+		{"two_hops", func(ctx context.Context, n int) (*http.Request, error) {
+			return chatRequest(ctx, s.other.ClientAddress(), n)
+		}},
+	}
+}
+
+func (b *Bench) latency(ctx context.Context) error {
+	s, err := newSite(ctx, latencyStep)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	var direct sample
+	for _, p := range s.paths() {
+		got, err := measure(ctx, p, b.latencyStreams, b.latencyTokens)
+		if err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+		if p.name == "direct" {
+			direct = got
+		}
+		fmt.Fprintf(b.out, "bench=latency path=%s streams=%d first_token_p50_us=%d first_token_p99_us=%d gap_p50_us=%d gap_p99_us=%d "+
+			"added_first_token_p50_us=%d added_first_token_p99_us=%d added_gap_p50_us=%d added_gap_p99_us=%d gap_p99_ratio=%.3f\n",
+			p.name, b.latencyStreams, got.first(50), got.first(99), got.gap(50), got.gap(99),
+			got.first(50)-direct.first(50), got.first(99)-direct.first(99),
+			got.gap(50)-direct.gap(50), got.gap(99)-direct.gap(99), float64(got.gap(99))/float64(direct.gap(99)))
+	}
+	return nil
+}
+
+func (b *Bench) load(ctx context.Context) error {
+	s, err := newSite(ctx, loadStep)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	var direct usage
+	for _, p := range s.paths() {
+		u, err := b.loadPath(ctx, p)
+		if err != nil {
+			return fmt.Errorf("%s: %w", p.name, err)
+		}
+		if p.name == "direct" {
+			direct = u
+			fmt.Fprintf(b.out, "bench=load path=direct streams=%d tokens=%d cpu_us_per_token=%.3f bytes_per_stream=%d\n",
+				b.loadStreams, u.tokens, u.perToken(), u.bytes/int64(b.loadStreams))
+			continue
+		}
+		added := u.perToken() - direct.perToken()
+		fmt.Fprintf(b.out, "bench=load path=%s streams=%d tokens=%d cpu_us_per_token=%.3f added_cpu_us_per_token=%.3f "+
+			"tokens_per_core_second=%.0f added_bytes_per_stream=%d cpu_ratio=%.2f\n",
+			p.name, b.loadStreams, u.tokens, u.perToken(), added, 1e6/added,
+			(u.bytes-direct.bytes)/int64(b.loadStreams), u.perToken()/direct.perToken())
+	}
+	return nil
+}
+
+// usage is what a load phase cost the whole process.
+type usage struct {
+	tokens int64
+	cpu    time.Duration
+	bytes  int64
+}
+
+func (u usage) perToken() float64 { return float64(u.cpu.Nanoseconds()) / 1e3 / float64(u.tokens) }
+
+func (b *Bench) loadPath(ctx context.Context, p path) (usage, error) {
+	before := memory()
+	var during int64
+	probe := time.AfterFunc(time.Duration(b.loadTokens)*loadStep/2, func() { during = memory() })
+	begin := processorTime()
+	got, err := measure(ctx, p, b.loadStreams, b.loadTokens)
+	u := usage{tokens: got.tokens, cpu: processorTime() - begin}
+	probe.Stop()
+	u.bytes = during - before
+	return u, err
+}
+
+func memory() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+func processorTime() time.Duration {
+	var r syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r) // cannot fail for the process itself
+	return time.Duration(r.Utime.Nano() + r.Stime.Nano())
+}
--- /dev/null
+++ b/stand/fleet/doc.go
@@ -0,0 +1,2 @@
+// Package fleet runs stand-ins and instances of snipeshed together in one process, for the demo, tests and benchmarks.
+package fleet
--- /dev/null
+++ b/stand/fleet/fleet.go
@@ -0,0 +1,217 @@
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"snipeshed/app"
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/core/member"
+	"snipeshed/stand/objs"
+	"snipeshed/stand/runner"
+	"snipeshed/stand/svc"
+	"snipeshed/wire"
+)
+
+// Fleet is a platform, endpoints and instances on loopback.
+type Fleet struct {
+	Platform *objs.Objs
+	Runners  []*runner.Runner
+	Services []*svc.Svc
+	Nodes    []*Node
+
+	logs     io.Writer
+	settings []func(*conf.Settings)
+}
+
+// Option changes a Fleet.
+type Option func(*Fleet)
+
+// WithLogs sets where the instances' logs go; by default they are dropped.
+func WithLogs(w io.Writer) Option { return func(f *Fleet) { f.logs = w } }
+
+// WithSettings changes the settings of every instance.
+func WithSettings(fn func(*conf.Settings)) Option {
+	return func(f *Fleet) { f.settings = append(f.settings, fn) }
+}
+
+// Domains are the failure domains over which instances and endpoints are spread.
+var Domains = [...]core.FailureDomain{"domain-a", "domain-b", "domain-c"}
+
+// New returns a Fleet whose platform runs.
+func New(opts ...Option) (*Fleet, error) {
+	f := &Fleet{logs: io.Discard, Platform: objs.New()}
+	for _, o := range opts {
+		o(f)
+	}
+	if err := f.Platform.Start(); err != nil {
+		return nil, fmt.Errorf("start platform: %w", err)
+	}
+	return f, nil
+}
+
+// AddRunner starts a model runner and registers it in the instance list.
+func (f *Fleet) AddRunner(opts ...runner.Option) (*runner.Runner, error) {
+	r := runner.New(opts...)
+	if err := r.Start(); err != nil {
+		return nil, fmt.Errorf("start runner: %w", err)
+	}
+	f.register(fmt.Sprintf("runner-%d", len(f.Runners)), r.Addr(), domain(len(f.Runners)), member.KindEndpoint)
+	f.Runners = append(f.Runners, r)
+	return r, nil
+}
+
+// AddService starts an application runner and registers it in the instance list.
+func (f *Fleet) AddService(opts ...svc.Option) (*svc.Svc, error) {
+	s := svc.New(opts...)
+	if err := s.Start(); err != nil {
+		return nil, fmt.Errorf("start application runner: %w", err)
+	}
+	f.register(fmt.Sprintf("application-%d", len(f.Services)), s.Addr(), domain(len(f.Services)), member.KindEndpoint)
+	f.Services = append(f.Services, s)
+	return s, nil
+}
+
+func domain(i int) core.FailureDomain { return Domains[i%len(Domains)] }
+
+func (f *Fleet) register(id, address string, d core.FailureDomain, kind string) {
+	f.Platform.SetInstance(objs.Instance{ID: id, Address: address, FailureDomain: d, Kind: kind, State: member.StateLive})
+}
+
+// Node is one running instance.
+type Node struct {
+	*app.App
+
+	ID     core.InstanceID
+	cancel context.CancelFunc
+	done   chan error
+}
+
+// AddNode starts an instance of snipeshed and registers it in the instance list.
+func (f *Fleet) AddNode(change ...func(*conf.Settings)) (*Node, error) {
+	n := len(f.Nodes)
+	cfg := &conf.Settings{
+		Instance: fmt.Sprintf("instance-%d", n), FailureDomain: string(domain(n)), PlatformUrl: "http://" + f.Platform.Addr(),
+		ClientAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
+	}
+	for _, fn := range append(f.settings, change...) {
+		fn(cfg)
+	}
+	conf.SetDefaults(cfg)
+	if err := conf.Check("fleet", cfg); err != nil {
+		return nil, err
+	}
+	a, err := app.New(cfg, app.NewLog(cfg, f.logs))
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	node := &Node{App: a, ID: core.InstanceID(cfg.GetInstance()), cancel: cancel, done: make(chan error, 1)}
+	go func() { node.done <- a.Run(ctx) }()
+	f.register(cfg.GetInstance(), a.PeerAddress(), core.FailureDomain(cfg.GetFailureDomain()), member.KindInstance)
+	f.Nodes = append(f.Nodes, node)
+	return node, nil
+}
+
+// Stop shuts the instance down gracefully and waits for its end.
+func (n *Node) Stop() error {
+	n.cancel()
+	err := <-n.done
+	n.done <- err // so that a second Stop returns the same
+	return err
+}
+
+// Apply applies a ticket through the instance's operator API.
+func (n *Node) Apply(ctx context.Context, t *wire.Ticket) (*wire.Ticket, error) {
+	return wire.NewOperatorProtobufClient("http://"+n.OperatorAddress(), http.DefaultClient).Apply(ctx, t)
+}
+
+// pollInterval is how often the wait functions look.
+const pollInterval = 5 * time.Millisecond
+
+// Ready reports whether the instance's readiness address says so.
+func (n *Node) Ready() bool {
+	resp, err := http.Get("http://" + n.ClientAddress() + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// ErrTimeout means that a state was not reached in time.
+var ErrTimeout = errors.New("state was not reached in time")
+
+// Wait waits until cond holds.
+func Wait(d time.Duration, what string, cond func() bool) error {
+	deadline := time.Now().Add(d)
+	for !cond() {
+		if time.Now().After(deadline) {
+			return fmt.Errorf("%w: %s", ErrTimeout, what)
+		}
+		time.Sleep(pollInterval)
+	}
+	return nil
+}
+
+// WaitReady waits until every instance is ready.
+func (f *Fleet) WaitReady(d time.Duration) error {
+	for _, n := range f.Nodes {
+		if err := Wait(d, string(n.ID)+" ready", n.Ready); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitTicket waits until a ticket is in force at every instance.
+func (f *Fleet) WaitTicket(d time.Duration, number uint64) error {
+	for _, n := range f.Nodes {
+		if err := Wait(d, fmt.Sprintf("ticket %d at %s", number, n.ID), func() bool { return n.Ticket() >= core.TicketNumber(number) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitAccepting waits until the owners of all pools see n accepting endpoints.
+func (f *Fleet) WaitAccepting(d time.Duration, want int) error {
+	return Wait(d, fmt.Sprintf("%d accepting endpoints", want), func() bool {
+		seen := map[core.EndpointID]bool{}
+		for _, n := range f.Nodes {
+			for _, id := range n.Accepting() {
+				seen[id] = true
+			}
+		}
+		return len(seen) >= want
+	})
+}
+
+// Close stops all instances, endpoints and the platform.
+func (f *Fleet) Close() error {
+	var errs []error
+	for _, n := range f.Nodes {
+		errs = append(errs, n.Stop())
+	}
+	for _, r := range f.Runners {
+		errs = append(errs, r.Close())
+	}
+	for _, s := range f.Services {
+		errs = append(errs, s.Close())
+	}
+	errs = append(errs, f.Platform.Close())
+	return errors.Join(errs...)
+}
+
+// KeyDigest returns the SHA-256 digest of a client's key as tickets hold it.
+func KeyDigest(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/stand/fleet/ticket.go
@@ -0,0 +1,54 @@
+package fleet
+
+import (
+	"fmt"
+
+	"snipeshed/core"
+	"snipeshed/wire"
+)
+
+// Names in the ticket that Ticket makes.
+const (
+	Model      = "survey-model"
+	Service    = "survey"
+	AppService = "booking"
+	UrgentKey  = "key-urgent"
+	SlowKey    = "key-background"
+	OtherKey   = "key-other-team"
+)
+
+// Ticket returns a ticket for the fleet's endpoints: two ranks, two teams, a model service and an application service.
+func (f *Fleet) Ticket() *wire.Ticket {
+	t := &wire.Ticket{Id: core.NewRandomID(), Author: "fleet", Comment: "first configuration"}
+	add := func(items ...*wire.Item) { t.Items = append(t.Items, items...) }
+	add(
+		&wire.Item{Body: &wire.Item_Rank{Rank: &wire.Rank{
+			Name: "urgent", Priority: 10, FloorPercent: 60, FirstTokenTargetMs: 310, TokenGapTargetMs: 31,
+		}}},
+		&wire.Item{Body: &wire.Item_Rank{Rank: &wire.Rank{
+			Name: "background", Priority: 1, FloorPercent: 20, FirstTokenTargetMs: 5000, TokenGapTargetMs: 200,
+		}}},
+		&wire.Item{Body: &wire.Item_Service{Service: &wire.Service{Name: Service, Model: Model}}},
+		&wire.Item{Body: &wire.Item_Service{Service: &wire.Service{
+			Name: AppService, Protected: []*wire.ProtectedAction{{Method: "POST", PathPrefix: "orders"}},
+		}}},
+		&wire.Item{Body: &wire.Item_Team{Team: &wire.Team{Name: "fukuoka", Weight: 1, Keys: []*wire.Key{
+			{Sha256: KeyDigest(UrgentKey), Rank: "urgent"}, {Sha256: KeyDigest(SlowKey), Rank: "background"},
+		}}}},
+		&wire.Item{Body: &wire.Item_Team{Team: &wire.Team{Name: "kumamoto", Weight: 1, Keys: []*wire.Key{
+			{Sha256: KeyDigest(OtherKey), Rank: "background"},
+		}}}},
+	)
+	for i, r := range f.Runners {
+		add(&wire.Item{Body: &wire.Item_Endpoint{Endpoint: &wire.Endpoint{
+			Name: fmt.Sprintf("runner-%d", i), Address: r.Addr(), FailureDomain: string(domain(i)), ChecksFencing: true,
+			Wanted: &wire.Wanted{Model: Model, Version: "1"},
+		}}})
+	}
+	for i, s := range f.Services {
+		add(&wire.Item{Body: &wire.Item_Endpoint{Endpoint: &wire.Endpoint{
+			Name: fmt.Sprintf("application-%d", i), Address: s.Addr(), FailureDomain: string(domain(i)), Service: AppService,
+		}}})
+	}
+	return t
+}
