Test the object API client against the stand-in

Change: one test runs every call, a lost answer, a conflict and a value that is too large against stand/objs.

--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -19,6 +19,7 @@
 	"snipeshed/core"
 	"snipeshed/io/link"
 	"snipeshed/io/store"
+	"snipeshed/stand/objs"
 )
 
 func open(t *testing.T, url string) *store.Store {
@@ -204,3 +205,45 @@
 	is.True(time.Since(start) < 4*time.Second) // three heartbeats of one second
 	<-closed
 }
+
+// Guards against a client and a stand-in of the object API that understand the protocol differently.
+func TestStandIn(t *testing.T) {
+	is := is.New(t)
+	api := objs.New()
+	is.NoErr(api.Start())
+	t.Cleanup(func() { is.NoErr(api.Close()) })
+	api.SetInstance(objs.Instance{ID: "i", Address: "127.0.0.1:1", FailureDomain: "a", Kind: "snipeshed", State: "leaving"})
+	s := open(t, api.URL())
+	api.LoseAnswers(1, "t/2")
+	first, err := s.Put(t.Context(), "t/1", []byte("v"), 0)
+	is.NoErr(err)
+	_, err = s.Put(t.Context(), "t/2", []byte{0, 255}, 0)
+	is.True(core.MayHaveTakenEffect(err))
+	_, err = s.Put(t.Context(), "t/1", []byte("w"), first+100)
+	is.True(errors.Is(err, core.ErrVersion) && !core.MayHaveTakenEffect(err))
+	_, err = s.Put(t.Context(), "t/3", make([]byte, 2<<20), 0)
+	is.True(err != nil && !core.MayHaveTakenEffect(err))
+	_, err = s.Get(t.Context(), "t/3")
+	is.True(errors.Is(err, core.ErrNotFound))
+	list, rev, err := s.List(t.Context(), "t/", "t/1", 10)
+	is.NoErr(err)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Value, []byte{0, 255})
+	second, err := s.Get(t.Context(), "t/2")
+	is.NoErr(err)
+	is.Equal(second, list[0])
+	is.NoErr(s.Delete(t.Context(), "t/1", first))
+	stop := errors.New("seen")
+	err = s.Watch(t.Context(), "t/", rev, func(c *core.Change) error {
+		if c == nil {
+			return nil
+		}
+		is.Equal(c.Key, "t/1")
+		is.True(c.Deleted && c.Version > rev)
+		return stop
+	})
+	is.True(errors.Is(err, stop))
+	instances, _, err := s.Instances(t.Context(), 0)
+	is.NoErr(err)
+	is.Equal(instances[0].GetState(), "leaving")
+}
