--- a/io/oper/apply.go
+++ b/io/oper/apply.go
@@ -112,7 +112,7 @@
 		return found, err
 	}
 	cfg := a.state.Config()
-	if a.pending <= cfg.Number {
+	if a.pending <= cfg.Number && wasRead(err) {
 		a.pending = 0 // another ticket has that number, so the write can no longer take effect
 	}
 	if err != nil {
@@ -124,6 +124,12 @@
 	return a.create(ctx, cfg.Number+1)
 }
 
+// wasRead reports whether a search with this result has seen the whole log after the base.
+func wasRead(err error) bool {
+	var refusal *core.Error
+	return err == nil || (errors.As(err, &refusal) && refusal.Run == core.RunNot)
+}
+
 // create writes the ticket under a number. If an earlier write under this number is still on its way, both
 // carry the same id, and the condition lets only one of them take effect.
 func (a *attempt) create(ctx context.Context, n core.TicketNumber) (*wire.Ticket, error) {
--- a/io/oper/apply_test.go
+++ b/io/oper/apply_test.go
@@ -127,6 +127,29 @@
 	})
 }
 
+// Guards against claiming that nothing was written when the answer was lost, a snapshot then replaced the tickets
+// in memory, and the log cannot be read for a while.
+func TestLostAnswerBehindSnapshot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is, st := is.New(t), newFake()
+		first, s := start(st)
+		second, other := start(st)
+		st.puts = []fault{faultLost}
+		st.onFail = func() {
+			_, err := second.Apply(t.Context(), ticket("b", 0, rank("batch", 1)))
+			is.NoErr(err)
+			is.NoErr(s.Load(other.Snapshot()))
+			for range 5 { // the end of the log can be read, its middle cannot
+				st.lists = append(st.lists, faultNone, faultRefused)
+			}
+		}
+		got, err := first.Apply(t.Context(), ticket("a", 0, rank("urgent", 1)))
+		is.NoErr(err)
+		is.Equal(got.GetNumber(), uint64(1))
+		is.Equal(st.log(t), []string{"a", "b"})
+	})
+}
+
 // Guards against an instance that is so far behind that it would create a number which a snapshot replaced.
 func TestTrimmedLog(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/oper/fake_test.go
+++ b/io/oper/fake_test.go
@@ -50,6 +50,8 @@
 	version core.Version
 	down    bool
 	puts    []fault // of the next writes
+	lists   []fault // of the next lists
+	onFail  func()  // runs once after the next failed write
 	rng     *rand.Rand
 	late    []func()
 }
@@ -98,6 +100,15 @@
 }
 
 func (f *fake) Put(_ context.Context, key string, value []byte, ifVersion core.Version) (core.Version, error) {
+	v, err := f.put(key, value, ifVersion)
+	if fn := f.onFail; err != nil && fn != nil {
+		f.onFail = nil
+		fn()
+	}
+	return v, err
+}
+
+func (f *fake) put(key string, value []byte, ifVersion core.Version) (core.Version, error) {
 	f.delay()
 	defer f.delay()
 	f.mu.Lock()
@@ -141,7 +152,11 @@
 	f.delay()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.next(false) != faultNone {
+	c := f.next(false)
+	if len(f.lists) > 0 {
+		c, f.lists = f.lists[0], f.lists[1:]
+	}
+	if c != faultNone {
 		return nil, 0, &core.StoreError{Op: "list", Key: prefix, Cause: errInjected}
 	}
 	return f.list(prefix, after, limit), f.version, nil
