--- a/stand/fleet/ticket.go
+++ b/stand/fleet/ticket.go
@@ -28,9 +28,9 @@
 		&wire.Item{Body: &wire.Item_Rank{Rank: &wire.Rank{
 			Name: "background", Priority: 1, FloorPercent: 20, FirstTokenTargetMs: 5000, TokenGapTargetMs: 200,
 		}}},
-		&wire.Item{Body: &wire.Item_Service{Service: &wire.Service{Name: Service, Model: Model}}},
+		&wire.Item{Body: &wire.Item_Service{Service: &wire.Service{Name: Service, Model: Model, MaxTokens: 32768}}},
 		&wire.Item{Body: &wire.Item_Service{Service: &wire.Service{
-			Name: AppService, Protected: []*wire.ProtectedAction{{Method: "POST", PathPrefix: "orders"}},
+			Name: AppService, Protected: []*wire.ProtectedAction{{Method: "POST", PathPrefix: "/orders"}},
 		}}},
 		&wire.Item{Body: &wire.Item_Team{Team: &wire.Team{Name: "fukuoka", Weight: 1, Keys: []*wire.Key{
 			{Sha256: KeyDigest(UrgentKey), Rank: "urgent"}, {Sha256: KeyDigest(SlowKey), Rank: "background"},
