Cut calls at Close before their handlers return

Cause: Close ended the handlers first, so a hung call got an empty 200 and a stream a clean end, where the end of a process would cut them. A step with more decodes than MaxStepTokens computed prompts backwards.

--- a/stand/batch/batch.go
+++ b/stand/batch/batch.go
@@ -142,7 +142,8 @@
 		return false
 	}
 	preempted := b.load.Preemptions
-	budget := b.cfg.MaxStepTokens - core.Tokens(b.scheduleDecodes())
+	// Decodes are never held back, so they may take more than the step's tokens.
+	budget := max(b.cfg.MaxStepTokens-core.Tokens(b.scheduleDecodes()), 0)
 	for _, s := range b.running {
 		s.chunk = min(s.pending, budget)
 		budget -= s.chunk
--- a/stand/host/host.go
+++ b/stand/host/host.go
@@ -90,11 +90,12 @@
 
 // Close cuts all connections, as the end of the process would, and waits for the handlers.
 func (h *Host) Close() error {
-	h.cancel()
 	var err error
 	if h.srv != nil {
+		// Before the handlers are told to end, because one that returns would send a complete answer.
 		err = h.srv.Close()
 	}
+	h.cancel()
 	h.wg.Wait()
 	return err
 }
