--- a/stand/batch/batch.go
+++ b/stand/batch/batch.go
@@ -142,6 +142,7 @@
 		return false
 	}
 	preempted := b.load.Preemptions
+	// Admission needs a free token in the step, so decodes never exceed the step's tokens.
 	budget := b.cfg.MaxStepTokens - core.Tokens(b.scheduleDecodes())
 	for _, s := range b.running {
 		s.chunk = min(s.pending, budget)
