Run the relay benchmark's load phase over eight runners

Cause: 256 streams at one runner exceed its limit of running calls and were refused; a histogram per stream hid the memory of the streams.

--- a/stand/bench/bench.go
+++ b/stand/bench/bench.go
@@ -58,6 +58,7 @@
 const (
 	latencyStep = 10 * time.Millisecond
 	loadStep    = 5 * time.Millisecond
+	loadRunners = 8 // 32 streams each, below the limit of running calls per endpoint
 	startLimit  = 15 * time.Second
 )
 
@@ -75,22 +76,24 @@
 	owner, other *fleet.Node
 }
 
-func newSite(ctx context.Context, step time.Duration) (*site, error) {
+func newSite(ctx context.Context, step time.Duration, runners int) (*site, error) {
 	f, err := fleet.New()
 	if err != nil {
 		return nil, err
 	}
 	s := &site{Fleet: f}
-	if err := s.start(ctx, step); err != nil {
+	if err := s.start(ctx, step, runners); err != nil {
 		_ = f.Close() // the first error counts
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *site) start(ctx context.Context, step time.Duration) error {
-	if _, err := s.AddRunner(runner.WithBatch(engineConfig(step)), runner.WithModel(fleet.Model, "1")); err != nil {
-		return err
+func (s *site) start(ctx context.Context, step time.Duration, runners int) error {
+	for range runners {
+		if _, err := s.AddRunner(runner.WithBatch(engineConfig(step)), runner.WithModel(fleet.Model, "1")); err != nil {
+			return err
+		}
 	}
 	for range 2 {
 		if _, err := s.AddNode(); err != nil {
@@ -107,7 +110,7 @@
 	if err := s.WaitTicket(startLimit, t.GetNumber()); err != nil {
 		return err
 	}
-	if err := s.WaitAccepting(startLimit, 1); err != nil {
+	if err := s.WaitAccepting(startLimit, runners); err != nil {
 		return err
 	}
 	s.owner, s.other = s.Nodes[0], s.Nodes[1]
@@ -120,32 +123,32 @@
 // path is a way to the engine.
 type path struct {
 	name string
-	open func(ctx context.Context, tokens int) (*http.Request, error)
+	open func(ctx context.Context, i, tokens int) (*http.Request, error)
 }
 
 func (s *site) paths() []path {
 	return []path{
-		{"direct", func(ctx context.Context, n int) (*http.Request, error) {
-			return directRequest(ctx, s.Runners[0].Addr(), n)
+		{"direct", func(ctx context.Context, i, n int) (*http.Request, error) {
+			return directRequest(ctx, s.Runners[i%len(s.Runners)].Addr(), n)
 		}},
-		{"one_hop", func(ctx context.Context, n int) (*http.Request, error) {
+		{"one_hop", func(ctx context.Context, _, n int) (*http.Request, error) {
 			return chatRequest(ctx, s.owner.ClientAddress(), n)
 		}},
-		{"two_hops", func(ctx context.Context, n int) (*http.Request, error) {
+		{"two_hops", func(ctx context.Context, _, n int) (*http.Request, error) {
 			return chatRequest(ctx, s.other.ClientAddress(), n)
 		}},
 	}
 }
 
 func (b *Bench) latency(ctx context.Context) error {
-	s, err := newSite(ctx, latencyStep)
+	s, err := newSite(ctx, latencyStep, 1)
 	if err != nil {
 		return err
 	}
 	defer s.Close()
 	var direct sample
 	for _, p := range s.paths() {
-		got, err := measure(ctx, p, b.latencyStreams, b.latencyTokens)
+		got, err := measure(ctx, p, b.latencyStreams, b.latencyTokens, true)
 		if err != nil {
 			return fmt.Errorf("%s: %w", p.name, err)
 		}
@@ -162,7 +165,7 @@
 }
 
 func (b *Bench) load(ctx context.Context) error {
-	s, err := newSite(ctx, loadStep)
+	s, err := newSite(ctx, loadStep, loadRunners)
 	if err != nil {
 		return err
 	}
@@ -202,7 +205,7 @@
 	var during int64
 	probe := time.AfterFunc(time.Duration(b.loadTokens)*loadStep/2, func() { during = memory() })
 	begin := processorTime()
-	got, err := measure(ctx, p, b.loadStreams, b.loadTokens)
+	got, err := measure(ctx, p, b.loadStreams, b.loadTokens, false)
 	u := usage{tokens: got.tokens, cpu: processorTime() - begin}
 	probe.Stop()
 	u.bytes = during - before
--- a/stand/bench/client.go
+++ b/stand/bench/client.go
@@ -52,22 +52,30 @@
 }
 
 // measure reads streams at once over a path and times their tokens.
-func measure(ctx context.Context, p path, streams, tokens int) (sample, error) {
+//
+// Without timed only the tokens are counted, because a histogram per stream would hide the memory of the streams.
+func measure(ctx context.Context, p path, streams, tokens int, timed bool) (sample, error) {
 	all := newSample()
 	var mu sync.Mutex
 	var g errgroup.Group
 	client := &http.Client{Transport: &http.Transport{}}
 	defer client.CloseIdleConnections()
-	for range streams {
+	for i := range streams {
 		g.Go(func() error {
-			one, err := read(ctx, client, p, tokens)
+			one := sample{}
+			if timed {
+				one = newSample()
+			}
+			err := one.read(ctx, client, p, i, tokens)
 			if err != nil {
 				return err
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			all.firsts.Merge(one.firsts)
-			all.gaps.Merge(one.gaps)
+			if timed {
+				all.firsts.Merge(one.firsts)
+				all.gaps.Merge(one.gaps)
+			}
 			all.tokens += one.tokens
 			return nil
 		})
@@ -77,21 +85,20 @@
 
 var tokenMarks = [][]byte{[]byte(`"t":"`), []byte(`"delta":{"content"`)}
 
-func read(ctx context.Context, client *http.Client, p path, tokens int) (sample, error) {
-	s := newSample()
-	req, err := p.open(ctx, tokens)
+func (s *sample) read(ctx context.Context, client *http.Client, p path, i, tokens int) error {
+	req, err := p.open(ctx, i, tokens)
 	if err != nil {
-		return s, err
+		return err
 	}
 	last := time.Now()
 	resp, err := client.Do(req)
 	if err != nil {
-		return s, err
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		b, _ := io.ReadAll(io.LimitReader(resp.Body, 512)) // a part of the message is enough
-		return s, fmt.Errorf("%s: %s", resp.Status, b)
+		return fmt.Errorf("%s: %s", resp.Status, b)
 	}
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
@@ -99,20 +106,28 @@
 			continue
 		}
 		now := time.Now()
-		h := s.gaps
-		if s.tokens == 0 {
-			h = s.firsts
+		if err := s.record(now.Sub(last)); err != nil {
+			return err
 		}
-		if err := h.RecordValue(max(now.Sub(last).Microseconds(), 1)); err != nil {
-			return s, err
-		}
-		s.tokens++
 		last = now
 	}
 	if s.tokens != int64(tokens) {
-		return s, fmt.Errorf("got %d of %d tokens", s.tokens, tokens)
+		return fmt.Errorf("got %d of %d tokens", s.tokens, tokens)
+	}
+	return lines.Err()
+}
+
+// record notes the time from the token before, or from the request.
+func (s *sample) record(d time.Duration) error {
+	h := s.gaps
+	if s.tokens == 0 {
+		h = s.firsts
+	}
+	s.tokens++
+	if h == nil {
+		return nil
 	}
-	return s, lines.Err()
+	return h.RecordValue(max(d.Microseconds(), 1))
 }
 
 func isToken(line []byte) bool {
