Test the policy packages; keep expected work out of the teams' counters

Cause: a team that became active started at the lowest counter, which included work that was expected of others and later refunded, so it started behind them. Calls without team and rank were counted three times in core/length. Ties between teams went by name. Change: core/fair orders teams by tokens served plus tokens expected, and starts newcomers at tokens served only; the levels of core/length have keys of their own; ties go to the team that became active first. Tables of scenarios and rapid properties with a fixed seed for all packages.

--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,157 @@
+package admit
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"snipeshed/core"
+	"snipeshed/core/length"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func runners(n int, kv core.Tokens) []core.RunnerInfo {
+	var out []core.RunnerInfo
+	for i := range n {
+		out = append(out, core.RunnerInfo{ID: core.EndpointID(fmt.Sprintf("e%d", i)), KVCapacity: kv, Accepting: true})
+	}
+	return out
+}
+
+func call(id string, prompt core.Tokens, prefixes ...uint64) core.Call {
+	return core.Call{ID: core.RequestID(id), PromptTokens: prompt, MaxTokens: 100, Prefixes: prefixes}
+}
+
+// Guards against endpoints chosen against cache, load, headroom or availability.
+func TestChoose(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		setup func(a *Admit, rs []core.RunnerInfo)
+		call  core.Call
+		held  []core.EndpointID
+		want  core.EndpointID
+		fits  bool
+	}{
+		{"lowest forecast", func(a *Admit, _ []core.RunnerInfo) { a.Start(call("x", 500), "e0", 0) }, call("c", 100), nil, "e1", true},
+		{"cached prefix within the slack", func(a *Admit, _ []core.RunnerInfo) { a.Start(call("x", 100, 1, 2), "e0", 0) }, call("c", 100, 1, 2, 3), nil, "e0", true},
+		{"cached prefix beyond the slack", func(a *Admit, _ []core.RunnerInfo) {
+			a.Start(call("x", 100, 1, 2), "e0", 0)
+			a.Start(call("y", 200), "e0", 0)
+		}, call("c", 100, 1, 2, 3), nil, "e1", true},
+		{"cache of a finished call counts", func(a *Admit, _ []core.RunnerInfo) {
+			a.Start(call("x", 100, 1, 2), "e1", 0)
+			a.Finish("x")
+		}, call("c", 100, 1, 2, 3), nil, "e1", true},
+		{"held endpoint", func(*Admit, []core.RunnerInfo) {}, call("c", 100), []core.EndpointID{"e0"}, "e1", true},
+		{"leaving endpoint", func(a *Admit, rs []core.RunnerInfo) { rs[0].Accepting = false; a.SetRunners(rs) }, call("c", 100), nil, "e1", true},
+		{"avoided endpoint", func(*Admit, []core.RunnerInfo) {}, core.Call{ID: "c", PromptTokens: 1, Avoid: []core.EndpointID{"e0"}}, nil, "e1", true},
+		{"all avoided", func(*Admit, []core.RunnerInfo) {}, core.Call{ID: "c", PromptTokens: 1, Avoid: []core.EndpointID{"e0", "e1"}}, nil, "e0", true},
+		{"full", func(a *Admit, _ []core.RunnerInfo) {
+			a.Start(call("x", 700), "e0", 0)
+			a.Start(call("y", 600), "e1", 0)
+		}, call("c", 150), nil, "e1", false},
+		{"an empty endpoint takes what fits its memory", func(a *Admit, _ []core.RunnerInfo) { a.Start(call("x", 100), "e0", 0) }, call("c", 950), nil, "e1", true},
+		{"larger than any endpoint", func(*Admit, []core.RunnerInfo) {}, call("c", 1000), nil, "", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			a := New(length.New())
+			rs := runners(2, 1000)
+			a.SetRunners(rs)
+			tc.setup(a, rs)
+			ep, fits := a.Choose(t0, &tc.call, 0, tc.held)
+			is.Equal(ep, tc.want)
+			is.Equal(fits, tc.fits)
+		})
+	}
+}
+
+// Guards against shared prefixes that are counted per call, or not at all once the first call has ended.
+func TestSharedPrefixIsCountedOnce(t *testing.T) {
+	is := is.New(t)
+	a := New(length.New())
+	a.SetRunners(runners(1, 10_000))
+	for i := range 3 {
+		a.Start(call(fmt.Sprint(i), 100, 1, 2), "e0", 0)
+	}
+	is.Equal(a.ends["e0"].held, core.Tokens(300)) // nothing is known to be shared
+	a.Cached("1", 32)
+	a.Cached("2", 32)
+	is.Equal(a.ends["e0"].held, core.Tokens(100+2*68+32))
+	a.Finish("0")
+	a.Finish("1")
+	is.Equal(a.ends["e0"].held, core.Tokens(100))
+	a.Finish("2")
+	is.Equal(a.ends["e0"].held, core.Tokens(0))
+}
+
+// Guards against a forecast below the memory in use, and against sums that drift from the calls they stand for.
+func TestForecastIsNeverBelowCurrentMemory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := length.New()
+		a := New(l)
+		a.SetRunners(runners(2, 50_000))
+		live := map[core.RequestID]core.Tokens{}
+		n := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				n++
+				c := core.Call{ID: core.RequestID(fmt.Sprint(n)), Team: "t", PromptTokens: core.Tokens(rapid.IntRange(64, 2000).Draw(t, "prompt"))}
+				c.Prefixes = []uint64{1, 2, 3, 4}[:rapid.IntRange(0, 4).Draw(t, "prefixes")]
+				a.Start(c, core.EndpointID(fmt.Sprintf("e%d", n%2)), 0)
+				live[c.ID] = 0
+			},
+			"token": func(t *rapid.T) {
+				for id := range live {
+					live[id] += core.Tokens(rapid.IntRange(0, 300).Draw(t, "tokens"))
+					a.Token(id, live[id])
+				}
+			},
+			"cached": func(t *rapid.T) {
+				for id := range live {
+					a.Cached(id, 16*core.Tokens(rapid.IntRange(0, 4).Draw(t, "blocks")))
+				}
+			},
+			"finish": func(t *rapid.T) {
+				for id, tokens := range live {
+					if rapid.Bool().Draw(t, "ends") {
+						l.Observe(t0, &core.Call{}, tokens)
+						a.Finish(id)
+						delete(live, id)
+					}
+				}
+			},
+			"": func(t *rapid.T) {
+				var team core.Tokens
+				for _, e := range a.order {
+					now := e.sharedTokens()
+					for _, r := range e.running {
+						now += e.private(r)
+						team += r.call.PromptTokens + r.generated
+					}
+					if e.held != now {
+						t.Fatalf("%s holds %d by its sum and %d by its calls", e.info.ID, e.held, now)
+					}
+					if f := a.Forecast(e.info.ID); f < now {
+						t.Fatalf("%s has forecast %d and holds %d", e.info.ID, f, now)
+					}
+				}
+				if a.TeamHeld("t") != team {
+					t.Fatalf("team holds %d by its sum and %d by its calls", a.TeamHeld("t"), team)
+				}
+			},
+		})
+	})
+}
--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -26,6 +26,7 @@
 	ranks   map[core.RankName]*rank
 	weights map[core.TeamName]int64
 	running int
+	active  int64 // counts the times that a team became active
 }
 
 type rank struct {
@@ -41,9 +42,14 @@
 }
 
 type team struct {
-	name    core.TeamName
+	name core.TeamName
+	// counter is the number of tokens served, divided by the weight.
 	counter float64
-	waiting int
+	// expected is the number of tokens that the running calls will still get, divided by the weight. It orders the
+	// teams but is no part of the counter: newcomers start at counters, and must not start above work that may never come.
+	expected float64
+	waiting  int
+	since    int64 // when it became active, as a count
 }
 
 // Option changes a Fair.
@@ -83,6 +89,8 @@
 	t := r.team(tn)
 	if t.waiting == 0 {
 		t.counter = max(t.counter, r.lowest())
+		f.active++
+		t.since = f.active
 	}
 	t.waiting++
 	r.waiting++
@@ -95,37 +103,34 @@
 	r.waiting--
 }
 
-// Start records that a waiting call was started; cost is its expected number of weighted tokens.
-func (f *Fair) Start(rn core.RankName, tn core.TeamName, cost core.Tokens) {
+// Start records that a waiting call was started; cost is what it has used already, expected what it will still use.
+func (f *Fair) Start(rn core.RankName, tn core.TeamName, cost, expected core.Tokens) {
 	f.Dequeue(rn, tn)
 	r := f.rank(rn)
 	r.virtual = max(r.virtual, r.team(tn).counter)
-	f.Adopt(rn, tn, cost)
+	f.Adopt(rn, tn, cost, expected)
 }
 
 // Adopt records a running call that was not queued here.
-func (f *Fair) Adopt(rn core.RankName, tn core.TeamName, cost core.Tokens) {
+func (f *Fair) Adopt(rn core.RankName, tn core.TeamName, cost, expected core.Tokens) {
 	f.rank(rn).running++
 	f.running++
-	f.Charge(rn, tn, cost)
+	f.Charge(rn, tn, cost, expected)
 }
 
-// Finish records that a running call ended; correction is the actual cost less what was charged.
-func (f *Fair) Finish(rn core.RankName, tn core.TeamName, correction core.Tokens) {
+// Finish records that a running call ended of which expected tokens were still to come.
+func (f *Fair) Finish(rn core.RankName, tn core.TeamName, expected core.Tokens) {
 	f.rank(rn).running--
 	f.running--
-	f.Charge(rn, tn, correction)
+	f.Charge(rn, tn, 0, -expected)
 }
 
-// Charge adds to a team's counter; a negative cost never takes it below the active teams.
-func (f *Fair) Charge(rn core.RankName, tn core.TeamName, cost core.Tokens) {
-	r := f.rank(rn)
-	t := r.team(tn)
-	after := t.counter + float64(cost)/f.weight(tn)
-	if cost < 0 {
-		after = max(after, min(t.counter, r.virtual))
-	}
-	t.counter = after
+// Charge adds weighted tokens that a team has used, and changes what its running calls will still use.
+func (f *Fair) Charge(rn core.RankName, tn core.TeamName, cost, expected core.Tokens) {
+	t := f.rank(rn).team(tn)
+	w := f.weight(tn)
+	t.counter += float64(cost) / w
+	t.expected = max(t.expected+float64(expected)/w, 0)
 }
 
 // Serve records n tokens of output of a rank and moves every rank's deficit.
@@ -154,7 +159,7 @@
 	return r.deficit+f.horizon*(r.floor*float64(f.running+1)-float64(r.running)) > 0
 }
 
-// Teams appends a rank's teams with waiting calls to buf, the lowest counter first.
+// Teams appends a rank's teams with waiting calls to buf, the one with the least service and expected service first.
 func (f *Fair) Teams(rn core.RankName, buf []core.TeamName) []core.TeamName {
 	r := f.ranks[rn]
 	if r == nil {
@@ -167,8 +172,9 @@
 		}
 	}
 	slices.SortFunc(buf[from:], func(a, b core.TeamName) int {
-		// Names break ties, so that a replay makes the same decisions.
-		return cmp.Or(cmp.Compare(r.teams[a].counter, r.teams[b].counter), cmp.Compare(a, b))
+		// Teams that became active one after another share the lowest counter and are served in that order.
+		x, y := r.teams[a], r.teams[b]
+		return cmp.Or(cmp.Compare(x.counter+x.expected, y.counter+y.expected), cmp.Compare(x.since, y.since))
 	})
 	return buf
 }
--- /dev/null
+++ b/core/fair/fair_test.go
@@ -0,0 +1,147 @@
+package fair
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"snipeshed/core"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func rules(floor int64) core.PolicyRules {
+	return core.PolicyRules{
+		Ranks:       []core.RankRule{{Name: "low", FloorPercent: floor}, {Name: "high"}},
+		TeamWeights: map[core.TeamName]int64{"a": 1, "b": 3},
+	}
+}
+
+// Guards against weights that are ignored or applied the wrong way round.
+func TestWeights(t *testing.T) {
+	is := is.New(t)
+	f := New()
+	f.SetRules(rules(0))
+	served := map[core.TeamName]int{}
+	for range 500 {
+		f.Enqueue("low", "a")
+		f.Enqueue("low", "b")
+	}
+	for range 400 {
+		tn := f.Teams("low", nil)[0]
+		f.Start("low", tn, 100, 50)
+		f.Finish("low", tn, 50)
+		served[tn]++
+	}
+	is.Equal(served, map[core.TeamName]int{"a": 100, "b": 300})
+}
+
+// Guards against a rank that gets less than its floor while it has work, or far more than that.
+func TestFloorIsKept(t *testing.T) {
+	for _, floor := range []int64{5, 10, 20, 50} {
+		t.Run(fmt.Sprintf("floor %d", floor), func(t *testing.T) {
+			is := is.New(t)
+			f := New()
+			f.SetRules(rules(floor))
+			served := map[core.RankName]float64{}
+			var running []core.RankName
+			age := []int{}
+			f.Enqueue("low", "a")
+			for step := range 20_000 {
+				for i, r := range running { // one token per running call and step; calls have 50 to 1,000 tokens
+					f.Serve(r, 1)
+					served[r]++
+					if age[i]--; age[i] == 0 {
+						f.Finish(r, "a", 0)
+						running[i] = ""
+					}
+				}
+				for i := range running {
+					if running[i] == "" {
+						running[i] = start(f)
+						age[i] = 50 + (step*7919)%950
+					}
+				}
+				if len(running) < 40 {
+					running = append(running, start(f))
+					age = append(age, 50+step*20)
+				}
+			}
+			share := 100 * served["low"] / (served["low"] + served["high"])
+			is.True(math.Abs(share-float64(floor)) <= 0.05*float64(floor))
+		})
+	}
+}
+
+// start starts the low rank when it is below its floor and the high rank otherwise; both always have work.
+func start(f *Fair) core.RankName {
+	if f.BelowFloor("low") {
+		f.Enqueue("low", "a")
+		f.Start("low", "a", 1, 0)
+		return "low"
+	}
+	f.Enqueue("high", "a")
+	f.Start("high", "a", 1, 0)
+	return "high"
+}
+
+// Guards against credit that a team gains by being idle or new, or by ending calls early.
+func TestIdleTeamGainsNoCredit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := New()
+		teams := []core.TeamName{"a", "b", "c", "d"}
+		waiting, running := map[core.TeamName]int{}, map[core.TeamName][]core.Tokens{}
+		t.Repeat(map[string]func(*rapid.T){
+			"enqueue": func(t *rapid.T) {
+				tn := rapid.SampledFrom(teams).Draw(t, "team")
+				low := math.Inf(1)
+				for o, n := range waiting {
+					if n > 0 {
+						low = min(low, f.Counter("r", o))
+					}
+				}
+				idle := waiting[tn] == 0
+				f.Enqueue("r", tn)
+				waiting[tn]++
+				if idle && !math.IsInf(low, 1) && f.Counter("r", tn) < low {
+					t.Fatalf("idle team starts at %v below %v", f.Counter("r", tn), low)
+				}
+			},
+			"start": func(t *rapid.T) {
+				order := f.Teams("r", nil)
+				if len(order) == 0 {
+					t.Skip("nothing waits")
+				}
+				cost := core.Tokens(rapid.IntRange(1, 1000).Draw(t, "cost"))
+				f.Start("r", order[0], cost/4, cost)
+				waiting[order[0]]--
+				running[order[0]] = append(running[order[0]], cost)
+			},
+			"finish": func(t *rapid.T) {
+				tn := rapid.SampledFrom(teams).Draw(t, "team")
+				if len(running[tn]) == 0 {
+					t.Skip("nothing runs")
+				}
+				before := f.Counter("r", tn)
+				expected := running[tn][0]
+				running[tn] = running[tn][1:]
+				f.Finish("r", tn, expected)
+				if after := f.Counter("r", tn); after != before {
+					t.Fatalf("ending a call early moves the counter from %v to %v", before, after)
+				}
+				if len(running[tn]) == 0 && f.ranks["r"].team(tn).expected > 1e-6 {
+					t.Fatalf("%v tokens are expected of a team without running calls", f.ranks["r"].team(tn).expected)
+				}
+			},
+		})
+	})
+}
--- a/core/length/length.go
+++ b/core/length/length.go
@@ -21,8 +21,9 @@
 	hists      map[key]*hist
 }
 
-// key is a level of detail; the coarser levels leave fields empty.
+// key names a histogram; the level keeps calls without team or rank from being counted twice.
 type key struct {
+	level   int
 	service core.ServiceName
 	team    core.TeamName
 	rank    core.RankName
@@ -89,7 +90,7 @@
 }
 
 func levels(c *core.Call) [3]key {
-	return [3]key{{c.Service, c.Team, c.Rank}, {c.Service, "", c.Rank}, {c.Service, "", ""}}
+	return [3]key{{0, c.Service, c.Team, c.Rank}, {1, c.Service, "", c.Rank}, {2, c.Service, "", ""}}
 }
 
 // Estimate is the distribution of one call's length.
--- /dev/null
+++ b/core/length/length_test.go
@@ -0,0 +1,91 @@
+package length
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"snipeshed/core"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func observe(l *Length, at time.Time, c core.Call, n core.Tokens, times int) {
+	for range times {
+		l.Observe(at, &c, n)
+	}
+}
+
+// Guards against estimates from the wrong level, without the tokens so far, or beyond the call's limit.
+func TestExpected(t *testing.T) {
+	base := core.Call{Service: "s", Team: "t", Rank: "r", MaxTokens: 10_000}
+	other := core.Call{Service: "s", Team: "u", Rank: "r", MaxTokens: 10_000}
+	for _, tc := range []struct {
+		name      string
+		fill      func(l *Length)
+		call      core.Call
+		soFar     core.Tokens
+		low, high core.Tokens
+	}{
+		{"no samples", func(*Length) {}, base, 0, unknownLength, unknownLength},
+		{"no samples, far along", func(*Length) {}, base, 3000, 3000, 3000},
+		{"limit", func(*Length) {}, base, 9990, 10, 10},
+		{"at the limit", func(*Length) {}, base, 10_000, 0, 0},
+		{"own team", func(l *Length) { observe(l, t0, base, 100, 20); observe(l, t0, other, 1000, 500) }, base, 0, 90, 110},
+		{"few samples of the team fall back to the rank", func(l *Length) { observe(l, t0, base, 100, 2); observe(l, t0, other, 1000, 500) }, base, 0, 900, 1100},
+		{"the short ones are over", func(l *Length) { observe(l, t0, base, 10, 900); observe(l, t0, base, 1000, 100) }, base, 50, 850, 1050},
+		{"beyond all samples", func(l *Length) { observe(l, t0, base, 10, 900) }, base, 600, 600, 600},
+		{"old samples fade", func(l *Length) { observe(l, t0, base, 10, 50); observe(l, t0.Add(2*time.Hour), base, 1000, 50) }, base, 0, 900, 1100},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			l := New()
+			tc.fill(l)
+			got := l.Expected(&tc.call, tc.soFar)
+			is.True(got >= tc.low && got <= tc.high)
+		})
+	}
+}
+
+// Guards against quantiles that contradict each other and against lost weight when the scale is renewed.
+func TestEstimateProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(WithHalfLife(time.Second))
+		c := core.Call{Service: "s", MaxTokens: core.Tokens(rapid.IntRange(1, 50_000).Draw(t, "max"))}
+		now := t0
+		for _, n := range rapid.SliceOfN(rapid.IntRange(1, 60_000), 1, 40).Draw(t, "lengths") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 20_000).Draw(t, "ms")) * time.Millisecond)
+			l.Observe(now, &c, core.Tokens(n))
+		}
+		soFar := core.Tokens(rapid.IntRange(0, int(c.MaxTokens)).Draw(t, "so far"))
+		left := c.MaxTokens - soFar
+		e := l.For(&c)
+		if got := e.Expected(soFar); got < min(1, left) || got > left {
+			t.Fatalf("expected %d tokens of %d left", got, left)
+		}
+		last := core.Tokens(0)
+		for _, q := range []float64{0.1, 0.5, 0.9, 0.99} {
+			got := l.Quantile(&c, soFar, q)
+			if got < last || got > left {
+				t.Fatalf("quantile %v is %d after %d, with %d left", q, got, last, left)
+			}
+			last = got
+		}
+		if a, b := e.Beyond(soFar, 10), e.Beyond(soFar, 100); a < b || a > 1 || b < 0 {
+			t.Fatalf("probability to exceed 10 is %v, 100 is %v", a, b)
+		}
+		if n := l.hists[key{level: 2, service: "s"}].count(); n < 0.99 || n > 41 {
+			t.Fatalf("%v samples counted", n)
+		}
+	})
+}
--- a/core/queue/call.go
+++ b/core/queue/call.go
@@ -11,8 +11,8 @@
 	core.Call
 	arrived time.Time
 	started time.Time
-	// charged is the cost in weighted tokens that the team's counter has been charged.
-	charged   core.Tokens
+	// expected is the part of the length expected at the start that has not come yet.
+	expected  core.Tokens
 	generated core.Tokens
 	adopted   bool
 }
--- a/core/queue/dispatch.go
+++ b/core/queue/dispatch.go
@@ -98,8 +98,8 @@
 	}
 	r.pop(now, c)
 	c.started = now
-	c.charged = c.PromptTokens/promptDivisor + q.length.Expected(&c.Call, 0)
-	q.fair.Start(c.Rank, c.Team, c.charged)
+	c.expected = q.length.Expected(&c.Call, 0)
+	q.fair.Start(c.Rank, c.Team, c.PromptTokens/promptDivisor, c.expected)
 	q.admit.Start(c.Call, ep, 0)
 	q.running[c.ID] = c
 	r.running++
--- /dev/null
+++ b/core/queue/model_test.go
@@ -0,0 +1,140 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"snipeshed/core"
+	"snipeshed/core/admit"
+)
+
+// model checks every action of a queue against what a pool owner knows.
+type model struct {
+	q       *Queue
+	now     time.Time
+	waiting map[core.RequestID]core.Call
+	running map[core.RequestID]core.EndpointID
+	tokens  map[core.RequestID]core.Tokens
+	infos   []core.RunnerInfo
+	n       int
+}
+
+func (m *model) apply(t *rapid.T, acts []core.Action) {
+	for _, a := range acts {
+		if _, ok := m.waiting[a.ID]; !ok {
+			t.Fatalf("call %s gets a second decision", a.ID)
+		}
+		delete(m.waiting, a.ID)
+		if a.Kind == core.ActionRefuse {
+			if a.Err.Run != core.RunNot || a.Err.Message == "" || a.Err.Remedy == "" && a.Err.Kind != core.KindBadRequest {
+				t.Fatalf("refusal %+v", a.Err)
+			}
+			continue
+		}
+		m.running[a.ID] = a.Endpoint
+		for _, i := range m.infos {
+			if i.ID == a.Endpoint && !i.Accepting {
+				t.Fatalf("call %s starts at %s, which accepts nothing", a.ID, a.Endpoint)
+			}
+		}
+	}
+}
+
+// Guards against double decisions, lost calls, idle endpoints while calls wait, and queues above their limits.
+func TestQueueModel(t *testing.T) {
+	const limit, kv = 3, 3000
+	rapid.Check(t, func(t *rapid.T) {
+		m := &model{
+			q: New(WithTeamSharePercent(100), WithAdmit(admit.WithRunningLimit(limit))), now: t0, infos: runners(3, kv),
+			waiting: map[core.RequestID]core.Call{}, running: map[core.RequestID]core.EndpointID{}, tokens: map[core.RequestID]core.Tokens{},
+		}
+		m.q.SetRules(t0, rules())
+		m.apply(t, m.q.SetRunners(t0, m.infos))
+		pick := func(t *rapid.T) core.RequestID {
+			if len(m.running) == 0 {
+				t.Skip("nothing runs")
+			}
+			ids := make([]core.RequestID, 0, len(m.running))
+			for i := range m.n + 1 {
+				if id := core.RequestID(fmt.Sprint(i)); m.running[id] != "" {
+					ids = append(ids, id)
+				}
+			}
+			return rapid.SampledFrom(ids).Draw(t, "call")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(t *rapid.T) {
+				m.n++
+				c := core.Call{
+					ID: core.RequestID(fmt.Sprint(m.n)), Service: "s", Team: rapid.SampledFrom([]core.TeamName{"a", "b", "c"}).Draw(t, "team"),
+					Rank:         rapid.SampledFrom([]core.RankName{"low", "high", "unknown"}).Draw(t, "rank"),
+					PromptTokens: core.Tokens(rapid.IntRange(1, kv-1).Draw(t, "prompt")), MaxTokens: 500,
+				}
+				if rapid.Bool().Draw(t, "has a deadline") {
+					c.Deadline = m.now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "deadline")) * time.Millisecond)
+				}
+				m.waiting[c.ID] = c
+				m.apply(t, m.q.Offer(m.now, c))
+			},
+			"token": func(t *rapid.T) {
+				id := pick(t)
+				m.tokens[id] += core.Tokens(rapid.IntRange(1, 100).Draw(t, "tokens"))
+				m.q.Token(m.now, id, m.tokens[id])
+			},
+			"finish": func(t *rapid.T) {
+				id := pick(t)
+				delete(m.running, id)
+				m.apply(t, m.q.Finish(m.now, id, rapid.Bool().Draw(t, "complete")))
+			},
+			"cancel": func(t *rapid.T) {
+				id := core.RequestID(fmt.Sprint(rapid.IntRange(0, m.n).Draw(t, "call")))
+				delete(m.waiting, id)
+				m.apply(t, m.q.Cancel(m.now, id))
+			},
+			"runners": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(m.infos)-1).Draw(t, "endpoint")
+				m.infos[i].Accepting = !m.infos[i].Accepting
+				m.apply(t, m.q.SetRunners(m.now, m.infos))
+			},
+			"tick": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+				m.apply(t, m.q.Tick(m.now))
+				for id, c := range m.waiting {
+					if !c.Deadline.IsZero() && !m.now.Before(c.Deadline) {
+						t.Fatalf("call %s waits past its deadline", id)
+					}
+				}
+			},
+			"": func(t *rapid.T) { m.check(t, limit) },
+		})
+	})
+}
+
+func (m *model) check(t *rapid.T, limit int) {
+	if len(m.q.calls) != len(m.waiting) || len(m.q.running) != len(m.running) {
+		t.Fatalf("queue has %d waiting and %d running calls, the model %d and %d", len(m.q.calls), len(m.q.running), len(m.waiting), len(m.running))
+	}
+	perEnd, perRank := map[core.EndpointID]int{}, map[core.RankName]int{}
+	for _, ep := range m.running {
+		perEnd[ep]++
+	}
+	for _, c := range m.waiting {
+		perRank[c.Rank]++
+	}
+	for _, i := range m.infos {
+		if perEnd[i.ID] > limit {
+			t.Fatalf("%s runs %d calls", i.ID, perEnd[i.ID])
+		}
+		if i.Accepting && perEnd[i.ID] == 0 && len(m.waiting) > 0 {
+			t.Fatalf("%s is idle while %d calls wait", i.ID, len(m.waiting))
+		}
+	}
+	for _, l := range m.q.Load(m.now).Ranks {
+		if l.Waiting != perRank[l.Rank] || l.Waiting > m.q.ranks[l.Rank].limit() {
+			t.Fatalf("rank %s has %d waiting calls, the model %d", l.Rank, l.Waiting, perRank[l.Rank])
+		}
+	}
+}
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -100,16 +100,15 @@
 	case !q.admit.Runnable(&c.Call):
 		return []core.Action{refusal(c.ID, core.KindBadRequest, fmt.Sprintf("a prompt of %d tokens exceeds the memory of every endpoint", c.PromptTokens), 0)}
 	}
+	wait := r.wait(now, len(r.teams[c.Team]))
 	q.enqueue(now, r, c)
 	acts := q.dispatch(now, nil)
 	if q.calls[c.ID] == nil {
 		return acts
 	}
-	if limit := q.limitOf(now, r, c); limit > 0 {
-		if wait := r.wait(now, len(r.teams[c.Team])-1); wait > limit {
-			q.drop(now, r, c)
-			return append(acts, refusal(c.ID, core.KindOverloaded, overload(r, wait, limit), wait-limit))
-		}
+	if limit := q.limitOf(now, r, c); limit > 0 && wait > limit {
+		q.drop(now, r, c)
+		return append(acts, refusal(c.ID, core.KindOverloaded, overload(r, wait, limit), wait-limit))
 	}
 	if r.waiting > r.limit() {
 		acts = append(acts, q.shed(now, r))
@@ -135,7 +134,8 @@
 	q.rank(c.Rank).running++
 	q.running[c.ID] = c
 	q.admit.Start(in, ep, generated)
-	q.fair.Adopt(c.Rank, c.Team, 0)
+	c.expected = q.length.Expected(&c.Call, generated)
+	q.fair.Adopt(c.Rank, c.Team, 0, c.expected)
 }
 
 // Token records a running call's progress.
@@ -147,13 +147,13 @@
 	if c.generated == 0 && !c.adopted {
 		q.rank(c.Rank).first.add(now, now.Sub(c.started))
 	}
-	q.fair.Serve(c.Rank, n-c.generated)
+	more := n - c.generated
+	came := min(more, c.expected)
+	q.fair.Serve(c.Rank, more)
+	q.fair.Charge(c.Rank, c.Team, more, -came)
+	c.expected -= came
 	c.generated = n
 	q.admit.Token(id, n)
-	if over := cost(c) - c.charged; over > 0 {
-		q.fair.Charge(c.Rank, c.Team, over)
-		c.charged += over
-	}
 }
 
 // Cached records the cached part of a running call's prompt.
@@ -171,7 +171,7 @@
 	delete(q.running, id)
 	q.rank(c.Rank).running--
 	q.admit.Finish(id)
-	q.fair.Finish(c.Rank, c.Team, cost(c)-c.charged)
+	q.fair.Finish(c.Rank, c.Team, c.expected)
 	if complete {
 		q.length.Observe(now, &c.Call, c.generated)
 	}
@@ -298,6 +298,3 @@
 func (q *Queue) sort() {
 	slices.SortStableFunc(q.order, func(a, b *rank) int { return cmp.Compare(b.rule.Priority, a.rule.Priority) })
 }
-
-// cost returns the weighted tokens that a call has used.
-func cost(c *call) core.Tokens { return c.PromptTokens/promptDivisor + c.generated }
--- /dev/null
+++ b/core/queue/queue_test.go
@@ -0,0 +1,238 @@
+package queue
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+	"snipeshed/core/admit"
+)
+
+var t0 = time.Unix(1_800_000_000, 0)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "20260204")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func rules() core.PolicyRules {
+	return core.PolicyRules{Ranks: []core.RankRule{
+		{Name: "low", Priority: 0, FloorPercent: 10, QueueLimit: 4},
+		{Name: "high", Priority: 5, QueueLimit: 4, FirstTokenTarget: time.Second},
+	}}
+}
+
+func runners(n int, kv core.Tokens) []core.RunnerInfo {
+	var out []core.RunnerInfo
+	for i := range n {
+		out = append(out, core.RunnerInfo{ID: core.EndpointID(fmt.Sprintf("e%d", i)), KVCapacity: kv, Accepting: true})
+	}
+	return out
+}
+
+// one returns a queue whose only endpoint runs one call at a time.
+func one(opts ...Option) *Queue {
+	q := New(append(opts, WithAdmit(admit.WithRunningLimit(1)))...)
+	q.SetRules(t0, rules())
+	q.SetRunners(t0, runners(1, 10_000))
+	return q
+}
+
+func newCall(id, team, rank string) core.Call {
+	return core.Call{ID: core.RequestID(id), Service: "s", Team: core.TeamName(team), Rank: core.RankName(rank), PromptTokens: 40, MaxTokens: 100}
+}
+
+// text writes actions as "start 1" and "refuse 2 overloaded not_run".
+func text(acts []core.Action) []string {
+	out := []string{}
+	for _, a := range acts {
+		if a.Kind == core.ActionStart {
+			out = append(out, fmt.Sprintf("start %s", a.ID))
+		} else {
+			out = append(out, fmt.Sprintf("refuse %s %s %s", a.ID, a.Err.Kind, a.Err.Run))
+		}
+	}
+	return out
+}
+
+// Guards against the wrong order of service and refusals that are late, missing or unexplained.
+func TestQueue(t *testing.T) {
+	second := t0.Add(time.Second)
+	for _, tc := range []struct {
+		name string
+		do   func(q *Queue) []core.Action
+		want []string
+	}{
+		{"starts at once", func(q *Queue) []core.Action { return q.Offer(t0, newCall("1", "a", "low")) }, []string{"start 1"}},
+		{"urgent first", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("1", "a", "low"))
+			q.Offer(t0, newCall("2", "a", "low"))
+			q.Offer(t0, newCall("3", "a", "high"))
+			q.fair.Serve("low", 1000) // the low rank is above its floor
+			return q.Finish(t0, "1", true)
+		}, []string{"start 3"}},
+		{"a rank below its floor first", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("1", "a", "high"))
+			q.Offer(t0, newCall("2", "a", "low"))
+			q.Offer(t0, newCall("3", "a", "high"))
+			q.fair.Serve("high", 1000)
+			return q.Finish(t0, "1", true)
+		}, []string{"start 2"}},
+		{"the team with less service first", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("1", "a", "high"))
+			q.Offer(t0, newCall("2", "a", "high"))
+			q.Offer(t0, newCall("3", "b", "high"))
+			q.Offer(t0, newCall("4", "a", "high"))
+			q.Finish(t0, "1", true) // starts 2: a team that was idle has no claim for that time
+			return q.Finish(t0, "2", true)
+		}, []string{"start 3"}},
+		{"earlier deadline first within a team", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("1", "a", "low"))
+			late, early := newCall("2", "a", "low"), newCall("3", "a", "low")
+			late.Deadline, early.Deadline = t0.Add(time.Hour), t0.Add(time.Minute)
+			q.Offer(t0, late)
+			q.Offer(t0, early)
+			return q.Finish(t0, "1", true)
+		}, []string{"start 3"}},
+		{"queue limit refuses the largest team's newest call", func(q *Queue) []core.Action {
+			for i := range 5 {
+				q.Offer(t0, newCall(fmt.Sprint(i), "a", "low"))
+			}
+			return q.Offer(t0, newCall("5", "b", "low"))
+		}, []string{"refuse 4 overloaded not_run"}},
+		{"deadline passed on arrival", func(q *Queue) []core.Action {
+			c := newCall("1", "a", "low")
+			c.Deadline = t0
+			return q.Offer(t0, c)
+		}, []string{"refuse 1 deadline not_run"}},
+		{"deadline passed while waiting", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("1", "a", "low"))
+			c := newCall("2", "a", "low")
+			c.Deadline = second
+			q.Offer(t0, c)
+			return q.Tick(second)
+		}, []string{"refuse 2 deadline not_run"}},
+		{"first-token target missed while waiting", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("1", "a", "low"))
+			q.Offer(t0, newCall("2", "a", "high"))
+			return q.Tick(t0.Add(1001 * time.Millisecond))
+		}, []string{"refuse 2 overloaded not_run"}},
+		{"expected wait beyond the target", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("0", "a", "high"))
+			at := t0
+			for i := range 6 { // one start each 0.9 s while calls wait
+				q.Offer(at, newCall(fmt.Sprintf("%da", i), "a", "high"))
+				at = at.Add(900 * time.Millisecond)
+				id := core.RequestID("0")
+				if i > 0 {
+					id = core.RequestID(fmt.Sprintf("%da", i-1))
+				}
+				q.Finish(at, id, true)
+			}
+			q.Offer(at, newCall("w1", "b", "high"))
+			return q.Offer(at, newCall("w2", "b", "high"))
+		}, []string{"refuse w2 overloaded not_run"}},
+		{"no endpoint", func(q *Queue) []core.Action {
+			q.SetRunners(t0, nil)
+			return q.Offer(t0, newCall("1", "a", "low"))
+		}, []string{"refuse 1 no_endpoint not_run"}},
+		{"prompt larger than any endpoint", func(q *Queue) []core.Action {
+			c := newCall("1", "a", "low")
+			c.PromptTokens = 10_000
+			return q.Offer(t0, c)
+		}, []string{"refuse 1 bad_request not_run"}},
+		{"repeated id", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("1", "a", "low"))
+			return q.Offer(t0, newCall("1", "a", "low"))
+		}, []string{"refuse 1 bad_request not_run"}},
+		{"cancelled calls don't start", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("1", "a", "low"))
+			q.Offer(t0, newCall("2", "a", "low"))
+			q.Cancel(t0, "2")
+			return q.Finish(t0, "1", false)
+		}, []string{}},
+		{"adopted calls hold their place", func(q *Queue) []core.Action {
+			q.Adopt(t0, newCall("1", "a", "low"), "e0", 50)
+			return q.Offer(t0, newCall("2", "a", "low"))
+		}, []string{}},
+		{"a leaving endpoint gets nothing", func(q *Queue) []core.Action {
+			rs := runners(1, 10_000)
+			rs[0].Accepting = false
+			q.SetRunners(t0, rs)
+			return q.Offer(t0, newCall("1", "a", "low"))
+		}, []string{}},
+		{"a returning endpoint gets what waits", func(q *Queue) []core.Action {
+			rs := runners(1, 10_000)
+			rs[0].Accepting = false
+			q.SetRunners(t0, rs)
+			q.Offer(t0, newCall("1", "a", "low"))
+			return q.SetRunners(t0, runners(1, 10_000))
+		}, []string{"start 1"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			is.Equal(text(tc.do(one())), tc.want)
+		})
+	}
+}
+
+// Guards against a large team that takes all memory while others wait, and against memory left idle when none waits.
+func TestTeamShare(t *testing.T) {
+	is := is.New(t)
+	q := New(WithTeamSharePercent(50))
+	q.SetRules(t0, rules())
+	q.SetRunners(t0, runners(1, 1000))
+	big := func(id, team string) core.Call {
+		c := newCall(id, team, "low")
+		c.PromptTokens, c.MaxTokens = 250, 1
+		return c
+	}
+	is.Equal(text(q.Offer(t0, big("1", "a"))), []string{"start 1"})
+	is.Equal(text(q.Offer(t0, big("2", "a"))), []string{"start 2"})
+	is.Equal(text(q.Offer(t0, big("3", "a"))), []string{"start 3"}) // nobody else waits
+	is.Equal(text(q.Offer(t0, big("4", "a"))), []string{})          // memory is full
+	is.Equal(text(q.Offer(t0, big("5", "b"))), []string{})
+	is.Equal(text(q.Finish(t0, "1", true)), []string{"start 5"})
+	is.Equal(text(q.Finish(t0, "2", true)), []string{"start 4"})
+}
+
+// Guards against smaller calls that take, one after another, the memory that a large waiting call needs.
+func TestLargeCallIsNotPassedByForever(t *testing.T) {
+	is := is.New(t)
+	q := New(WithTeamSharePercent(100))
+	q.SetRules(t0, rules())
+	q.SetRunners(t0, runners(1, 1000))
+	q.Offer(t0, core.Call{ID: "1", Team: "a", Rank: "high", PromptTokens: 500, MaxTokens: 1})
+	is.Equal(len(q.Offer(t0, core.Call{ID: "large", Team: "b", Rank: "high", PromptTokens: 600, MaxTokens: 1})), 0)
+	is.Equal(len(q.Offer(t0, core.Call{ID: "small", Team: "c", Rank: "high", PromptTokens: 10, MaxTokens: 1})), 0)
+	is.Equal(text(q.Finish(t0, "1", true)), []string{"start large", "start small"})
+}
+
+// Guards against clients that are sent back all at the same moment, and against a pool that sheds small teams' calls
+// because of one large team.
+func TestRefusalAndLoad(t *testing.T) {
+	is := is.New(t)
+	q := one()
+	q.Offer(t0, newCall("r", "a", "low"))
+	after := map[time.Duration]bool{}
+	for i := range 40 {
+		for _, a := range q.Offer(t0, newCall(fmt.Sprint(i), "a", "low")) {
+			is.True(a.Err.RetryAfter >= minRetryAfter && a.Err.RetryAfter <= maxRetryAfter*3/2)
+			is.True(a.Err.Remedy != "")
+			after[a.Err.RetryAfter] = true
+		}
+	}
+	is.True(len(after) > 20)
+	l := q.Load(t0)
+	is.Equal(l.Ranks[1], core.RankLoad{Rank: "low", Waiting: 4})
+	for i, team := range []string{"b", "c", "d", "e"} {
+		q.Offer(t0, newCall(fmt.Sprint("x", i), team, "low"))
+	}
+	is.True(q.Load(t0).Ranks[1].Shedding) // four teams with one call each fill the queue
+}
--- a/core/queue/rank.go
+++ b/core/queue/rank.go
@@ -86,7 +86,7 @@
 	if r.waiting == 0 {
 		return 0
 	}
-	return r.rate.timeFor(now, r.ahead(own))
+	return r.rate.timeFor(now, r.ahead(own)+1)
 }
 
 // longest returns the team with the most waiting calls for its weight, and the number of its calls.
