Limit the prompt tokens that an endpoint computes at once

Cause: in an urgent flood many short calls start in one step, and their prompts delay every stream of the endpoint. The simulation offered calls before the policy had endpoints. Change: core/admit starts a call only while the uncached prompt tokens of calls without a first token stay below 512 per endpoint; the simulation sets the endpoints first. Three test cases that are about memory set a higher limit.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -15,6 +15,8 @@
 	defaultSlackPercent    = 20
 	// defaultRunningLimit is the usual limit of engines on sequences in one step; a call beyond it would wait there, out of reach.
 	defaultRunningLimit = 64
+	// defaultPromptLimit bounds the delay that new prompts cause to the streams of an endpoint.
+	defaultPromptLimit core.Tokens = 512
 	// defaultBlockTokens is the size of the blocks that Call.Prefixes hash.
 	defaultBlockTokens core.Tokens = 16
 )
@@ -24,6 +26,7 @@
 	headroom     int64
 	slack        int64
 	runningLimit int
+	promptLimit  core.Tokens
 	block        core.Tokens
 	length       *length.Length
 
@@ -42,6 +45,8 @@
 	more, moreUntil core.Tokens
 	// shared is the number of leading blocks counted once for all calls of the endpoint that have them.
 	shared int
+	// prompt is the part of the prompt that the engine still computes; 0 after the first token.
+	prompt core.Tokens
 }
 
 // Option changes an Admit.
@@ -56,13 +61,16 @@
 // WithRunningLimit sets the largest number of running calls per endpoint.
 func WithRunningLimit(n int) Option { return func(a *Admit) { a.runningLimit = n } }
 
+// WithPromptLimit sets the largest number of prompt tokens that started calls of one endpoint still have to compute.
+func WithPromptLimit(n core.Tokens) Option { return func(a *Admit) { a.promptLimit = n } }
+
 // WithBlockTokens sets the size of the blocks that Call.Prefixes hash.
 func WithBlockTokens(n core.Tokens) Option { return func(a *Admit) { a.block = n } }
 
 // New returns an Admit without endpoints that takes lengths from l.
 func New(l *length.Length, opts ...Option) *Admit {
 	a := &Admit{
-		headroom: defaultHeadroomPercent, slack: defaultSlackPercent, runningLimit: defaultRunningLimit, block: defaultBlockTokens,
+		headroom: defaultHeadroomPercent, slack: defaultSlackPercent, runningLimit: defaultRunningLimit, promptLimit: defaultPromptLimit, block: defaultBlockTokens,
 		length: l, ends: map[core.EndpointID]*endpoint{}, running: map[core.RequestID]*running{}, teams: map[core.TeamName]core.Tokens{},
 	}
 	for _, o := range opts {
@@ -94,6 +102,10 @@
 	e := a.end(ep)
 	r := &running{call: c, ep: e, estimate: a.length.For(&c), generated: generated}
 	r.expect()
+	if generated == 0 {
+		r.prompt = e.uncached(&c)
+		e.prompts += r.prompt
+	}
 	r.shared = e.match(&c)
 	e.pin(r)
 	e.running = append(e.running, r)
@@ -106,6 +118,8 @@
 // Token records that a call has generated n tokens.
 func (a *Admit) Token(id core.RequestID, n core.Tokens) {
 	if r := a.running[id]; r != nil && n > r.generated {
+		r.ep.prompts -= r.prompt
+		r.prompt = 0
 		a.teams[r.call.Team] += n - r.generated
 		r.ep.held += n - r.generated
 		r.generated = n
@@ -133,6 +147,11 @@
 	r.ep.unpin(r)
 	r.shared = min(int(n/a.block), len(r.call.Prefixes))
 	r.ep.pin(r)
+	if r.generated == 0 {
+		r.ep.prompts -= r.prompt
+		r.prompt = r.call.PromptTokens - n
+		r.ep.prompts += r.prompt
+	}
 }
 
 // Finish ends the count of a call.
@@ -144,6 +163,7 @@
 	delete(a.running, id)
 	e := r.ep
 	e.unpin(r)
+	e.prompts -= r.prompt
 	e.running = slices.DeleteFunc(e.running, func(o *running) bool { return o == r })
 	if left := a.teams[r.call.Team] - r.call.PromptTokens - r.generated; left > 0 {
 		a.teams[r.call.Team] = left
@@ -188,7 +208,7 @@
 		if !e.info.Accepting || c.PromptTokens >= e.info.KVCapacity || slices.Contains(held, e.info.ID) || (!onlyAvoided && c.Avoids(e.info.ID)) {
 			continue
 		}
-		if len(e.running) >= a.runningLimit {
+		if len(e.running) >= a.runningLimit || (e.prompts > 0 && e.prompts+e.uncached(c) > a.promptLimit) {
 			if load := 1 + float64(e.held)/float64(e.info.KVCapacity); full == nil || load < fullLoad {
 				full, fullLoad = e, load
 			}
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -67,7 +67,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			a := New(length.New())
+			a := New(length.New(), WithPromptLimit(1000))
 			rs := runners(2, 1000)
 			a.SetRunners(rs)
 			tc.setup(a, rs)
@@ -78,6 +78,31 @@
 	}
 }
 
+// Guards against several new prompts in one step, which delay every stream of the endpoint, and against a prompt above
+// the limit that never starts.
+func TestPromptLimit(t *testing.T) {
+	is := is.New(t)
+	a := New(length.New(), WithPromptLimit(300))
+	a.SetRunners(runners(1, 10_000))
+	fits := func(c core.Call) bool {
+		_, ok := a.Choose(t0, &c, 0, nil)
+		return ok
+	}
+	is.True(fits(call("large", 2000)))
+	a.Start(call("1", 200, 1, 2, 3, 4, 5, 6), "e0", 0)
+	is.True(!fits(call("2", 200)))
+	is.True(fits(call("3", 150, 1, 2, 3, 4, 5, 6))) // 96 tokens are cached
+	a.Cached("1", 96)
+	is.True(fits(call("2", 190)))
+	a.Token("1", 1)
+	is.True(fits(call("large", 2000)))
+	a.Start(call("4", 300), "e0", 0)
+	a.Finish("4") // ended before its first token
+	is.True(fits(call("2", 200)))
+	a.Start(call("5", 300), "e0", 10) // adopted calls have computed their prompts
+	is.True(fits(call("2", 200)))
+}
+
 // Guards against shared prefixes that are counted per call, or not at all once the first call has ended.
 func TestSharedPrefixIsCountedOnce(t *testing.T) {
 	is := is.New(t)
--- a/core/admit/endpoint.go
+++ b/core/admit/endpoint.go
@@ -19,6 +19,8 @@
 	sorted bool
 	// held is the memory of the running calls, with shared blocks counted once.
 	held core.Tokens
+	// prompts is the number of prompt tokens that the engine still has to compute.
+	prompts core.Tokens
 	// pinned counts for each block the running calls that share it.
 	pinned map[uint64]int
 	// prefixes has the blocks that the endpoint probably has in its cache, in two generations:
@@ -59,6 +61,11 @@
 	return n
 }
 
+// uncached returns the number of prompt tokens that the endpoint will have to compute.
+func (e *endpoint) uncached(c *core.Call) core.Tokens {
+	return max(c.PromptTokens-core.Tokens(e.cached(c))*e.block, 1)
+}
+
 func (e *endpoint) remember(c *core.Call) {
 	if len(e.newer)+len(c.Prefixes) > maxPrefixes/2 {
 		e.older, e.newer = e.newer, map[uint64]struct{}{}
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -185,7 +185,7 @@
 // Guards against a large team that takes all memory while others wait, and against memory left idle when none waits.
 func TestTeamShare(t *testing.T) {
 	is := is.New(t)
-	q := New(WithTeamSharePercent(50))
+	q := New(WithTeamSharePercent(50), WithAdmit(admit.WithPromptLimit(1000)))
 	q.SetRules(t0, rules())
 	q.SetRunners(t0, runners(1, 1000))
 	big := func(id, team string) core.Call {
@@ -205,7 +205,7 @@
 // Guards against smaller calls that take, one after another, the memory that a large waiting call needs.
 func TestLargeCallIsNotPassedByForever(t *testing.T) {
 	is := is.New(t)
-	q := New(WithTeamSharePercent(100))
+	q := New(WithTeamSharePercent(100), WithAdmit(admit.WithPromptLimit(1000)))
 	q.SetRules(t0, rules())
 	q.SetRunners(t0, runners(1, 1000))
 	q.Offer(t0, core.Call{ID: "1", Team: "a", Rank: "high", PromptTokens: 500, MaxTokens: 1})
--- a/stand/trial/sim.go
+++ b/stand/trial/sim.go
@@ -73,6 +73,9 @@
 	if err := s.act(start, p.SetRules(start, u.rules)); err != nil {
 		return nil, err
 	}
+	if err := s.report(start); err != nil {
+		return nil, err
+	}
 	err := s.loop(trace)
 	for _, b := range s.engines {
 		l := b.Load()
@@ -83,7 +86,7 @@
 }
 
 func (s *sim) loop(trace []Arrival) error {
-	tick, report := start, start
+	tick, report := start, start.Add(reportInterval)
 	for s.left > 0 {
 		now, engine := tick, -1
 		if report.Before(now) {
