Choose seed and policies of bench-policy

Cause: one seed is too few to judge a change: a few calls of 30,000 tokens decide how many preemptions a run has.

--- a/stand/cmds/policy.go
+++ b/stand/cmds/policy.go
@@ -13,8 +13,12 @@
 		Name:        "bench-policy",
 		Usage:       "measures the policies in virtual time against simulated engines",
 		Description: "Example: standin bench-policy",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the traces", Value: trial.DefaultPlan().Seed},
+			&cli.StringSliceFlag{Name: "policies", Usage: "policies to run", Value: trial.DefaultPlan().Policies},
+		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return trial.Bench(ctx, c.Root().Writer)
+			return trial.Bench(ctx, c.Root().Writer, trial.Plan{Seed: c.Uint64("seed"), Policies: c.StringSlice("policies")})
 		},
 	}
 }
--- a/stand/trial/bench.go
+++ b/stand/trial/bench.go
@@ -16,8 +16,6 @@
 )
 
 const (
-	// Seed is the same for all policies of a scenario.
-	Seed = 20260204
 	// parallelRuns is half of the cores of the machine that the figures are from.
 	parallelRuns = 5
 	engines      = 5
@@ -60,7 +58,16 @@
 	return queue.New()
 }
 
-var policyNames = []string{"fifo", "least", "queue"}
+// Plan says what Bench runs.
+type Plan struct {
+	// Seed draws the traces; it is the same for all policies of a scenario.
+	Seed uint64
+	// Policies are names among fifo, least and queue.
+	Policies []string
+}
+
+// DefaultPlan runs all policies.
+func DefaultPlan() Plan { return Plan{Seed: 20260204, Policies: []string{"fifo", "least", "queue"}} }
 
 type result struct {
 	user     *User
@@ -71,13 +78,13 @@
 }
 
 // Bench runs every scenario with every policy and writes a line for each and the scores.
-func Bench(ctx context.Context, out io.Writer) error {
+func Bench(ctx context.Context, out io.Writer, plan Plan) error {
 	f := Fleet{Engines: engines, Config: batch.Config{}}
 	users := Users()
 	var results []*result
 	for i := range users {
 		for _, sc := range scenarios() {
-			for _, p := range policyNames {
+			for _, p := range plan.Policies {
 				results = append(results, &result{user: &users[i], scenario: sc, policy: p})
 			}
 		}
@@ -90,7 +97,7 @@
 				return err
 			}
 			from := time.Now()
-			trace := r.user.trace(Seed, f, r.scenario.phases)
+			trace := r.user.trace(plan.Seed, f, r.scenario.phases)
 			m, err := run(newPolicy(r.policy, r.user, f), r.user, f, trace, r.scenario.phases)
 			if err != nil {
 				return fmt.Errorf("trace %s, scenario %s, policy %s: %w", r.user.Name, r.scenario.name, r.policy, err)
@@ -106,7 +113,7 @@
 		fmt.Fprintln(out, r.line())
 	}
 	for _, u := range users {
-		for _, p := range policyNames {
+		for _, p := range plan.Policies {
 			fmt.Fprintln(out, score(&u, p, results))
 		}
 	}
