--- a/app/app.go
+++ b/app/app.go
@@ -51,6 +51,8 @@
 	listeners [listenerCount]net.Listener
 	servers   [listenerCount]*http.Server
 	leaving   atomic.Bool
+	// changed wakes ownPools after a new configuration.
+	changed chan struct{}
 }
 
 // Listeners of an instance.
@@ -93,7 +95,7 @@
 
 // New makes an instance and opens its listeners.
 func New(cfg *conf.Settings, log *logrus.Entry, opts ...Option) (*App, error) {
-	a := &App{Shared: core.NewShared(log), cfg: cfg, meter: meter.New(), state: state.New()}
+	a := &App{Shared: core.NewShared(log), cfg: cfg, meter: meter.New(), state: state.New(), changed: make(chan struct{}, 1)}
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
@@ -149,7 +151,7 @@
 	a.store = store.New(a.Shared, cfg, link.New(cfg))
 	a.relay = relay.New(a.Shared, cfg, a.members, a.state, a.store, roster.New(cfg))
 	a.host = host.New(a.Shared, cfg, a.relay, a.members, o.newPolicy, host.WithCounters(a.meter))
-	a.state.Subscribe(a.host.Configure)
+	a.state.Subscribe(a.configure)
 	retries := budget.New(budget.WithPercent(cfg.GetRetryBudgetPercent()))
 	a.action = action.New(a.Shared, a.store, a.relay,
 		action.Instance(self.ID), action.Settings(cfg),
@@ -161,11 +163,19 @@
 		Peer: calls, Services: a.action, Meter: a.meter, Budget: retries,
 	})
 	a.oper = oper.New(a.Shared, cfg, a.store, a.state,
-		oper.WithAccepted(a.accepted), oper.WithFleet(newFleet(a)), oper.WithLoad(a.addLoad))
+		oper.WithAccepted(a.accepted), oper.WithFleet(newFleet(a)), oper.WithLoad(newInspector(a).addLoad))
 	a.publish()
 	a.serve(calls)
 }
 
+func (a *App) configure(cfg *core.Config) {
+	a.host.Configure(cfg)
+	select {
+	case a.changed <- struct{}{}:
+	default: // a wake-up is already due
+	}
+}
+
 func (a *App) accepted(t *wire.Ticket) {
 	if err := a.relay.Learn(t); err != nil {
 		a.Log.WithField("ticket", t.GetNumber()).WithError(err).Warn("accepted ticket waits for the tickets before it")
@@ -193,6 +203,7 @@
 	l := link.New(a.cfg)
 	peers := http.NewServeMux()
 	peers.Handle(wire.PeerPathPrefix, a.relay.Handler())
+	peers.Handle(wire.InspectPathPrefix, wire.NewInspectServer(newInspector(a)))
 	calls.Register(peers, a.host)
 
 	operators := http.NewServeMux()
@@ -261,6 +272,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-a.changed:
 		case <-t.C:
 		}
 	}
--- a/app/status.go
+++ b/app/status.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"sort"
 
 	"snipeshed/core"
 	"snipeshed/core/member"
@@ -50,52 +49,6 @@
 	return c.Push(ctx, &wire.Delta{Digest: &wire.Digest{}}) // an empty push only asks for the digest
 }
 
-// addLoad adds what this instance knows of queues and endpoints.
-func (a *App) addLoad(s *wire.StatusResponse) {
-	now := a.Clock.Now()
-	open := a.host.Pools()
-	sh := a.host.Shard()
-	for _, id := range sh.All() {
-		owner := ""
-		if o := a.members.Owners(now, host.Resource(id), 1); len(o) > 0 {
-			owner = string(o[0].ID)
-		}
-		if p := open[id]; p != nil {
-			addRanks(s, id, p.Load())
-		}
-		for _, ep := range sh.Endpoints(id) {
-			s.Endpoints = append(s.Endpoints, a.endpointStatus(id, ep, owner))
-		}
-	}
-}
-
-func addRanks(s *wire.StatusResponse, id core.PoolID, load core.PoolLoad) {
-	sort.Slice(load.Ranks, func(i, j int) bool { return load.Ranks[i].Rank < load.Ranks[j].Rank })
-	for _, r := range load.Ranks {
-		s.Queues = append(s.Queues, &wire.QueueStatus{
-			Pool: string(id), Rank: string(r.Rank), Waiting: int64(r.Waiting), ExpectedWaitMs: r.ExpectedWait.Milliseconds(),
-		})
-	}
-}
-
-func (a *App) endpointStatus(pool core.PoolID, ep core.EndpointID, owner string) *wire.EndpointStatus {
-	out := &wire.EndpointStatus{Name: string(ep), Pool: string(pool), Owner: owner, State: "unknown here"}
-	p := a.host.Pools()[pool]
-	if p == nil {
-		return out
-	}
-	info, ok := p.Reports()[ep]
-	if !ok {
-		return out
-	}
-	out.State = "not accepting"
-	if info.Accepting {
-		out.State = "accepting"
-	}
-	out.Running, out.KvUsed, out.KvCapacity = int64(info.Load.Running), int64(info.Load.KVUsed), int64(info.Load.KVCapacity)
-	return out
-}
-
 // Ticket returns the number of the ticket in force here.
 func (a *App) Ticket() core.TicketNumber { return a.state.Number() }
 
--- a/wire/peer.twirp.go
+++ b/wire/peer.twirp.go
@@ -1064,7 +1064,7 @@
 }
 
 func (s *peerServer) ServiceDescriptor() ([]byte, int) {
-	return twirpFileDescriptor1, 0
+	return twirpFileDescriptor2, 0
 }
 
 func (s *peerServer) ProtocGenTwirpVersion() string {
@@ -1078,7 +1078,7 @@
 	return baseServicePath(s.pathPrefix, "snipeshed.wire", "Peer")
 }
 
-var twirpFileDescriptor1 = []byte{
+var twirpFileDescriptor2 = []byte{
 	// 509 bytes of a gzipped FileDescriptorProto
 	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x74, 0x53, 0xcd, 0x8a, 0x13, 0x41,
 	0x10, 0x66, 0x7e, 0x32, 0xc9, 0x94, 0xd9, 0xa8, 0xe5, 0xee, 0xd2, 0x04, 0x16, 0x86, 0x88, 0x10,
