Keep memory free for more urgent ranks

Cause: in a flood of background work 2 to 8% of the urgent calls were refused, because the flood filled the memory and only a completion freed some. Change: a rank leaves 8% of an endpoint's memory free for each rank above it, except when it is scheduled because of its floor.

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -16,6 +16,9 @@
 
 const (
 	defaultTeamSharePercent = 50
+	// defaultReservePercent lets an urgent call start without waiting for a less urgent one to end; with 0, 2 to 8% of
+	// the urgent calls were refused in a flood of background work, with 5 up to 2% at twice the capacity.
+	defaultReservePercent = 8
 	// promptDivisor makes a prompt token cost a quarter of an output token in the teams' counters:
 	// engines compute prompts in parallel and outputs one step at a time.
 	promptDivisor = 4
@@ -74,8 +77,8 @@
 // New returns a Queue without endpoints and rules.
 func New(opts ...Option) *Queue {
 	q := &Queue{
-		teamShare: defaultTeamSharePercent,
-		ranks:     map[core.RankName]*rank{}, calls: map[core.RequestID]*call{}, running: map[core.RequestID]*call{},
+		teamShare: defaultTeamSharePercent, reserve: defaultReservePercent,
+		ranks: map[core.RankName]*rank{}, calls: map[core.RequestID]*call{}, running: map[core.RequestID]*call{},
 	}
 	for _, o := range opts {
 		o(q)
