Compute fair shares per 30 s of arrivals

Cause: over a whole run a small team's share suffers from service that large teams got in the first 40 s, when no small team wanted it. Change: the smallest team's share sums fair shares of windows of 30 s; the share over the whole run is printed next to it.

--- a/stand/trial/line.go
+++ b/stand/trial/line.go
@@ -40,7 +40,8 @@
 		put("kept_of_floor_percent", "%.1f", 100*m.keptOfFloor(i, o))
 		put("kept_admitted_percent", "%.1f", 100*m.admittedIn(i, o))
 	}
-	put("smallest_team_share_percent", "%.1f", 100*m.smallest())
+	put("smallest_team_share_percent", "%.1f", 100*smallest(m.windows))
+	put("smallest_team_whole_run_percent", "%.1f", 100*smallest([]*shares{m.whole}))
 	put("refused_small_teams_percent", "%.2f", 100*ratio(float64(m.smallRefusals), float64(m.smallOffers)))
 	put("recomputed_tokens", "%d", m.recomputed)
 	put("run_ms", "%d", r.took.Milliseconds())
@@ -108,7 +109,7 @@
 		for _, i := range r.scenario.floods {
 			kept = m.keptOfFloor(i, other(r.scenario.phases[i].rank))
 		}
-		sum += 0.5*m.smallest() + 0.5*kept
+		sum += 0.5*smallest(m.windows) + 0.5*kept
 	}
 	return fmt.Sprintf("event=policy_score trace=%s policy=%s score=%.1f", u.Name, policy, 100*ratio(sum, n))
 }
