Count a team's service in all ranks together

Cause: with a counter per rank, a large team that was served without limit in the urgent rank still had an equal claim to the background rank. Change: core/fair keeps one counter per team.

--- a/core/fair/fair.go
+++ b/core/fair/fair.go
@@ -21,34 +21,37 @@
 const percent = 100
 
 // Fair keeps virtual counters of teams and deficits of ranks; it is not safe for concurrent use.
+//
+// A team has one counter for all ranks: what a large team got in an urgent rank counts when it competes in another.
 type Fair struct {
 	horizon float64
 	ranks   map[core.RankName]*rank
+	teams   map[core.TeamName]*team
 	weights map[core.TeamName]int64
 	running int
 	active  int64 // counts the times that a team became active
+	// virtual is the highest lowest counter seen; it stands for the active teams when there are none.
+	virtual float64
 }
 
 type rank struct {
 	name    core.RankName
 	floor   float64
-	teams   map[core.TeamName]*team
+	teams   map[core.TeamName]int // waiting calls
 	waiting int
 	running int
 	// deficit is the number of tokens that the rank is below its floor.
 	deficit float64
-	// virtual is the highest counter at which a team was served; it stands for the active teams when none waits.
-	virtual float64
 }
 
 type team struct {
-	name core.TeamName
 	// counter is the number of tokens served, divided by the weight.
 	counter float64
 	// expected is the number of tokens that the running calls will still get, divided by the weight. It orders the
 	// teams but is no part of the counter: newcomers start at counters, and must not start above work that may never come.
 	expected float64
 	waiting  int
+	running  int
 	since    int64 // when it became active, as a count
 }
 
@@ -60,7 +63,7 @@
 
 // New returns a Fair without ranks or teams.
 func New(opts ...Option) *Fair {
-	f := &Fair{horizon: defaultHorizon, ranks: map[core.RankName]*rank{}}
+	f := &Fair{horizon: defaultHorizon, ranks: map[core.RankName]*rank{}, teams: map[core.TeamName]*team{}}
 	for _, o := range opts {
 		o(f)
 	}
@@ -70,13 +73,13 @@
 // SetRules replaces floors and weights and forgets idle teams that the rules don't name.
 func (f *Fair) SetRules(rules core.PolicyRules) {
 	f.weights = rules.TeamWeights
+	for name, t := range f.teams {
+		if _, known := f.weights[name]; !known && t.waiting == 0 && t.running == 0 {
+			delete(f.teams, name)
+		}
+	}
 	for _, r := range f.ranks {
 		r.floor = 0
-		for name, t := range r.teams {
-			if _, known := f.weights[name]; !known && t.waiting == 0 {
-				delete(r.teams, name)
-			}
-		}
 	}
 	for _, rule := range rules.Ranks {
 		f.rank(rule.Name).floor = float64(rule.FloorPercent) / percent
@@ -85,50 +88,54 @@
 
 // Enqueue records that a team has one more waiting call; a team that had none gets no credit for its idle time.
 func (f *Fair) Enqueue(rn core.RankName, tn core.TeamName) {
-	r := f.rank(rn)
-	t := r.team(tn)
+	r, t := f.rank(rn), f.team(tn)
 	if t.waiting == 0 {
-		t.counter = max(t.counter, r.lowest())
+		t.counter = max(t.counter, f.lowest())
 		f.active++
 		t.since = f.active
 	}
 	t.waiting++
+	r.teams[tn]++
 	r.waiting++
 }
 
 // Dequeue records that a waiting call left without being started.
 func (f *Fair) Dequeue(rn core.RankName, tn core.TeamName) {
 	r := f.rank(rn)
-	r.team(tn).waiting--
+	f.team(tn).waiting--
+	if r.teams[tn]--; r.teams[tn] == 0 {
+		delete(r.teams, tn)
+	}
 	r.waiting--
 }
 
 // Start records that a waiting call was started; cost is what it has used already, expected what it will still use.
 func (f *Fair) Start(rn core.RankName, tn core.TeamName, cost, expected core.Tokens) {
+	f.virtual = max(f.virtual, f.lowest())
 	f.Dequeue(rn, tn)
-	r := f.rank(rn)
-	r.virtual = max(r.virtual, r.team(tn).counter)
 	f.Adopt(rn, tn, cost, expected)
 }
 
 // Adopt records a running call that was not queued here.
 func (f *Fair) Adopt(rn core.RankName, tn core.TeamName, cost, expected core.Tokens) {
 	f.rank(rn).running++
+	f.team(tn).running++
 	f.running++
-	f.Charge(rn, tn, cost, expected)
+	f.Charge(tn, cost, expected)
 }
 
 // Finish records that a running call ended of which expected tokens were still to come.
 func (f *Fair) Finish(rn core.RankName, tn core.TeamName, expected core.Tokens) {
 	f.rank(rn).running--
+	f.team(tn).running--
 	f.running--
-	f.Charge(rn, tn, 0, -expected)
+	f.Charge(tn, 0, -expected)
 }
 
 // Charge adds weighted tokens that a team has used, and changes what its running calls will still use.
-func (f *Fair) Charge(rn core.RankName, tn core.TeamName, cost, expected core.Tokens) {
-	t := f.rank(rn).team(tn)
-	w := f.weight(tn)
+func (f *Fair) Charge(tn core.TeamName, cost, expected core.Tokens) {
+	t := f.team(tn)
+	w := f.Weight(tn)
 	t.counter += float64(cost) / w
 	t.expected = max(t.expected+float64(expected)/w, 0)
 }
@@ -166,28 +173,22 @@
 		return buf
 	}
 	from := len(buf)
-	for _, t := range r.teams {
-		if t.waiting > 0 {
-			buf = append(buf, t.name)
-		}
+	for tn := range r.teams {
+		buf = append(buf, tn)
 	}
 	slices.SortFunc(buf[from:], func(a, b core.TeamName) int {
 		// Teams that became active one after another share the lowest counter and are served in that order.
-		x, y := r.teams[a], r.teams[b]
+		x, y := f.teams[a], f.teams[b]
 		return cmp.Or(cmp.Compare(x.counter+x.expected, y.counter+y.expected), cmp.Compare(x.since, y.since))
 	})
 	return buf
 }
 
-// Counter returns a team's virtual counter in a rank.
-func (f *Fair) Counter(rn core.RankName, tn core.TeamName) float64 {
-	return f.rank(rn).team(tn).counter
-}
+// Counter returns a team's virtual counter.
+func (f *Fair) Counter(tn core.TeamName) float64 { return f.team(tn).counter }
 
 // Weight returns a team's weight, 1 when the rules give none.
-func (f *Fair) Weight(tn core.TeamName) float64 { return f.weight(tn) }
-
-func (f *Fair) weight(tn core.TeamName) float64 {
+func (f *Fair) Weight(tn core.TeamName) float64 {
 	if w := f.weights[tn]; w > 0 {
 		return float64(w)
 	}
@@ -197,28 +198,37 @@
 func (f *Fair) rank(name core.RankName) *rank {
 	r := f.ranks[name]
 	if r == nil {
-		r = &rank{name: name, teams: map[core.TeamName]*team{}}
+		r = &rank{name: name, teams: map[core.TeamName]int{}}
 		f.ranks[name] = r
 	}
 	return r
 }
 
-func (r *rank) team(name core.TeamName) *team {
-	t := r.teams[name]
+func (f *Fair) team(name core.TeamName) *team {
+	t := f.teams[name]
 	if t == nil {
-		t = &team{name: name}
-		r.teams[name] = t
+		t = &team{}
+		f.teams[name] = t
 	}
 	return t
 }
 
-// lowest returns the lowest counter among teams with waiting calls.
-func (r *rank) lowest() float64 {
-	low, found := r.virtual, false
-	for _, t := range r.teams {
-		if t.waiting > 0 && (!found || t.counter < low) {
-			low, found = t.counter, true
+// lowest returns the lowest counter among the teams with waiting calls, or else among those with running calls.
+func (f *Fair) lowest() float64 {
+	var waiting, running *team
+	for _, t := range f.teams {
+		if t.waiting > 0 && (waiting == nil || t.counter < waiting.counter) {
+			waiting = t
+		}
+		if t.running > 0 && (running == nil || t.counter < running.counter) {
+			running = t
 		}
 	}
-	return low
+	switch {
+	case waiting != nil:
+		return waiting.counter
+	case running != nil:
+		return running.counter
+	}
+	return f.virtual
 }
--- a/core/fair/fair_test.go
+++ b/core/fair/fair_test.go
@@ -106,14 +106,14 @@
 				low := math.Inf(1)
 				for o, n := range waiting {
 					if n > 0 {
-						low = min(low, f.Counter("r", o))
+						low = min(low, f.Counter(o))
 					}
 				}
 				idle := waiting[tn] == 0
 				f.Enqueue("r", tn)
 				waiting[tn]++
-				if idle && !math.IsInf(low, 1) && f.Counter("r", tn) < low {
-					t.Fatalf("idle team starts at %v below %v", f.Counter("r", tn), low)
+				if idle && !math.IsInf(low, 1) && f.Counter(tn) < low {
+					t.Fatalf("idle team starts at %v below %v", f.Counter(tn), low)
 				}
 			},
 			"start": func(t *rapid.T) {
@@ -131,15 +131,15 @@
 				if len(running[tn]) == 0 {
 					t.Skip("nothing runs")
 				}
-				before := f.Counter("r", tn)
+				before := f.Counter(tn)
 				expected := running[tn][0]
 				running[tn] = running[tn][1:]
 				f.Finish("r", tn, expected)
-				if after := f.Counter("r", tn); after != before {
+				if after := f.Counter(tn); after != before {
 					t.Fatalf("ending a call early moves the counter from %v to %v", before, after)
 				}
-				if len(running[tn]) == 0 && f.ranks["r"].team(tn).expected > 1e-6 {
-					t.Fatalf("%v tokens are expected of a team without running calls", f.ranks["r"].team(tn).expected)
+				if len(running[tn]) == 0 && f.team(tn).expected > 1e-6 {
+					t.Fatalf("%v tokens are expected of a team without running calls", f.team(tn).expected)
 				}
 			},
 		})
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -153,7 +153,7 @@
 	more := n - c.generated
 	came := min(more, c.expected)
 	q.fair.Serve(c.Rank, more)
-	q.fair.Charge(c.Rank, c.Team, more, -came)
+	q.fair.Charge(c.Team, more, -came)
 	c.expected -= came
 	c.generated = n
 	q.admit.Token(id, n)
