Leave twice the longest recent start-up delay of the first-token target

Cause: in the urgent flood calls were started just inside the target less the longest recent delay between start and first token, and some took longer. Change: twice that delay is left, still at most half of the target.

--- a/core/queue/rank.go
+++ b/core/queue/rank.go
@@ -10,6 +10,9 @@
 // defaultQueueLimit applies to ranks whose settings give none.
 const defaultQueueLimit = 256 // calls
 
+// delayMargin multiplies the longest recent delay between start and first token.
+const delayMargin = 2
+
 // rank is the queue of one rank.
 type rank struct {
 	rule    core.RankRule
@@ -68,8 +71,9 @@
 	if target == 0 {
 		return 0
 	}
-	// At least half of the target is left for waiting: a stale delay must not refuse every call.
-	return max(target-r.first.get(now), target/2)
+	// The next delay may be longer than those seen. At least half of the target is left for waiting: a stale delay
+	// must not refuse every call.
+	return max(target-delayMargin*r.first.get(now), target/2)
 }
 
 // ahead returns how many calls are served before a new one of a team with own calls waiting, when teams take turns.
