Add scenarios that four deliberate faults got past

Cause: of 15 deliberate faults in a scratch copy, four passed the tests: trusting a transport without connection hooks, and three ways to forget a claim in doubt. Change: a scenario for each.

--- a/io/action/fake_test.go
+++ b/io/action/fake_test.go
@@ -29,6 +29,7 @@
 	late              // answer lost, takes effect after fault.wait
 	refused           // certainly no effect
 	slow              // waits, then works unless the caller has given up; the effect comes either way
+	mute              // the endpoint's transport fails without calling its hooks
 	paused            // works, and the caller is paused for fault.wait before it learns of it
 )
 
@@ -159,6 +160,9 @@
 	}
 	e.mu.Unlock()
 	trace := httptrace.ContextClientTrace(req.Context())
+	if f.effect == mute {
+		return nil, errLost
+	}
 	trace.GetConn(req.URL.Host)
 	if f.effect == refused {
 		return nil, errors.New("connection refused")
--- a/io/action/protected_test.go
+++ b/io/action/protected_test.go
@@ -169,6 +169,22 @@
 			puts: []fault{{effect: lostAfter}}, ends: []fault{{effect: lostAfter}},
 			steps: []step{{timeout: second, want: unknown}, {wait: 2 * second, instance: 1, want: unknown}}, runs: 1, state: claim.StateClaimed,
 		},
+		{
+			name: "claim in doubt is replaced by not_run before it takes effect",
+			puts: []fault{{effect: late, wait: 30 * second}}, down: [2]time.Duration{0, 10 * second}, effect: refused,
+			steps: []step{{timeout: second, want: unknown}, {wait: 40 * second, instance: 1, want: ran}},
+			runs:  1, state: claim.StateDone,
+		},
+		{
+			name: "claim after not_run in doubt, then a write without effect",
+			ends: many(2, fault{effect: refused}), puts: []fault{{}, {}, {}, {effect: late, wait: 3 * second}, {effect: refused}},
+			steps: []step{{want: "no_endpoint/not_run"}, {instance: 1, want: ran}},
+			runs:  1, state: claim.StateDone,
+		},
+		{
+			name: "transport that does not say whether it connected",
+			ends: []fault{{effect: mute}}, steps: []step{{timeout: second, want: unknown}}, runs: 0, state: claim.StateClaimed,
+		},
 		{
 			name: "two attempts end as not_run, the third runs",
 			ends: many(4, fault{effect: refused}), steps: []step{
@@ -180,12 +196,12 @@
 		},
 		{
 			name: "claim after not_run: its answer lost, effect late, not_run recorded in its place",
-			ends: many(2, fault{effect: refused}), puts: []fault{{}, {}, {}, {effect: late, wait: 3 * second}},
+			ends: many(2, fault{effect: refused}), puts: []fault{{}, {}, {}, {effect: late, wait: 30 * second}},
 			gets: []fault{{}}, down: [2]time.Duration{0, 10 * second}, effect: refused,
 			steps: []step{
 				{want: "no_endpoint/not_run"},
 				{instance: 1, timeout: second, want: unknown},
-				{wait: 20 * second, want: ran},
+				{wait: 40 * second, want: ran},
 			},
 			runs: 1, state: claim.StateDone,
 		},
