--- /dev/null
+++ b/models/action.pml
@@ -0,0 +1,278 @@
+/*
+ * Protected actions (docs/design.md, 5.2; code in core/claim).
+ *
+ * Up to CALLS client calls with one idempotency key run at once, each at an instance of its own; a last call
+ * without faults follows once they have ended. FAULTS bounds the store's and endpoint's faults in all; one holder may
+ * crash. A paused holder is one that is not scheduled while others move and deadlines pass.
+ *
+ * FAULT_TAKEOVER, FAULT_RESEND, FAULT_EARLY, FAULT_FORGET, FAULT_MISSING and FAULT_REWRITE each put one fault in.
+ */
+#ifndef CALLS
+#define CALLS 2
+#endif
+#ifndef FAULTS
+#define FAULTS 3
+#endif
+#define LAST CALLS
+#define MAX_FAULTS 3 /* Late has this many slots */
+
+mtype = { NONE, CLAIMED, DONE, NOT_RUN };
+mtype = { ACCEPTED, CONFLICTED, AMBIGUOUS, FAILED, FOUND, MISSING, READ_FAILED };
+
+/* The object; version 0 means that it does not exist. */
+byte version;
+mtype state = NONE;
+byte nonce;
+
+typedef Write { bool on; byte if_version; mtype state; byte nonce }
+Write late[MAX_FAULTS]; /* writes whose answer was lost and that take effect later, if ever */
+bool late_run[CALLS + 1]; /* actions that the endpoint runs after their answer was lost */
+
+byte faults = FAULTS;
+bool crashed;
+byte ended;
+byte runs;
+bool sent; /* some call may have reached the endpoint */
+bool told_not_run[CALLS + 1];
+
+inline write(st, by, iv, res)
+{
+	if
+	:: version == iv ->
+		/* Told not_run means that a retry can succeed: no later claim of that call may block it. */
+		assert(!(st == CLAIMED && told_not_run[by]));
+		version++; state = st; nonce = by; res = ACCEPTED
+	:: else -> res = CONFLICTED
+	fi
+}
+
+inline run_action(by)
+{
+	runs++;
+	assert(runs <= 1);
+	assert(!told_not_run[by])
+}
+
+inline tell_not_run()
+{
+	if
+	:: !told ->
+		assert(!(version > 0 && state == CLAIMED && nonce == id));
+		told = true; told_not_run[id] = true
+	:: else
+	fi
+}
+
+inline tell_result() { assert(runs == 1); told = true }
+
+inline put(st)
+{
+	if
+	:: write(st, id, base, ev); got_version = version
+	/* The effect of a write whose answer is lost comes at once, later or never, as the process Late is scheduled. */
+	:: faults > 0 -> faults--; ev = AMBIGUOUS;
+		late[faults].on = true; late[faults].if_version = base;
+		late[faults].state = st; late[faults].nonce = id
+	:: faults > 0 -> faults--; ev = FAILED
+	fi
+}
+
+inline get()
+{
+	if
+	:: version == 0 -> ev = MISSING
+	:: version > 0 -> ev = FOUND; got_version = version; got_state = state; got_nonce = nonce
+	:: faults > 0 -> faults--; ev = READ_FAILED
+	fi
+}
+
+/* The deadline may pass before any step of a call. */
+inline tick() { if :: !clean -> past = true :: true fi }
+
+inline crash()
+{
+	if
+	:: !clean && !crashed -> crashed = true; goto gone
+	:: true
+	fi
+}
+
+proctype Call(byte id; bool clean)
+{
+	mtype ev, got_state;
+	byte got_nonce, got_version, base;
+	bool doubt, seen, past, told, recorded;
+
+claiming:
+	atomic {
+		put(CLAIMED);
+claim_outcome:
+		tick();
+		if
+		:: ev == ACCEPTED -> base = got_version; goto held
+		:: ev == FOUND && got_nonce == id -> base = got_version; goto held
+		:: ev == FOUND && got_nonce != id ->
+			seen = true;
+			if
+			:: got_version != base -> doubt = false
+			:: else
+			fi;
+			if
+			:: got_state == DONE -> tell_result(); goto gone
+			:: got_state == CLAIMED ->
+#ifdef FAULT_TAKEOVER
+				base = got_version
+#else
+				told = true; goto gone /* in_progress or outcome_unknown */
+#endif
+			:: got_state == NOT_RUN -> base = got_version
+			fi
+		:: ev == CONFLICTED -> seen = true
+#ifndef FAULT_FORGET
+		:: ev == AMBIGUOUS -> doubt = true
+#endif
+		:: else
+		fi;
+		if
+		:: !doubt && (ev == FAILED || ev == READ_FAILED || past) ->
+			if
+			:: seen -> told = true
+			:: else -> tell_not_run()
+			fi;
+			goto gone
+		:: doubt && past -> told = true; goto closing_read
+		:: else ->
+			if
+			:: ev == FOUND || ev == MISSING -> goto claiming
+			:: else
+			fi
+		fi
+	}
+	crash();
+	atomic { get(); goto claim_outcome };
+
+held:
+	atomic {
+		tick();
+		if
+		:: past -> goto closing
+		:: else
+		fi
+	}
+sending:
+	/* A pause between the check above and the transmission is allowed. */
+	crash();
+	atomic {
+		if
+		:: faults > 0 -> faults--; /* the connection was refused */
+			if
+			:: goto held
+			:: goto closing
+			fi
+		:: sent = true; run_action(id); goto recording
+		/* The answer is lost; the action runs at once, later or never. */
+		:: faults > 0 -> faults--; sent = true; late_run[id] = true
+		fi;
+#ifdef FAULT_RESEND
+		goto sending;
+#endif
+		told = true;
+		goto gone
+	}
+
+recording:
+	crash();
+	atomic {
+		put(DONE);
+record_outcome:
+		tell_result();
+		if
+		:: ev == FOUND && got_nonce == id && got_state != DONE -> base = got_version; goto recording
+		:: ev == FOUND -> assert(got_nonce == id); goto gone
+		:: ev == ACCEPTED -> goto gone
+		:: else -> assert(ev != MISSING)
+		fi
+	}
+	crash();
+	atomic { get(); goto record_outcome };
+
+closing:
+	crash();
+#ifdef FAULT_EARLY
+	atomic { tell_not_run() };
+#endif
+#ifdef FAULT_REWRITE
+	base = version;
+#endif
+	atomic {
+		put(NOT_RUN);
+close_outcome:
+		recorded = (ev == ACCEPTED);
+		if
+		:: ev == FOUND ->
+			recorded = ((got_nonce == id && got_state != CLAIMED) || (got_nonce != id && got_version != base));
+			base = got_version
+#ifdef FAULT_MISSING
+		:: ev == MISSING -> recorded = true
+#endif
+		:: else
+		fi;
+		if
+		:: recorded -> tell_not_run(); goto gone
+		:: else
+		fi;
+		if
+		:: !clean -> told = true /* the client has waited long enough and is told unknown */
+		:: true
+		fi;
+		if
+		:: ev == FOUND || ev == MISSING -> goto closing
+		:: else
+		fi
+	}
+closing_read:
+	crash();
+	atomic { get(); goto close_outcome };
+
+gone:
+	ended++
+}
+
+#define LATE_WRITE(i) atomic { late[i].on -> late[i].on = false; \
+	st = late[i].state; by = late[i].nonce; iv = late[i].if_version; write(st, by, iv, res) }
+
+proctype Late()
+{
+	mtype res, st;
+	byte by, iv;
+end:
+	do
+	:: LATE_WRITE(0)
+	:: LATE_WRITE(1)
+	:: LATE_WRITE(2)
+	:: atomic { late_run[0] -> late_run[0] = false; run_action(0) }
+	:: atomic { late_run[1] -> late_run[1] = false; run_action(1) }
+	od
+}
+
+init
+{
+	byte i;
+	atomic {
+		run Late();
+		do
+		:: i < CALLS -> run Call(i, false); i++
+		:: else -> break
+		od
+	}
+	ended == CALLS;
+	/* Nothing was sent and no holder crashed: whatever was lost or is still late, a retry must run the action. */
+	if
+	:: !sent && !crashed ->
+		faults = 0;
+		run Call(LAST, true);
+		ended == CALLS + 1;
+		assert(runs == 1 && state == DONE)
+	:: else
+	fi
+}
--- a/models/check.sh
+++ b/models/check.sh
@@ -1,4 +1,53 @@
 #!/usr/bin/env bash
 # Checks every specification; a deliberate fault in one must make its check fail.
+# Prints one line per run and exits with 1 when a run does not end as expected.
 set -euo pipefail
 cd "$(dirname "$0")"
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+export models=$PWD work
+
+check() { # model expected defines
+  local model=$1 expected=$2 dir result states trail defines
+  shift 2
+  defines=$*
+  dir=$(mktemp -d -p "$work")
+  cd "$dir"
+  result=broken states=0
+  # shellcheck disable=SC2086
+  if spin $defines -a "$models/$model.pml" >log 2>&1 && gcc -w -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=2000 -o pan pan.c >>log 2>&1; then
+    ./pan -m200000 >>log 2>&1 || true
+    states=$(awk '/states, stored/ {print $1}' log)
+    if grep -q 'errors: 0$' log && ! grep -q 'Search not completed' log; then
+      result=holds
+    elif grep -q '^pan:1: \(assertion violated\|invalid end state\)' log; then
+      result=violated
+    fi
+  fi
+  trail=$(sed -n 's/^pan:1: \(.*\) (at depth.*/\1/p' log | head -1)
+  echo "model=$model defines=\"$defines\" states=${states:-0} result=$result expected=$expected error=\"$trail\""
+  [ "$result" = "$expected" ] || { [ "$result" != broken ] || cat log >&2; return 1; }
+}
+export -f check
+
+# Four runs at once, each under 2 GB.
+if ! xargs -P 4 -I{} bash -c 'check {}' <<'RUNS'; then
+action holds
+ticket holds
+ticket holds -DSPREAD
+action violated -DFAULT_TAKEOVER
+action violated -DFAULT_RESEND
+action violated -DFAULT_EARLY
+action violated -DFAULT_FORGET
+action violated -DFAULT_MISSING
+action violated -DFAULT_REWRITE
+ticket violated -DFAULT_BLIND
+ticket violated -DFAULT_OWN
+ticket violated -DFAULT_UNCHECKED
+ticket violated -DFAULT_TAIL
+ticket violated -DSPREAD -DFAULT_STALE
+ticket violated -DSPREAD -DFAULT_ORDER
+RUNS
+  echo "models: a check did not end as expected" >&2
+  exit 1
+fi
