Check recorded histories with porcupine and count writes per action

Cause: scenarios and models do not cover the running code under mixed faults. Change: three instances, six clients and six keys with random faults in store and endpoint, a store outage, and a model of one key; a count of store calls.

--- a/io/action/fake_test.go
+++ b/io/action/fake_test.go
@@ -147,6 +147,8 @@
 	// runs counts how often each key was run, sends how often it arrived at all.
 	runs, sends map[string]int
 	fencing     map[string]string
+	// onRun, if set, learns of each execution, and answers are then the id of the request that was run.
+	onRun func(key, id string)
 }
 
 func (e *runner) RoundTrip(req *http.Request) (*http.Response, error) {
@@ -178,6 +180,9 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.runs[key]++
+		if e.onRun != nil {
+			e.onRun(key, req.Header.Get(headerID))
+		}
 	}
 	e.mu.Lock()
 	e.sends[key]++
@@ -201,6 +206,9 @@
 		run()
 	}
 	answer := e.answer
+	if e.onRun != nil {
+		answer = req.Header.Get(headerID)
+	}
 	if answer == "" {
 		answer = "ran " + string(body)
 	}
--- /dev/null
+++ b/io/action/history_test.go
@@ -0,0 +1,186 @@
+package action
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+)
+
+// input is one client call, or one execution at the endpoint when run is set.
+type input struct {
+	key, id string
+	run     bool
+}
+
+// keyState is what has happened to one key: the request that was run and those told not_run.
+type keyState struct {
+	ran    string
+	notRun string // ids, each with a blank before it
+}
+
+// actions is the model of one key: at most one execution, no execution of a request that was told not_run, whichever
+// came first, and results only of what was run. Unknown outcomes are left out of histories, as they allow anything.
+var actions = porcupine.Model{
+	Init: func() interface{} { return keyState{} },
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		keys := map[string][]porcupine.Operation{}
+		for _, o := range history {
+			k := o.Input.(input).key
+			keys[k] = append(keys[k], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, p := range keys {
+			parts = append(parts, p)
+		}
+		return parts
+	},
+	Step: func(state, in, out interface{}) (bool, interface{}) {
+		s, i, o := state.(keyState), in.(input), out.(string)
+		switch {
+		case i.run:
+			ok := s.ran == "" && !strings.Contains(s.notRun, " "+i.id)
+			s.ran = i.id
+			return ok, s
+		case strings.HasSuffix(o, "/not_run"):
+			ok := s.ran != i.id
+			s.notRun += " " + i.id
+			return ok, s
+		case strings.HasSuffix(o, " replayed"):
+			return s.ran != "" && o == s.ran+" replayed", s
+		}
+		return s.ran == i.id && o == i.id, s
+	},
+	Equal: func(a, b interface{}) bool { return a == b },
+}
+
+type history struct {
+	mu    sync.Mutex
+	now   int64 // counts events, since virtual time does not tell events of one instant apart
+	ops   []porcupine.Operation
+	kinds map[string]int
+}
+
+func (h *history) tick() int64 { h.mu.Lock(); defer h.mu.Unlock(); h.now++; return h.now }
+
+func (h *history) add(client int, in input, out string, call int64) {
+	ret := h.tick()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !strings.HasSuffix(out, "/unknown") {
+		h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: in, Output: out, Call: call, Return: ret})
+	}
+	switch {
+	case strings.Contains(out, "/"):
+		h.kinds[out]++
+	case strings.HasSuffix(out, " replayed"):
+		h.kinds["replayed"]++
+	case !in.run:
+		h.kinds["ran"]++
+	}
+}
+
+func randomFaults(seed uint64, percent int, waits time.Duration, effects ...effect) func() fault {
+	r := rand.New(rand.NewPCG(seed, uint64(percent)))
+	return func() fault {
+		if r.IntN(100) >= percent {
+			return fault{}
+		}
+		return fault{effect: effects[r.IntN(len(effects))], wait: time.Duration(r.Int64N(int64(waits)))}
+	}
+}
+
+const (
+	historySeeds   = 60
+	historyClients = 6
+	historyCalls   = 8
+	historyKeys    = 6
+)
+
+// Guards against combinations of faults and races that no scenario lists.
+func TestHistories(t *testing.T) {
+	total := map[string]int{}
+	for seed := range uint64(historySeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { runHistory(t, seed, total) })
+		})
+	}
+	t.Logf("answers=%v", total)
+}
+
+func runHistory(t *testing.T, seed uint64, total map[string]int) {
+	is := is.NewRelaxed(t)
+	w := newWorld(3, "10.0.0.1:1", "10.0.0.2:1")
+	h := &history{kinds: total}
+	w.store.rule = randomFaults(seed, 30, 6*time.Second, lostAfter, lostBefore, late, refused, slow, paused)
+	w.end.rule = randomFaults(seed, 50, 12*time.Second, refused, refused, refused, lostBefore, lostAfter, late, slow)
+	w.store.outage = outage{from: time.Now().Add(8 * time.Second), until: time.Now().Add(14 * time.Second), effect: refused}
+	w.end.onRun = func(key, id string) { h.add(historyClients, input{key: key, id: id, run: true}, "", h.tick()) }
+	call := func(client, n int, instance int, key string) string {
+		in := input{key: key, id: fmt.Sprintf("c%dn%d.", client, n)}
+		r := httptest.NewRequest("POST", "/services/swaps/confirm", strings.NewReader("b"))
+		r.Header.Set(headerKey, key)
+		r.Header.Set(headerTimeout, "4000")
+		rec := httptest.NewRecorder()
+		start := h.tick()
+		w.instances[instance].Serve(rec, r, core.RequestID(in.id), core.Credential{Team: "tallinn"}, "swaps", "/confirm")
+		out := outcome(rec)
+		h.add(client, in, out, start)
+		return out
+	}
+	var wg sync.WaitGroup
+	for client := range historyClients {
+		wg.Go(func() {
+			r := rand.New(rand.NewPCG(seed, uint64(1000+client)))
+			for n := range historyCalls {
+				call(client, n, r.IntN(3), fmt.Sprintf("k%d", r.IntN(historyKeys)))
+				time.Sleep(time.Duration(r.Int64N(int64(3 * time.Second))))
+			}
+		})
+	}
+	wg.Wait()
+	w.store.mu.Lock()
+	w.store.rule = nil
+	w.store.mu.Unlock()
+	w.end.mu.Lock()
+	w.end.rule = nil
+	w.end.mu.Unlock()
+	time.Sleep(2 * time.Minute) // every background record is written by then
+	for k := range historyKeys {
+		key := fmt.Sprintf("k%d", k)
+		arrived := w.end.sends[key]
+		out := call(historyClients+1, k, 0, key)
+		// What never reached the endpoint must run now, whatever was lost before.
+		if arrived == 0 {
+			is.Equal(out, fmt.Sprintf("c%dn%d.", historyClients+1, k))
+		}
+		is.True(w.end.sends[key] <= 1)
+	}
+	is.NoErr(w.close(time.Minute))
+	is.Equal(porcupine.CheckOperationsTimeout(actions, h.ops, 10*time.Second), porcupine.Ok)
+}
+
+// Guards against more than two writes per action, the part of the object API's limit that actions may use.
+func TestWritesPerAction(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(2, "10.0.0.1:1")
+	const n = 200
+	for i := range n {
+		is.Equal(w.call(i%2, "POST", "/confirm", fmt.Sprintf("k%d", i), "b", time.Minute), ran)
+	}
+	is.Equal(w.store.nputs, 2*n)
+	is.Equal(w.store.ngets, 0)
+	is.Equal(w.call(0, "POST", "/confirm", "k0", "b", time.Minute), replayed)
+	is.Equal(w.store.nputs, 2*n+1)
+	is.Equal(w.store.ngets, 1)
+	is.NoErr(w.close(time.Minute))
+}
