--- a/io/action/fake_test.go
+++ b/io/action/fake_test.go
@@ -29,6 +29,7 @@
 	late              // answer lost, takes effect after fault.wait
 	refused           // certainly no effect
 	slow              // waits, then works unless the caller has given up; the effect comes either way
+	mute              // the endpoint's transport fails without calling its hooks
 	paused            // works, and the caller is paused for fault.wait before it learns of it
 )
 
@@ -146,6 +147,8 @@
 	// runs counts how often each key was run, sends how often it arrived at all.
 	runs, sends map[string]int
 	fencing     map[string]string
+	// onRun, if set, learns of each execution, and answers are then the id of the request that was run.
+	onRun func(key, id string)
 }
 
 func (e *runner) RoundTrip(req *http.Request) (*http.Response, error) {
@@ -159,6 +162,9 @@
 	}
 	e.mu.Unlock()
 	trace := httptrace.ContextClientTrace(req.Context())
+	if f.effect == mute {
+		return nil, errLost
+	}
 	trace.GetConn(req.URL.Host)
 	if f.effect == refused {
 		return nil, errors.New("connection refused")
@@ -174,6 +180,9 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.runs[key]++
+		if e.onRun != nil {
+			e.onRun(key, req.Header.Get(headerID))
+		}
 	}
 	e.mu.Lock()
 	e.sends[key]++
@@ -197,6 +206,9 @@
 		run()
 	}
 	answer := e.answer
+	if e.onRun != nil {
+		answer = req.Header.Get(headerID)
+	}
 	if answer == "" {
 		answer = "ran " + string(body)
 	}
