Bound a body's arrival and a client that stops reading

Cause: the read deadline was set before the handler ran. net/http then already waits for the next byte of a connection whose request has no body, so a GET of a service was canceled after body_timeout_ms (15 s). Ruled out: requests with a body, for which net/http clears the deadline at the body's end. A client that stopped reading blocked its stream, and through flow control its owner, for ever. Change: the deadline starts with the first read of the body and ends with it; write_timeout_ms (30 s) bounds writes to a client; tests of refusals, bodies that stop, clients that are gone or stop reading, and broken generations. Failed try: clearing the deadline after any error; net/http then waited for the rest of a body that had stopped (TestBodyThatStops).

--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -117,7 +117,7 @@
 			return
 		}
 		q.cred = cred
-		_ = http.NewResponseController(w).SetReadDeadline(q.arrived.Add(ms(e.Settings.GetBodyTimeoutMs()))) // not all writers have one
+		r.Body = &timedBody{ReadCloser: r.Body, conn: http.NewResponseController(w), timeout: ms(e.Settings.GetBodyTimeoutMs())}
 		next(w, r, q)
 	}
 }
--- /dev/null
+++ b/io/entry/entry_test.go
@@ -0,0 +1,332 @@
+package entry_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/core/budget"
+	"snipeshed/core/member"
+	"snipeshed/core/shard"
+	"snipeshed/io/entry"
+	"snipeshed/io/meter"
+	"snipeshed/io/reply"
+	"snipeshed/stand/fleet"
+	"snipeshed/wire"
+)
+
+const key = "secret"
+
+type source struct {
+	cfg   *core.Config
+	stale error
+}
+
+func (s *source) Config() *core.Config { return s.cfg }
+func (s *source) Fresh() error         { return s.stale }
+
+// owner plays the pool's owner by a script.
+type owner struct {
+	serve    func(ctx context.Context, req *core.CallRequest, send func(*core.Frame) error) error
+	canceled chan core.RequestID
+}
+
+func (o *owner) Serve(ctx context.Context, req *core.CallRequest, send func(*core.Frame) error) error {
+	return o.serve(ctx, req, send)
+}
+
+func (o *owner) Cancel(_ context.Context, id core.RequestID) {
+	select {
+	case o.canceled <- id:
+	default:
+	}
+}
+
+func config() *core.Config {
+	return &core.Config{
+		Services: map[core.ServiceName]*wire.Service{
+			"survey": {Name: "survey", Model: "m"}, "idle": {Name: "idle", Model: "none"}, "booking": {Name: "booking"},
+		},
+		Teams:     map[core.TeamName]*wire.Team{"t": {Name: "t", Services: []string{"survey", "idle"}}},
+		Ranks:     map[core.RankName]*wire.Rank{"urgent": {Name: "urgent"}},
+		Endpoints: map[core.EndpointID]*wire.Endpoint{"e": {Name: "e", Wanted: &wire.Wanted{Model: "m"}}},
+		Keys:      map[string]core.Credential{fleet.KeyDigest(key): {Team: "t", Rank: "urgent"}},
+	}
+}
+
+type bench struct {
+	*httptest.Server
+	entry *entry.Entry
+	owner *owner
+	src   *source
+}
+
+func start(t *testing.T, change func(*conf.Settings)) *bench {
+	t.Helper()
+	cfg := &conf.Settings{Instance: "self", FailureDomain: "d", PlatformUrl: "http://127.0.0.1:1"}
+	conf.SetDefaults(cfg)
+	if change != nil {
+		change(cfg)
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	b := &bench{owner: &owner{canceled: make(chan core.RequestID, 1)}, src: &source{cfg: config()}}
+	sh := shard.New(b.src.cfg, 16)
+	b.entry = entry.New(entry.Parts{
+		Shared: core.NewShared(log.WithField("test", t.Name())), Settings: cfg, Config: b.src,
+		Members: member.New(core.Peer{ID: "self"}, time.Second), Host: b.owner,
+		Shard: func() *shard.Shard { return sh }, Meter: meter.New(), Budget: budget.New(), Services: services{},
+	})
+	b.Server = httptest.NewServer(b.entry)
+	t.Cleanup(b.Close)
+	return b
+}
+
+func (b *bench) post(t *testing.T, auth, body string) *http.Response {
+	t.Helper()
+	r, err := http.NewRequest(http.MethodPost, b.URL+"/v1/chat/completions", strings.NewReader(body))
+	is.New(t).NoErr(err)
+	r.Header.Set("Authorization", auth)
+	resp, err := http.DefaultClient.Do(r)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { _ = resp.Body.Close() })
+	return resp
+}
+
+const ask = `{"model":"survey","stream":%t,"messages":[{"role":"user","content":"rust"}]}`
+
+func begin(send func(*core.Frame) error, gen core.GenerationID) error {
+	return send(&core.Frame{Started: &core.ResumePoint{Endpoint: "e", Generation: gen}})
+}
+
+func token(send func(*core.Frame) error, i core.Tokens) error {
+	return send(&core.Frame{Event: &core.Event{Index: i, Text: fmt.Sprint(i, " ")}})
+}
+
+func end(send func(*core.Frame) error, n core.Tokens) error {
+	return send(&core.Frame{Event: &core.Event{Done: true, Tokens: n, FinishReason: "stop"}})
+}
+
+// Refusals must state the kind, a remedy and that nothing was run.
+func TestRefusals(t *testing.T) {
+	overloaded := &core.Error{Kind: core.KindOverloaded, Remedy: "wait", Run: core.RunNot, RetryAfter: 1500 * time.Millisecond}
+	tests := []struct {
+		name    string
+		auth    string
+		body    string
+		stale   error
+		refusal error
+		status  int
+		kind    core.Kind
+		retry   string
+	}{
+		{name: "no key", auth: "", status: 401, kind: core.KindBadCredential},
+		{name: "unknown key", auth: "Bearer x", status: 401, kind: core.KindBadCredential},
+		{name: "malformed body", body: "{", status: 400, kind: core.KindBadRequest},
+		{name: "no messages", body: `{"model":"survey"}`, status: 400, kind: core.KindBadRequest},
+		{name: "body over the limit", body: strings.Repeat("x", 2000), status: 413, kind: core.KindBodyTooLarge},
+		{name: "unknown model", body: `{"model":"x","messages":[{"role":"user","content":"a"}]}`, status: 404, kind: core.KindUnknownModel},
+		{name: "application service as model", body: `{"model":"booking","messages":[{"role":"user","content":"a"}]}`, status: 404, kind: core.KindUnknownModel},
+		{name: "model without endpoints", body: `{"model":"idle","messages":[{"role":"user","content":"a"}]}`, status: 503, kind: core.KindNoEndpoint, retry: "1"},
+		{name: "configuration that nothing vouches for", stale: &core.Error{Kind: core.KindStaleState, Remedy: "wait", Run: core.RunNot}, status: 503, kind: core.KindStaleState},
+		{name: "overloaded pool", refusal: overloaded, status: 429, kind: core.KindOverloaded, retry: "2"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			b := start(t, func(s *conf.Settings) { s.MaxBodyBytes = 1024 })
+			b.src.stale = tt.stale
+			b.owner.serve = func(context.Context, *core.CallRequest, func(*core.Frame) error) error { return tt.refusal }
+			auth, body := tt.auth, tt.body
+			if tt.kind != core.KindBadCredential {
+				auth = "Bearer " + key
+			}
+			if body == "" {
+				body = fmt.Sprintf(ask, true)
+			}
+			resp := b.post(t, auth, body) //nolint:bodyclose // post closes it
+			var got reply.Body
+			is.NoErr(json.NewDecoder(resp.Body).Decode(&got))
+			is.Equal(resp.StatusCode, tt.status)
+			is.Equal(got.Error.Kind, tt.kind)
+			is.Equal(got.Error.Run, core.RunNot)
+			is.True(got.Error.Remedy != "")
+			is.Equal(resp.Header.Get("Retry-After"), tt.retry)
+		})
+	}
+}
+
+// services answers after a while.
+type services struct{ entry.Services }
+
+func (services) Serve(w http.ResponseWriter, r *http.Request, _ core.RequestID, _ core.Credential, _ core.ServiceName, _ string) {
+	if r.Method == http.MethodPost {
+		_, _ = io.Copy(io.Discard, r.Body) // the body is only there to be read
+	}
+	select {
+	case <-r.Context().Done():
+		w.WriteHeader(http.StatusTeapot)
+	case <-time.After(300 * time.Millisecond):
+	}
+}
+
+// A read deadline set for a request without a body canceled it after body_timeout_ms.
+func TestCallOutlivesBodyTimeout(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			b := start(t, func(s *conf.Settings) { s.BodyTimeoutMs = 100 })
+			r, err := http.NewRequest(method, b.URL+"/services/idle/x", strings.NewReader("body"))
+			is.NoErr(err)
+			if method == http.MethodGet {
+				r.Body, r.ContentLength = nil, 0
+			}
+			r.Header.Set("Authorization", "Bearer "+key)
+			resp, err := http.DefaultClient.Do(r)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			is.Equal(resp.StatusCode, http.StatusOK)
+		})
+	}
+}
+
+// A body that stops arriving must not hold the request for ever.
+func TestBodyThatStops(t *testing.T) {
+	is := is.New(t)
+	b := start(t, func(s *conf.Settings) { s.BodyTimeoutMs = 100 })
+	c, err := net.Dial("tcp", b.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: 100\r\n\r\n{", key)
+	is.NoErr(c.SetReadDeadline(time.Now().Add(5 * time.Second)))
+	line, err := bufio.NewReader(c).ReadString('\n')
+	is.NoErr(err)
+	is.True(strings.Contains(line, "400"))
+}
+
+// A stream may last longer than the body's timeout.
+func TestStreamOutlivesBodyTimeout(t *testing.T) {
+	is := is.New(t)
+	b := start(t, func(s *conf.Settings) { s.BodyTimeoutMs = 100 })
+	b.owner.serve = func(ctx context.Context, _ *core.CallRequest, send func(*core.Frame) error) error {
+		if err := begin(send, "g"); err != nil {
+			return err
+		}
+		for i := range core.Tokens(10) {
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(30 * time.Millisecond):
+			}
+			if err := token(send, i); err != nil {
+				return err
+			}
+		}
+		return end(send, 10)
+	}
+	resp := b.post(t, "Bearer "+key, fmt.Sprintf(ask, true)) //nolint:bodyclose // post closes it
+	body, err := io.ReadAll(resp.Body)
+	is.NoErr(err)
+	is.True(strings.HasSuffix(string(body), "data: [DONE]\n\n"))
+}
+
+// A client that stops reading must not hold a stream and its engine for ever.
+func TestClientThatStopsReading(t *testing.T) {
+	is := is.New(t)
+	b := start(t, func(s *conf.Settings) { s.WriteTimeoutMs = 300 })
+	b.owner.serve = func(_ context.Context, _ *core.CallRequest, send func(*core.Frame) error) error {
+		if err := begin(send, "g"); err != nil {
+			return err
+		}
+		text := strings.Repeat("x", 1<<16)
+		for i := core.Tokens(0); ; i++ {
+			if err := send(&core.Frame{Event: &core.Event{Index: i, Text: text}}); err != nil {
+				return err
+			}
+		}
+	}
+	c, err := net.Dial("tcp", b.Listener.Addr().String())
+	is.NoErr(err)
+	defer c.Close()
+	body := fmt.Sprintf(ask, true)
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", key, len(body), body)
+	_, err = bufio.NewReader(c).ReadString('\n')
+	is.NoErr(err)
+	select {
+	case <-b.owner.canceled:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the generation was not canceled")
+	}
+}
+
+// A generation must be canceled when its client is gone, and only then.
+func TestClientGoneCancels(t *testing.T) {
+	is := is.New(t)
+	b := start(t, nil)
+	b.owner.serve = func(ctx context.Context, _ *core.CallRequest, send func(*core.Frame) error) error {
+		if err := begin(send, "g"); err != nil {
+			return err
+		}
+		if err := token(send, 0); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	resp := b.post(t, "Bearer "+key, fmt.Sprintf(ask, true))
+	_, err := bufio.NewReader(resp.Body).ReadString('\n')
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	select {
+	case <-b.owner.canceled:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the owner was not told")
+	}
+}
+
+// What a broken generation leads to depends on whether the client has had a part of it.
+func TestBrokenGeneration(t *testing.T) {
+	broken := &core.Error{Kind: core.KindStreamBroken, Message: "lost", Remedy: "again", Run: core.RunUnknown}
+	for _, stream := range []bool{true, false} {
+		t.Run(fmt.Sprintf("stream=%t", stream), func(t *testing.T) {
+			is := is.New(t)
+			b := start(t, nil)
+			attempts := 0
+			b.owner.serve = func(_ context.Context, req *core.CallRequest, send func(*core.Frame) error) error {
+				attempts++
+				is.NoErr(begin(send, core.GenerationID(fmt.Sprint("g", attempts))))
+				is.NoErr(token(send, 0))
+				if attempts == 1 {
+					return broken
+				}
+				is.Equal(req.Avoid, []string{"e"})
+				return end(send, 1)
+			}
+			resp := b.post(t, "Bearer "+key, fmt.Sprintf(ask, stream)) //nolint:bodyclose // post closes it
+			body, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			if !stream {
+				is.Equal(resp.StatusCode, 200) // generated again
+				is.Equal(attempts, 2)
+				return
+			}
+			is.Equal(attempts, 1) // never spliced
+			is.True(strings.Contains(string(body), "event: error"))
+			is.True(strings.Contains(string(body), `"tokens_delivered":1`))
+			is.True(!strings.Contains(string(body), "[DONE]"))
+		})
+	}
+}
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -22,10 +22,13 @@
 	buf   []byte
 	begun bool
 	last  time.Time
+
+	writeTimeout time.Duration
+	renewed      time.Time // when the write deadline was last set
 }
 
-func newSSE(w http.ResponseWriter, g *generation, meter Meter) *sse {
-	s := &sse{w: w, flush: http.NewResponseController(w), meter: meter, g: g}
+func newSSE(w http.ResponseWriter, g *generation, meter Meter, writeTimeout time.Duration) *sse {
+	s := &sse{w: w, flush: http.NewResponseController(w), meter: meter, g: g, writeTimeout: writeTimeout}
 	s.head = chunkHead(g, "chat.completion.chunk")
 	return s
 }
@@ -108,7 +111,15 @@
 	s.last = now
 }
 
+// renewEvery bounds how often the write deadline is moved, which costs more than writing a token.
+const renewEvery = time.Second
+
+// write sends the buffer; a client that stops reading fails it after the write timeout.
 func (s *sse) write() error {
+	if now := time.Now(); now.Sub(s.renewed) > renewEvery {
+		s.renewed = now
+		_ = s.flush.SetWriteDeadline(now.Add(s.writeTimeout)) // not every writer has deadlines
+	}
 	if _, err := s.w.Write(s.buf); err != nil {
 		return err
 	}
@@ -138,7 +149,7 @@
 }
 
 func (e *Entry) answerStream(w http.ResponseWriter, r *http.Request, g *generation) {
-	s := newSSE(w, g, e.Meter)
+	s := newSSE(w, g, e.Meter, ms(e.Settings.GetWriteTimeoutMs()))
 	err := e.generate(r.Context(), g, s)
 	switch {
 	case err == nil:
