Open a connection for each call to an engine

Cause: io/engine set Request.Close to get a new connection for Status and Resume, but net/http still takes an idle connection for such a request. When a link stalled with idle connections on it, the probes of a silent stream went out on silent connections, and the stream was taken for dead only after three probes of 1 s each, then resumed on further silent connections. Ruled out: the runner stand-in (streams frozen without the link resume in 1.0 s) and the HTTP/2 pings between instances (the entry was the owner's peer and lost no frame).

Change: engines get a client without reused connections. Adds package e2e with the failures of streams and of protected actions, links and Kill in stand/fleet, and App.Kill, which ends an instance in a shared process like a crash.

--- a/app/app.go
+++ b/app/app.go
@@ -51,6 +51,10 @@
 	listeners [listenerCount]net.Listener
 	servers   [listenerCount]*http.Server
 	leaving   atomic.Bool
+	killed    atomic.Bool
+	// life ends with Kill.
+	life   context.Context
+	cancel context.CancelFunc
 }
 
 // Listeners of an instance.
@@ -97,6 +101,7 @@
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
+	a.life, a.cancel = context.WithCancel(context.Background())
 	o := options{newPolicy: func() core.Policy {
 		return queue.New(
 			queue.WithTeamSharePercent(cfg.GetTeamSharePercent()),
@@ -236,7 +241,10 @@
 	a.relay.Start()
 	own, stopOwning := context.WithCancel(ctx)
 	g.Go(func() error { return a.ownPools(own) })
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-a.life.Done():
+	}
 	stopOwning()
 	a.stop()
 	err := g.Wait()
--- a/app/status.go
+++ b/app/status.go
@@ -122,3 +122,6 @@
 	}
 	return ""
 }
+
+// Others returns how many other instances are known here as live.
+func (a *App) Others() int { return len(a.members.Others()) }
--- a/app/stop.go
+++ b/app/stop.go
@@ -11,6 +11,10 @@
 // stop shuts down gracefully: readiness fails, peers hear of it, queued calls go
 // to other instances, every open request ends, then the listeners close.
 func (a *App) stop() {
+	if a.killed.Load() {
+		a.cut()
+		return
+	}
 	a.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), ms(a.cfg.GetStopTimeoutMs()+a.cfg.GetLeaveDelayMs()))
 	defer cancel()
@@ -57,3 +61,23 @@
 	}
 	a.store.Close()
 }
+
+// Kill makes the instance end without draining: connections are cut as by the end of its process.
+// It stands for a crash where several instances share a process.
+func (a *App) Kill() {
+	a.killed.Store(true)
+	for _, s := range a.servers {
+		_ = s.Close() // also before Run has served on it
+	}
+	a.cancel()
+}
+
+// cut ends everything that goes on after the connections were closed.
+func (a *App) cut() {
+	a.relay.Close()
+	a.host.Close()
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	_ = a.action.Close(ended) // ctx has ended: outcomes stay unrecorded, as after a crash
+	a.store.Close()
+}
--- /dev/null
+++ b/e2e/action_test.go
@@ -0,0 +1,224 @@
+package e2e
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/stand/fleet"
+	"snipeshed/stand/objs"
+)
+
+// act sends a protected action.
+func (w *world) act(n *fleet.Node, key string, timeout time.Duration) answer {
+	return act(w.client, n.ClientAddress(), key, timeout)
+}
+
+func act(c *http.Client, address, key string, timeout time.Duration) answer {
+	resp, err := post(c, address, fleet.UrgentKey, "/services/"+fleet.AppService+"/orders/paint", []byte(`{"liters":4}`), map[string]string{
+		"Idempotency-Key": key, "Snipeshed-Timeout-Ms": strconv.FormatInt(timeout.Milliseconds(), 10),
+	})
+	if err != nil {
+		return answer{broken: err}
+	}
+	defer resp.Body.Close()
+	out := answer{status: resp.StatusCode, header: resp.Header}
+	out.readWhole(resp.Body)
+	return out
+}
+
+// verify checks the answers to one key's calls against the runs that the application counted.
+func verify(key string, runs int64, answers []answer) error {
+	told, notRun := 0, 0
+	for _, a := range answers {
+		switch {
+		case a.broken == nil && a.status == http.StatusOK:
+			told++
+		case a.notRun():
+			notRun++
+		}
+	}
+	switch {
+	case runs > 1:
+		return fmt.Errorf("key %s ran %d times: %v", key, runs, answers)
+	case told > 0 && runs == 0:
+		return fmt.Errorf("key %s has a result but did not run: %v", key, answers)
+	case len(answers) > 0 && notRun == len(answers) && runs > 0:
+		return fmt.Errorf("key %s ran although every client was told that it did not: %v", key, answers)
+	}
+	return nil
+}
+
+// TestProtectedActions guards against a second run of a protected action, and against not_run told for one that ran.
+func TestProtectedActions(t *testing.T) {
+	t.Parallel()
+	const (
+		short = 600 * time.Millisecond
+		long  = 5 * time.Second
+	)
+	tests := []struct {
+		name string
+		// fail begins the failure before the first call; heal ends it before the second.
+		fail, heal func(w *world)
+		timeout    time.Duration
+		// during runs while the first call is open.
+		during func(w *world)
+		// runs is the number of runs in the end, or -1 for 0 or 1.
+		runs int64
+	}{
+		{name: "no failure", timeout: long, runs: 1},
+		{name: "answer of the claim lost", timeout: long, runs: 1, fail: func(w *world) { w.Platform.LoseAnswers(1, "actions/") }},
+		{name: "answers of claim and read back lost", timeout: long, runs: 1, fail: func(w *world) { w.Platform.LoseAnswers(2, "actions/") }},
+		{
+			name: "store slower than the deadline", timeout: short, runs: -1,
+			fail: func(w *world) { w.Platform.Slow(900 * time.Millisecond) }, heal: func(w *world) { w.Platform.Slow(0) },
+		},
+		{
+			name: "store stops during the claim", timeout: short, runs: -1,
+			fail: func(w *world) { w.Platform.SetOutage(objs.OutageHang) }, heal: func(w *world) { w.Platform.SetOutage(objs.OutageNone) },
+		},
+		{
+			name: "store refuses", timeout: short, runs: -1,
+			fail: func(w *world) { w.Platform.SetOutage(objs.OutageRefuse) }, heal: func(w *world) { w.Platform.SetOutage(objs.OutageNone) },
+		},
+		{
+			name: "store stops between claim and record", timeout: short, runs: 1,
+			fail: func(w *world) { w.Services[0].Slow(300 * time.Millisecond) },
+			during: func(w *world) {
+				time.Sleep(150 * time.Millisecond)
+				w.Platform.SetOutage(objs.OutageHang)
+			},
+			heal: func(w *world) { w.Platform.SetOutage(objs.OutageNone) },
+		},
+		{name: "answer of the application lost", timeout: long, runs: 1, fail: func(w *world) { w.Services[0].LoseAnswers(1) }},
+		{
+			name: "application slower than the deadline", timeout: short, runs: 1,
+			fail: func(w *world) { w.Services[0].Slow(1200 * time.Millisecond) }, heal: func(w *world) { w.Services[0].Slow(0) },
+		},
+		{
+			name: "application refuses", timeout: short, runs: -1,
+			fail: func(w *world) { w.Services[0].SetRefuse(true) }, heal: func(w *world) { w.Services[0].SetRefuse(false) },
+		},
+		{
+			name: "instance killed during the call", timeout: long, runs: 1,
+			fail: func(w *world) { w.Services[0].Slow(600 * time.Millisecond) },
+			during: func(w *world) {
+				time.Sleep(250 * time.Millisecond)
+				_ = w.Nodes[0].Kill() // its end is checked at the end of the test
+			},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := start(t)
+			key := "key-" + newMark()
+			do := func(f func(*world)) {
+				if f != nil {
+					f(w)
+				}
+			}
+			do(tt.fail)
+			var side sync.WaitGroup
+			side.Go(func() { do(tt.during) })
+			answers := []answer{w.act(w.Nodes[0], key, tt.timeout)}
+			side.Wait()
+			// A second client repeats the call elsewhere while the failure lasts, and twice after it.
+			answers = append(answers, w.act(w.Nodes[1], key, tt.timeout))
+			do(tt.heal)
+			time.Sleep(1500 * time.Millisecond) // the store breaker's retry and what was still on its way
+			answers = append(answers, w.act(w.Nodes[2], key, tt.timeout), w.act(w.Nodes[1], key, tt.timeout))
+			for i, a := range answers {
+				t.Logf("call %d: %s %s", i, a, a.body)
+			}
+			runs := w.Services[0].Runs(key)
+			if err := verify(key, runs, answers); err != nil {
+				t.Error(err)
+			}
+			if tt.runs >= 0 && runs != tt.runs {
+				t.Errorf("%d runs, want %d", runs, tt.runs)
+			}
+			for i, a := range answers[1:] {
+				if tt.runs == 1 && a.notRun() && a.err.Kind != core.KindStoreDown {
+					t.Errorf("call %d was told not_run after the action had run", i+1)
+				}
+			}
+		})
+	}
+}
+
+// TestSameKeyEverywhere guards against two holders of one key, while answers of store and application are lost at random.
+func TestSameKeyEverywhere(t *testing.T) {
+	t.Parallel()
+	const keys, callers = 40, 5
+	w := start(t, fleet.WithSettings(func(s *conf.Settings) { s.StoreTimeoutMs = 300 }))
+	r := rand.New(rand.NewPCG(7, 11))
+	stop := make(chan struct{})
+	var chaos sync.WaitGroup
+	chaos.Go(func() {
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				w.Platform.Slow(0)
+				w.Services[0].Slow(0)
+				return
+			case <-time.After(40 * time.Millisecond):
+			}
+			switch i % 5 {
+			case 0:
+				w.Platform.LoseAnswers(2, "actions/")
+			case 1:
+				w.Services[0].LoseAnswers(1)
+			case 2:
+				w.Platform.Slow(350 * time.Millisecond)
+			case 3:
+				w.Platform.Slow(0)
+			case 4:
+				w.Services[0].Slow(time.Duration(i%7) * 20 * time.Millisecond)
+			}
+		}
+	})
+	kinds := map[string]int{}
+	for k := range keys {
+		key := fmt.Sprintf("shared-%d", k)
+		answers := make([]answer, callers)
+		var calls sync.WaitGroup
+		for i := range answers {
+			timeout := time.Duration(200+r.IntN(400)) * time.Millisecond
+			calls.Go(func() { answers[i] = w.act(w.Nodes[i%len(w.Nodes)], key, timeout) })
+		}
+		calls.Wait()
+		if k%4 == 0 {
+			time.Sleep(100 * time.Millisecond)
+		}
+		for _, a := range answers {
+			switch {
+			case a.broken != nil:
+				kinds["broken"]++
+			case a.err != nil:
+				kinds[string(a.err.Kind)+" "+string(a.err.Run)]++
+			default:
+				kinds[strconv.Itoa(a.status)]++
+			}
+		}
+		// What runs late must still be found by the check below.
+		t.Cleanup(func() {
+			if err := verify(key, w.Services[0].Runs(key), answers); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	close(stop)
+	chaos.Wait()
+	time.Sleep(time.Second) // calls that were cut off may still run
+	is.New(t).True(w.Services[0].Counts().MaxRuns <= 1)
+	t.Logf("%d keys, %d calls: %v; runs %d", keys, keys*callers, kinds, w.Services[0].Counts().Total)
+}
--- /dev/null
+++ b/e2e/stream_test.go
@@ -0,0 +1,173 @@
+package e2e
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+	"snipeshed/stand/fleet"
+	"snipeshed/stand/runner"
+)
+
+// TestStreamFailures guards against tokens that are lost, repeated or of another generation after a failure midway,
+// and against silent connections that are not noticed in time.
+func TestStreamFailures(t *testing.T) {
+	t.Parallel()
+	const output = 150 // about 1.2 s
+	tests := []struct {
+		name string
+		fail func(w *world, owner, entry *fleet.Node)
+		// viaOwner sends the request to the owner itself.
+		viaOwner bool
+		gap      time.Duration
+		// busy leaves idle connections to runners and peers behind before the failure.
+		busy bool
+	}{
+		{name: "engine connections cut", gap: resumeSlack, fail: func(w *world, _, _ *fleet.Node) {
+			w.RunnerLinks[w.serving()].Cut()
+		}},
+		{name: "engine streams cut twice", gap: resumeSlack, viaOwner: true, fail: func(w *world, _, _ *fleet.Node) {
+			r := w.Runners[w.serving()]
+			r.KillStreams()
+			time.Sleep(200 * time.Millisecond)
+			r.KillStreams()
+		}},
+		{name: "engine connection silent", gap: detect + resumeSlack, fail: func(w *world, _, _ *fleet.Node) {
+			w.RunnerLinks[w.serving()].Stall()
+		}},
+		{name: "engine connection and idle ones silent", gap: detect + resumeSlack, busy: true, fail: func(w *world, _, _ *fleet.Node) {
+			w.RunnerLinks[w.serving()].Stall()
+		}},
+		{name: "engine streams silent", gap: detect + resumeSlack, viaOwner: true, fail: func(w *world, _, _ *fleet.Node) {
+			w.Runners[w.serving()].Freeze(runner.ScopeStreams)
+		}},
+		{name: "engine slow", gap: 3*time.Second + resumeSlack, fail: func(w *world, _, _ *fleet.Node) {
+			r := w.Runners[w.serving()]
+			r.Freeze(runner.ScopeEngine)
+			time.AfterFunc(3*time.Second, func() { r.Thaw(runner.ScopeEngine) })
+		}},
+		{name: "engine paused", gap: 2500*time.Millisecond + detect + resumeSlack, viaOwner: true, fail: func(w *world, _, _ *fleet.Node) {
+			r := w.Runners[w.serving()]
+			r.Freeze(runner.ScopeAll)
+			time.AfterFunc(2500*time.Millisecond, func() { r.Thaw(runner.ScopeAll) })
+		}},
+		{name: "owner killed", gap: resumeSlack, fail: func(w *world, owner, _ *fleet.Node) {
+			if err := owner.Kill(); err != nil {
+				w.t.Error(err)
+			}
+		}},
+		{name: "owner killed, then the next", gap: resumeSlack, fail: func(w *world, owner, entry *fleet.Node) {
+			if err := owner.Kill(); err != nil {
+				w.t.Error(err)
+			}
+			time.Sleep(200 * time.Millisecond)
+			for _, n := range w.Nodes {
+				if n != owner && n != entry {
+					if err := n.Kill(); err != nil {
+						w.t.Error(err)
+					}
+				}
+			}
+		}},
+		{name: "link to the owner cut", gap: resumeSlack, fail: func(_ *world, owner, _ *fleet.Node) { owner.PeerLink.Cut() }},
+		{name: "link to the owner silent", gap: detect + resumeSlack, busy: true, fail: func(_ *world, owner, _ *fleet.Node) { owner.PeerLink.Stall() }},
+		{name: "owner cut off from entries", gap: detect + resumeSlack, busy: true, fail: func(_ *world, owner, _ *fleet.Node) {
+			owner.PeerLink.Partition()
+		}},
+		{name: "links to owner and engine silent", gap: detect + resumeSlack, busy: true, fail: func(w *world, owner, _ *fleet.Node) {
+			w.RunnerLinks[w.serving()].Stall()
+			owner.PeerLink.Stall()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			w := start(t)
+			owner, entry := w.owner()
+			if tt.viaOwner {
+				entry = owner
+			}
+			if tt.busy {
+				w.burst(entry, 24)
+			}
+			q := ask{output: output, mark: newMark(), at: 20}
+			q.then = func() { tt.fail(w, owner, entry) }
+			a := w.chat(entry, q)
+			t.Log(a)
+			if err := complete(a, q); err != nil {
+				t.Error(err)
+			}
+			if a.gap > tt.gap {
+				t.Errorf("longest gap %s exceeds the bound %s", a.gap, tt.gap)
+			}
+			if n := w.starts(a.id); n != 1 {
+				t.Errorf("%d generations were started for one stream", n)
+			}
+		})
+	}
+}
+
+// starts returns how many generations the runners started for a request.
+func (w *world) starts(id core.RequestID) int {
+	n := 0
+	for _, r := range w.Runners {
+		n += r.Starts(id)
+	}
+	return n
+}
+
+// burst sends n short requests at once and waits for them.
+func (w *world) burst(entry *fleet.Node, n int) {
+	w.t.Helper()
+	errs := make(chan error, n)
+	for range n {
+		go func() {
+			q := ask{output: 3, mark: newMark()}
+			errs <- complete(w.chat(entry, q), q)
+		}()
+	}
+	for range n {
+		if err := <-errs; err != nil {
+			w.t.Error(err)
+		}
+	}
+}
+
+// TestEngineReset guards against a splice of two generations in a stream, and against the loss of a whole answer.
+func TestEngineReset(t *testing.T) {
+	t.Parallel()
+	for _, whole := range []bool{false, true} {
+		name := map[bool]string{false: "streamed", true: "whole"}[whole]
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := start(t)
+			owner, other := w.owner()
+			for _, entry := range []*fleet.Node{owner, other} {
+				q := ask{output: 120, mark: newMark(), whole: whole, at: 20}
+				reset := func() { w.Runners[w.serving()].Reset() }
+				if whole {
+					time.AfterFunc(400*time.Millisecond, reset)
+				} else {
+					q.then = reset
+				}
+				a := w.chat(entry, q)
+				t.Log(a)
+				if whole {
+					is.NoErr(complete(a, q))
+					is.True(w.starts(a.id) == 2) // regenerated once
+					continue
+				}
+				n, err := check(a, q)
+				is.NoErr(err)
+				is.True(!a.done && a.err != nil) // an error event, no [DONE]
+				is.Equal(a.err.Kind, core.KindStreamBroken)
+				is.Equal(a.err.TokensDelivered, int64(n))
+				is.True(a.err.Run != core.RunNot)
+				is.Equal(w.starts(a.id), 1)
+			}
+		})
+	}
+}
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -32,6 +32,9 @@
 const defaultTimeout = time.Second
 
 // New returns a client of the runner at address, given as host:port.
+//
+// The client must open a connection for each call: Resume and Status are to find out about a silent connection,
+// and an idle connection to the same endpoint may be silent, too. Setting Request.Close does not prevent its use.
 func New(address string, client *http.Client, opts ...Option) *Engine {
 	e := &Engine{base: "http://" + address, client: client, timeout: defaultTimeout}
 	for _, o := range opts {
@@ -86,7 +89,7 @@
 }
 
 func (e *Engine) open(ctx context.Context, method, path string, body []byte) (core.Stream, error) {
-	resp, err := e.do(ctx, method, path, body, false) //nolint:bodyclose // the stream closes the body
+	resp, err := e.do(ctx, method, path, body) //nolint:bodyclose // the stream closes the body
 	if err != nil {
 		return nil, err
 	}
@@ -104,8 +107,7 @@
 		}
 		body = b
 	}
-	// A pooled connection may be the silent one that this call shall find out about.
-	resp, err := e.do(ctx, method, path, body, true)
+	resp, err := e.do(ctx, method, path, body)
 	if err != nil {
 		return err
 	}
@@ -119,12 +121,11 @@
 	return nil
 }
 
-func (e *Engine) do(ctx context.Context, method, path string, body []byte, fresh bool) (*http.Response, error) {
+func (e *Engine) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, e.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("make request for %s: %w", path, err)
 	}
-	req.Close = fresh
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -28,7 +28,10 @@
 }
 
 func token(i core.Tokens) step { return step{ev: core.Event{Index: i, Text: "t"}} }
-func done(n core.Tokens) step  { return step{ev: core.Event{Done: true, Tokens: n, FinishReason: "stop"}} }
+func done(n core.Tokens) step {
+	return step{ev: core.Event{Done: true, Tokens: n, FinishReason: "stop"}}
+}
+
 func head(g core.GenerationID, r core.RequestID) step {
 	return step{ev: core.Event{GenerationID: g, RequestID: r}}
 }
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -62,7 +62,7 @@
 
 // New returns a Host; newPolicy makes the policy of each pool.
 func New(shared core.Shared, cfg *conf.Settings, config core.ConfigSource, members core.Members, newPolicy func() core.Policy, opts ...Option) *Host {
-	client := link.New(cfg).EndpointClient()
+	client := link.New(cfg).EngineClient()
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{
 		Shared: shared, cfg: cfg, config: config, members: members, newPolicy: newPolicy, counters: noCounters{},
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -39,7 +39,17 @@
 	return &http.Client{Transport: t}
 }
 
-// idlePerEndpoint covers the streams that one engine runs at once.
+// EngineClient returns a client that speaks HTTP/1.1 and opens a connection for each call.
+//
+// An idle connection can have gone silent, which shows only by a timeout: with reused connections, a stream
+// whose link stalled took over 7 s to resume instead of 2 s. A generation lasts long enough for one more round trip.
+func (l *Link) EngineClient() *http.Client {
+	t := l.transport()
+	t.DisableKeepAlives = true
+	return &http.Client{Transport: t}
+}
+
+// idlePerEndpoint covers the calls that one application runs at once.
 const idlePerEndpoint = 64
 
 const idleTimeout = 90 * time.Second
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -8,12 +8,15 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
 	"snipeshed/app"
 	"snipeshed/conf"
 	"snipeshed/core"
 	"snipeshed/core/member"
+	"snipeshed/stand/link"
 	"snipeshed/stand/objs"
 	"snipeshed/stand/runner"
 	"snipeshed/stand/svc"
@@ -27,8 +30,14 @@
 	Services []*svc.Svc
 	Nodes    []*Node
 
+	// RunnerLinks lead to the runners, in their order, when the Fleet was made WithLinks.
+	RunnerLinks []*link.Link
+
 	logs     io.Writer
 	settings []func(*conf.Settings)
+	platform []objs.Option
+	linked   bool
+	links    []*link.Link
 }
 
 // Option changes a Fleet.
@@ -42,15 +51,24 @@
 	return func(f *Fleet) { f.settings = append(f.settings, fn) }
 }
 
+// WithPlatform passes options to the platform.
+func WithPlatform(opts ...objs.Option) Option {
+	return func(f *Fleet) { f.platform = append(f.platform, opts...) }
+}
+
+// WithLinks puts a link in front of each runner, of each instance's peer listener and between each instance and the platform.
+func WithLinks() Option { return func(f *Fleet) { f.linked = true } }
+
 // Domains are the failure domains over which instances and endpoints are spread.
 var Domains = [...]core.FailureDomain{"domain-a", "domain-b", "domain-c"}
 
 // New returns a Fleet whose platform runs.
 func New(opts ...Option) (*Fleet, error) {
-	f := &Fleet{logs: io.Discard, Platform: objs.New()}
+	f := &Fleet{logs: io.Discard}
 	for _, o := range opts {
 		o(f)
 	}
+	f.Platform = objs.New(f.platform...)
 	if err := f.Platform.Start(); err != nil {
 		return nil, fmt.Errorf("start platform: %w", err)
 	}
@@ -63,11 +81,40 @@
 	if err := r.Start(); err != nil {
 		return nil, fmt.Errorf("start runner: %w", err)
 	}
-	f.register(fmt.Sprintf("runner-%d", len(f.Runners)), r.Addr(), domain(len(f.Runners)), member.KindEndpoint)
+	l, err := f.link(r.Addr())
+	if err != nil {
+		return nil, err
+	}
+	if l != nil {
+		f.RunnerLinks = append(f.RunnerLinks, l)
+	}
 	f.Runners = append(f.Runners, r)
+	n := len(f.Runners) - 1
+	f.register(fmt.Sprintf("runner-%d", n), f.runnerAddress(n), domain(n), member.KindEndpoint)
 	return r, nil
 }
 
+// link returns a started link to an address, or nil in a Fleet without links.
+func (f *Fleet) link(target string) (*link.Link, error) {
+	if !f.linked {
+		return nil, nil
+	}
+	l := link.New(target)
+	if err := l.Start(); err != nil {
+		return nil, fmt.Errorf("start link: %w", err)
+	}
+	f.links = append(f.links, l)
+	return l, nil
+}
+
+// runnerAddress is the address at which instances reach a runner.
+func (f *Fleet) runnerAddress(i int) string {
+	if f.linked {
+		return f.RunnerLinks[i].Addr()
+	}
+	return f.Runners[i].Addr()
+}
+
 // AddService starts an application runner and registers it in the instance list.
 func (f *Fleet) AddService(opts ...svc.Option) (*svc.Svc, error) {
 	s := svc.New(opts...)
@@ -89,7 +136,10 @@
 type Node struct {
 	*app.App
 
-	ID     core.InstanceID
+	ID core.InstanceID
+	// PeerLink leads to the peer listener and PlatformLink from here to the platform; both are nil without links.
+	PeerLink, PlatformLink *link.Link
+
 	cancel context.CancelFunc
 	done   chan error
 }
@@ -101,7 +151,14 @@
 		Instance: fmt.Sprintf("instance-%d", n), FailureDomain: string(domain(n)), PlatformUrl: "http://" + f.Platform.Addr(),
 		ClientAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0", OperatorAddress: "127.0.0.1:0",
 	}
-	for _, fn := range append(f.settings, change...) {
+	platform, err := f.link(f.Platform.Addr())
+	if err != nil {
+		return nil, err
+	}
+	if platform != nil {
+		cfg.PlatformUrl = "http://" + platform.Addr()
+	}
+	for _, fn := range append(slices.Clone(f.settings), change...) {
 		fn(cfg)
 	}
 	conf.SetDefaults(cfg)
@@ -112,10 +169,21 @@
 	if err != nil {
 		return nil, err
 	}
+	peers, err := f.link(a.PeerAddress())
+	if err != nil {
+		return nil, err
+	}
+	address := a.PeerAddress()
+	if peers != nil {
+		address = peers.Addr()
+	}
 	ctx, cancel := context.WithCancel(context.Background())
-	node := &Node{App: a, ID: core.InstanceID(cfg.GetInstance()), cancel: cancel, done: make(chan error, 1)}
+	node := &Node{
+		App: a, ID: core.InstanceID(cfg.GetInstance()), PeerLink: peers, PlatformLink: platform,
+		cancel: cancel, done: make(chan error, 1),
+	}
 	go func() { node.done <- a.Run(ctx) }()
-	f.register(cfg.GetInstance(), a.PeerAddress(), core.FailureDomain(cfg.GetFailureDomain()), member.KindInstance)
+	f.register(cfg.GetInstance(), address, core.FailureDomain(cfg.GetFailureDomain()), member.KindInstance)
 	f.Nodes = append(f.Nodes, node)
 	return node, nil
 }
@@ -128,6 +196,12 @@
 	return err
 }
 
+// Kill cuts the instance's connections without draining, as the end of its process would, and waits for its end.
+func (n *Node) Kill() error {
+	n.App.Kill()
+	return n.Stop()
+}
+
 // Apply applies a ticket through the instance's operator API.
 func (n *Node) Apply(ctx context.Context, t *wire.Ticket) (*wire.Ticket, error) {
 	return wire.NewOperatorProtobufClient("http://"+n.OperatorAddress(), http.DefaultClient).Apply(ctx, t)
@@ -196,10 +270,12 @@
 
 // Close stops all instances, endpoints and the platform.
 func (f *Fleet) Close() error {
-	var errs []error
-	for _, n := range f.Nodes {
-		errs = append(errs, n.Stop())
+	errs := make([]error, len(f.Nodes))
+	var nodes sync.WaitGroup
+	for i, n := range f.Nodes {
+		nodes.Go(func() { errs[i] = n.Stop() })
 	}
+	nodes.Wait()
 	for _, r := range f.Runners {
 		errs = append(errs, r.Close())
 	}
@@ -207,6 +283,9 @@
 		errs = append(errs, s.Close())
 	}
 	errs = append(errs, f.Platform.Close())
+	for _, l := range f.links {
+		errs = append(errs, l.Close())
+	}
 	return errors.Join(errs...)
 }
 
--- a/stand/fleet/ticket.go
+++ b/stand/fleet/ticket.go
@@ -39,9 +39,9 @@
 			{Sha256: KeyDigest(OtherKey), Rank: "background"},
 		}}}},
 	)
-	for i, r := range f.Runners {
+	for i := range f.Runners {
 		add(&wire.Item{Body: &wire.Item_Endpoint{Endpoint: &wire.Endpoint{
-			Name: fmt.Sprintf("runner-%d", i), Address: r.Addr(), FailureDomain: string(domain(i)), ChecksFencing: true,
+			Name: fmt.Sprintf("runner-%d", i), Address: f.runnerAddress(i), FailureDomain: string(domain(i)), ChecksFencing: true,
 			Wanted: &wire.Wanted{Model: Model, Version: "1"},
 		}}})
 	}
