Queue calls at a pool whose endpoints have not reported yet

Cause: core/admit took the memory of an endpoint without a report as 0, so the instance that became a pool's owner refused every call with bad_request ("a prompt of 13 tokens exceeds the memory of every endpoint") until its first poll had been answered. The queued calls that a stopping owner hands over arrive within that time. Ruled out: the deadline and the queue limit (both give other kinds), and the hand-over itself (27 calls arrived at the new owner, none ran).

Change: the size of an endpoint that has not reported counts as unknown and the call waits; Choose still passes such an endpoint over.

--- a/app/status.go
+++ b/app/status.go
@@ -125,3 +125,14 @@
 
 // Others returns how many other instances are known here as live.
 func (a *App) Others() int { return len(a.members.Others()) }
+
+// Waiting returns the queued calls of each pool that is open here.
+func (a *App) Waiting() map[core.PoolID]int {
+	out := map[core.PoolID]int{}
+	for id, p := range a.host.Pools() {
+		for _, r := range p.Load().Ranks {
+			out[id] += r.Waiting
+		}
+	}
+	return out
+}
--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -169,9 +169,14 @@
 	return sum
 }
 
-// Runnable reports whether a prompt fits into the memory of any endpoint, accepting or not.
+// Runnable reports whether a prompt may fit into the memory of any endpoint, accepting or not.
+//
+// The size of an endpoint that has not reported yet is unknown: an instance that has just become the owner of a pool
+// gets calls before the first reports.
 func (a *Admit) Runnable(c *core.Call) bool {
-	return slices.ContainsFunc(a.order, func(e *endpoint) bool { return c.PromptTokens < e.info.KVCapacity })
+	return slices.ContainsFunc(a.order, func(e *endpoint) bool {
+		return e.info.KVCapacity == 0 || c.PromptTokens < e.info.KVCapacity
+	})
 }
 
 // Choose returns the endpoint for a call: the longest cached prefix unless its load exceeds the lowest by the slack,
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -45,6 +46,14 @@
 	*fleet.Fleet
 	t      *testing.T
 	client *http.Client
+	// mu guards Nodes where a test adds instances.
+	mu sync.Mutex
+}
+
+func (w *world) nodes() []*fleet.Node {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.Nodes)
 }
 
 func start(t *testing.T, opts ...fleet.Option) *world {
