--- a/app/app.go
+++ b/app/app.go
@@ -53,6 +53,10 @@
 	leaving   atomic.Bool
 	// changed wakes ownPools after a new configuration.
 	changed chan struct{}
+	killed  atomic.Bool
+	// life ends with Kill.
+	life   context.Context
+	cancel context.CancelFunc
 }
 
 // Listeners of an instance.
@@ -99,6 +103,7 @@
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
+	a.life, a.cancel = context.WithCancel(context.Background())
 	o := options{newPolicy: func() core.Policy {
 		return queue.New(
 			queue.WithTeamSharePercent(cfg.GetTeamSharePercent()),
@@ -247,7 +252,10 @@
 	a.relay.Start()
 	own, stopOwning := context.WithCancel(ctx)
 	g.Go(func() error { return a.ownPools(own) })
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-a.life.Done():
+	}
 	stopOwning()
 	a.stop()
 	err := g.Wait()
--- a/app/inspect.go
+++ b/app/inspect.go
@@ -134,4 +134,3 @@
 		}
 	}
 }
-
