Record the request id of a claim and test shutdown

Cause: an operator could not find an unknown attempt in the holder's log, which names request ids; shutdown and malformed records had no tests. Change: request_id in the record, the lookup and the log lines, which also name the object; scenarios for Close and for a malformed record.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -30,6 +30,7 @@
 	Nonce       string
 	Fingerprint string
 	Holder      core.InstanceID
+	RequestID   core.RequestID
 	Now         time.Time
 	Deadline    time.Time
 }
@@ -58,6 +59,7 @@
 		deadline: a.Deadline,
 		mine: Record{
 			Nonce: a.Nonce, Attempt: 1, State: StateClaimed, Fingerprint: a.Fingerprint, Holder: a.Holder,
+			RequestID: a.RequestID,
 			ClaimedAt: a.Now.UnixMilli(), Deadline: a.Deadline.UnixMilli(),
 		},
 	}
--- a/core/claim/record.go
+++ b/core/claim/record.go
@@ -26,7 +26,9 @@
 	State       State           `json:"state"`
 	Fingerprint string          `json:"fingerprint"`
 	Holder      core.InstanceID `json:"holder"`
-	ClaimedAt   int64           `json:"claimed_at_unix_ms"`
+	// RequestID finds the attempt in the holder's log.
+	RequestID core.RequestID `json:"request_id"`
+	ClaimedAt int64          `json:"claimed_at_unix_ms"`
 	// Deadline only separates in_progress from outcome_unknown for readers, so clock skew between instances is harmless.
 	Deadline int64   `json:"deadline_unix_ms"`
 	Result   *Result `json:"result,omitempty"`
--- a/io/action/lookup.go
+++ b/io/action/lookup.go
@@ -14,14 +14,16 @@
 
 // status is the JSON shape of a lookup.
 type status struct {
-	Service   core.ServiceName `json:"service"`
-	State     string           `json:"state"`
-	Run       core.Run         `json:"run"`
-	Attempt   int              `json:"attempt"`
-	Holder    core.InstanceID  `json:"holder"`
-	ClaimedAt int64            `json:"claimed_at_unix_ms"`
-	Deadline  int64            `json:"deadline_unix_ms"`
-	Result    *claim.Result    `json:"result,omitempty"`
+	Service core.ServiceName `json:"service"`
+	State   string           `json:"state"`
+	Run     core.Run         `json:"run"`
+	Attempt int              `json:"attempt"`
+	Holder  core.InstanceID  `json:"holder"`
+	// RequestID is that of the call that claimed the attempt.
+	RequestID core.RequestID `json:"request_id"`
+	ClaimedAt int64          `json:"claimed_at_unix_ms"`
+	Deadline  int64          `json:"deadline_unix_ms"`
+	Result    *claim.Result  `json:"result,omitempty"`
 }
 
 // Lookup answers what is recorded of a protected action: done, not_run, in_progress or outcome_unknown.
@@ -65,7 +67,7 @@
 		}
 	}
 	s := status{
-		Service: service, Attempt: rec.Attempt, Holder: rec.Holder, ClaimedAt: rec.ClaimedAt, Deadline: rec.Deadline,
+		Service: service, Attempt: rec.Attempt, Holder: rec.Holder, RequestID: rec.RequestID, ClaimedAt: rec.ClaimedAt, Deadline: rec.Deadline,
 		Result: rec.Result,
 	}
 	switch {
--- a/io/action/protected.go
+++ b/io/action/protected.go
@@ -45,7 +45,8 @@
 	}
 	now := a.Clock.Now()
 	m := claim.New(claim.Attempt{
-		Nonce: core.NewRandomID(), Fingerprint: c.fingerprint(), Holder: a.instance, Now: now, Deadline: c.deadline,
+		Nonce: core.NewRandomID(), Fingerprint: c.fingerprint(), Holder: a.instance, RequestID: c.id, Now: now,
+		Deadline: c.deadline,
 	})
 	f := &flight{
 		call: c, object: objectKey(c.service, c.team, c.key), tried: map[core.EndpointID]bool{},
@@ -204,7 +205,7 @@
 	ctx, cancel := context.WithDeadline(ctx, f.deadline.Add(lateAnswer))
 	defer cancel()
 	resp, sent, err := a.send(ctx, f.call, ep, fencing)
-	log := a.Log.WithField("request_id", f.id).WithField("endpoint", ep.id)
+	log := a.Log.WithField("request_id", f.id).WithField("object", f.object).WithField("endpoint", ep.id)
 	switch {
 	case err != nil && !sent:
 		log.WithError(err).Warn("action_not_sent")
--- a/io/action/protected_test.go
+++ b/io/action/protected_test.go
@@ -277,3 +277,42 @@
 		})
 	}
 }
+
+// Guards against work that is cut off by a shutdown, or that delays it without end.
+func TestClose(t *testing.T) {
+	tests := []struct {
+		name   string
+		outage time.Duration
+		limit  time.Duration
+		ok     bool
+		state  claim.State
+	}{
+		{name: "waits until not_run is recorded", outage: 30 * time.Second, limit: time.Minute, ok: true, state: claim.StateNotRun},
+		{name: "gives up at the limit", outage: time.Hour, limit: time.Minute, state: claim.StateClaimed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := newWorld(1, "10.0.0.1:1")
+				w.store.puts, w.end.faults = []fault{{}}, []fault{{effect: refused}}
+				w.store.outage = outage{from: time.Now(), until: time.Now().Add(tt.outage), effect: refused}
+				is.Equal(w.call(0, "POST", "/confirm", "k", "b", time.Second), unknown)
+				is.Equal(w.close(tt.limit) == nil, tt.ok)
+				is.Equal(w.record("k").State, tt.state)
+				is.Equal(w.call(0, "POST", "/confirm", "other", "b", time.Second), "leaving/not_run")
+			})
+		})
+	}
+}
+
+// Guards against a run on top of a record that this version cannot read.
+func TestMalformedRecord(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, "10.0.0.1:1")
+	_, err := w.store.write(objectKey("swaps", "tallinn", "k"), []byte("{"), 0)
+	is.NoErr(err)
+	is.Equal(w.call(0, "POST", "/confirm", "k", "b", time.Second), unknown)
+	is.Equal(w.end.sends["k"], 0)
+	is.NoErr(w.close(time.Minute))
+}
