Remove old action records; correct three answers

Cause: records were kept for ever. A call whose context ended without its client leaving got an empty 200; a dial that timed out was reported as the call's deadline; actions whose client had its answer still read every 250 ms during an outage.

--- a/io/action/action.go
+++ b/io/action/action.go
@@ -22,6 +22,10 @@
 	usable   func(core.EndpointID, string) bool
 	budget   Budget
 
+	members   core.Members
+	retention time.Duration
+	sweeping  context.CancelFunc
+
 	shared http.RoundTripper
 	once   http.RoundTripper
 	pick   picker
@@ -50,6 +54,11 @@
 	a.shared, a.once = transports(a.client.Transport)
 	a.pick.open = map[core.EndpointID]int{}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
+	var ctx context.Context
+	ctx, a.sweeping = context.WithCancel(a.ctx)
+	if a.members != nil {
+		a.wg.Go(func() { a.retain(ctx) })
+	}
 	return a
 }
 
@@ -74,6 +83,7 @@
 	a.mu.Lock()
 	a.closed = true
 	a.mu.Unlock()
+	a.sweeping()
 	finished := make(chan struct{})
 	go func() {
 		a.wg.Wait()
--- a/io/action/fake_test.go
+++ b/io/action/fake_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -117,6 +120,28 @@
 	return s.write(key, value, v)
 }
 
+func (s *memStore) List(_ context.Context, prefix, after string, limit int) ([]core.Object, core.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []core.Object
+	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(list) < limit {
+			list = append(list, s.objects[key])
+		}
+	}
+	return list, s.last, nil
+}
+
+func (s *memStore) Delete(_ context.Context, key string, v core.Version) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[key].Version != v {
+		return core.ErrVersion
+	}
+	delete(s.objects, key)
+	return nil
+}
+
 func (s *memStore) Get(ctx context.Context, key string) (core.Object, error) {
 	s.mu.Lock()
 	s.ngets++
@@ -167,7 +192,8 @@
 	}
 	trace.GetConn(req.URL.Host)
 	if f.effect == refused {
-		return nil, errors.New("connection refused")
+		// A dial that timed out matches context.DeadlineExceeded although the call's deadline has not passed.
+		return nil, fmt.Errorf("dial: %w", context.DeadlineExceeded)
 	}
 	trace.GotConn(httptrace.GotConnInfo{})
 	key := ""
--- a/io/action/plain.go
+++ b/io/action/plain.go
@@ -64,7 +64,8 @@
 		}
 	}
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) || errors.Is(last, context.DeadlineExceeded):
+	// Not errors.Is(last, ...): the error of a dial that timed out is a context.DeadlineExceeded too.
+	case !a.Clock.Now().Before(c.deadline):
 		return nil, endpoint{}, &core.Error{
 			Kind: core.KindDeadline, Message: "the endpoint did not answer before the deadline",
 			Remedy: "repeat the call with a longer Snipeshed-Timeout-Ms if it may be repeated", Run: run, Cause: last,
--- a/io/action/protected.go
+++ b/io/action/protected.go
@@ -21,7 +21,7 @@
 	recordLimit = time.Hour
 	// minStoreWait keeps a store call that starts just before the deadline from failing needlessly.
 	minStoreWait = 250 * time.Millisecond
-	// firstPause and the two limits bound the random pause between store calls, before and after the deadline.
+	// firstPause and the two limits bound the random pause between store calls, while a client waits and after that.
 	firstPause         = 20 * time.Millisecond
 	maxPause           = 250 * time.Millisecond
 	maxBackgroundPause = 10 * time.Second
@@ -61,6 +61,8 @@
 	case t, ok := <-f.tell:
 		a.answer(w, f, t, ok)
 	case <-r.Context().Done():
+		// Mostly the client is gone; if the context ended for another reason, an empty answer would pass for a success.
+		a.answer(w, f, nil, false)
 	}
 }
 
@@ -84,15 +86,17 @@
 	// The time limit is for the outage of the store; an attempt that makes progress ends long before.
 	ctx, cancel := context.WithDeadline(a.ctx, f.deadline.Add(recordLimit))
 	defer cancel()
+	waitedFor := f.deadline
 	step := m.Start()
 	for {
 		if step.Tell != nil {
 			f.tell <- step.Tell
+			waitedFor = time.Time{}
 		}
 		if step.Kind == claim.StepDone {
 			return
 		}
-		if step.Failures > 0 && !a.pause(ctx, step.Failures, f.deadline) {
+		if step.Failures > 0 && !a.pause(ctx, step.Failures, waitedFor) {
 			a.Log.WithField("object", f.object).WithField("request_id", f.id).Error("action_record_abandoned")
 			return
 		}
@@ -150,7 +154,8 @@
 	return context.WithTimeout(ctx, limit)
 }
 
-// pause waits a random time that grows with the number of failures; it returns false once ctx has ended.
+// pause waits a random time that grows with the number of failures, and less while a client waits for the deadline. It
+// returns false once ctx has ended.
 func (a *Action) pause(ctx context.Context, failures int, deadline time.Time) bool {
 	limit := min(firstPause<<min(failures-1, maxPauseDoublings), maxBackgroundPause)
 	if left := deadline.Sub(a.Clock.Now()); left > 0 {
@@ -237,7 +242,7 @@
 	switch {
 	case !ok:
 		reply.Error(w, f.id, &core.Error{
-			Kind: core.KindOutcomeUnknown, Message: "the instance stopped before the action's outcome was recorded",
+			Kind: core.KindOutcomeUnknown, Message: "the call ended before the action's outcome was known",
 			Remedy: "look the action up, or repeat the call with the same idempotency key", Run: core.RunUnknown,
 		})
 		return
@@ -259,6 +264,9 @@
 	copyHeader(w.Header(), res.Header)
 	w.Header().Set(headerID, string(f.id))
 	w.Header().Del("Content-Length") // the one of a HEAD answer is not that of the body
+	if len(body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	if t.Replayed {
 		w.Header().Set(headerReplay, "true")
 	}
--- a/io/action/protected_test.go
+++ b/io/action/protected_test.go
@@ -1,12 +1,16 @@
 package action
 
 import (
+	"context"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"snipeshed/core"
 	"snipeshed/core/claim"
 )
 
@@ -306,6 +310,25 @@
 	}
 }
 
+// Guards against an empty success for a client whose call was cancelled; the action goes on and is recorded.
+func TestCancelledCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(1, "10.0.0.1:1")
+		w.end.faults = []fault{{effect: slow, wait: 2 * time.Second}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		r := httptest.NewRequestWithContext(ctx, "POST", "/services/swaps/confirm", strings.NewReader("b"))
+		r.Header.Set(headerKey, "k")
+		rec := httptest.NewRecorder()
+		w.instances[0].Serve(rec, r, "r1", core.Credential{Team: "tallinn"}, "swaps", "confirm")
+		is.Equal(outcome(rec), unknown)
+		time.Sleep(2 * time.Second)
+		is.Equal(w.call(0, "POST", "/confirm", "k", "b", time.Second), replayed)
+		is.NoErr(w.close(time.Minute))
+	})
+}
+
 // Guards against a run on top of a record that this version cannot read.
 func TestMalformedRecord(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/io/action/retain_test.go
@@ -0,0 +1,88 @@
+package action
+
+import (
+	"fmt"
+	"hash/crc32"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+)
+
+// spread assigns resources to instances "1" and "2" by hash.
+type spread struct{ core.Members }
+
+func (spread) Owners(_ time.Time, resource string, _ int) []core.Peer {
+	id := "1"
+	if crc32.ChecksumIEEE([]byte(resource))%2 == 1 {
+		id = "2"
+	}
+	return []core.Peer{{ID: core.InstanceID(id)}}
+}
+
+// Guards against records removed too early, or never, and against instances that do each other's part.
+func TestRetention(t *testing.T) {
+	tests := []struct {
+		name  string
+		after time.Duration
+		left  int // of 60 old and 10 new records
+	}{
+		{name: "before the retention time", after: 23 * time.Hour, left: 70},
+		{name: "after the retention time and a sweep by both instances", after: 28 * time.Hour, left: 10},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := newWorld(2, "10.0.0.1:1")
+				for i := range w.instances {
+					w.instances[i] = New(quiet(), w.store, testConfig("10.0.0.1:1"), Client(w.instances[0].client),
+						Instance(w.instances[i].instance), Retention(spread{}, 24*time.Hour))
+				}
+				for i := range 60 {
+					is.Equal(w.call(i%2, "POST", "/confirm", fmt.Sprintf("old%d", i), "b", time.Minute), ran)
+				}
+				time.Sleep(tt.after - time.Hour)
+				for i := range 10 {
+					is.Equal(w.call(i%2, "POST", "/confirm", fmt.Sprintf("new%d", i), "b", time.Minute), ran)
+				}
+				time.Sleep(time.Hour)
+				is.Equal(len(w.store.objects), tt.left)
+				is.NoErr(w.close(time.Second))
+			})
+		})
+	}
+}
+
+// Guards against a sweep that leaves its own part to others or takes theirs.
+func TestSweepPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.NewRelaxed(t)
+		w := newWorld(2, "10.0.0.1:1")
+		for i := range 60 {
+			w.call(0, "POST", "/confirm", fmt.Sprintf("k%d", i), "b", time.Minute)
+		}
+		for _, a := range w.instances {
+			a.members, a.retention = spread{}, minRetention
+		}
+		time.Sleep(3 * time.Hour)
+		first, err := w.instances[0].sweep(t.Context())
+		is.NoErr(err)
+		is.True(first > 0 && first < 60)
+		for key := range w.store.objects {
+			part := key[:strings.LastIndexByte(key, '/')+2]
+			is.Equal(spread{}.Owners(time.Now(), part, 1)[0].ID, core.InstanceID("2"))
+		}
+		again, err := w.instances[0].sweep(t.Context())
+		is.NoErr(err)
+		is.Equal(again, 0)
+		second, err := w.instances[1].sweep(t.Context())
+		is.NoErr(err)
+		is.Equal(first+second, 60)
+		is.NoErr(w.close(time.Second))
+	})
+}
