Limit loads in the fleet by slots in weights/slots

Cause: nothing kept the fleet within the weight store's rate limit. Change: io/weight takes, renews and gives back slots by conditional updates. Observers count a lease from when they first saw it.

--- /dev/null
+++ b/io/weight/record.go
@@ -0,0 +1,72 @@
+package weight
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"snipeshed/core"
+)
+
+// Key is the key of the slots in the object API.
+const Key = "weights/slots"
+
+// entry is one taken slot.
+type entry struct {
+	Holder   core.InstanceID `json:"holder"`
+	Endpoint core.EndpointID `json:"endpoint"`
+	Nonce    string          `json:"nonce"`
+	LeaseMS  int64           `json:"lease_ms"`
+	// Renewal differs at each renewal, so that observers restart their count.
+	Renewal int64 `json:"renewal"`
+}
+
+type record struct {
+	Slots []entry `json:"slots"`
+}
+
+func decode(o core.Object) (record, error) {
+	var r record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		return r, fmt.Errorf("object %q does not hold slots; delete it to free all of them: %w", o.Key, err)
+	}
+	return r, nil
+}
+
+func (r record) index(nonce string) int {
+	for i, e := range r.Slots {
+		if e.Nonce == nonce {
+			return i
+		}
+	}
+	return -1
+}
+
+// sighting is when a lease was first seen in its present renewal.
+type sighting struct {
+	renewal int64
+	at      time.Time
+}
+
+// sight counts the leases of a record from now on, as far as they were not seen before.
+func (w *Weight) sight(now time.Time, r record) {
+	seen := make(map[string]sighting, len(r.Slots))
+	for _, e := range r.Slots {
+		s, ok := w.seen[e.Nonce]
+		if !ok || s.renewal != e.Renewal {
+			s = sighting{renewal: e.Renewal, at: now}
+		}
+		seen[e.Nonce] = s
+	}
+	w.seen = seen
+	for nonce := range w.dropped {
+		if _, ok := seen[nonce]; !ok {
+			delete(w.dropped, nonce)
+		}
+	}
+}
+
+// expired reports whether a lease ended by the count of this process.
+func (w *Weight) expired(now time.Time, e entry) bool {
+	return !now.Before(w.seen[e.Nonce].at.Add(time.Duration(e.LeaseMS) * time.Millisecond))
+}
--- /dev/null
+++ b/io/weight/weight_test.go
@@ -0,0 +1,266 @@
+package weight_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"snipeshed/core"
+	"snipeshed/io/weight"
+)
+
+// memStore holds one object; fail decides the fate of each write.
+type memStore struct {
+	core.Store
+	mu      sync.Mutex
+	object  core.Object
+	down    bool
+	fail    func(put int) fate
+	puts    int
+	gets    int
+	pending func()
+}
+
+type fate int
+
+const (
+	ok fate = iota
+	lost
+	late
+)
+
+var errDown = errors.New("down")
+
+func (m *memStore) Get(context.Context, string) (core.Object, error) {
+	time.Sleep(time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.gets++
+	switch {
+	case m.down:
+		return core.Object{}, &core.StoreError{Op: "get", Cause: errDown}
+	case m.object.Version == 0:
+		return core.Object{}, core.ErrNotFound
+	}
+	return m.object, nil
+}
+
+func (m *memStore) Put(_ context.Context, key string, value []byte, version core.Version) (core.Version, error) {
+	time.Sleep(time.Millisecond)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.puts++
+	if m.down {
+		return 0, &core.StoreError{Op: "put", Cause: errDown}
+	}
+	apply := func() bool {
+		if m.object.Version != version {
+			return false
+		}
+		m.object = core.Object{Key: key, Value: value, Version: version + 1}
+		return true
+	}
+	unknown := &core.StoreError{Op: "put", Effect: core.EffectUnknown, Cause: errDown}
+	f := ok
+	if m.fail != nil {
+		f = m.fail(m.puts)
+	}
+	switch {
+	case f == late:
+		m.pending = func() { m.mu.Lock(); defer m.mu.Unlock(); apply() }
+		return 0, unknown
+	case !apply():
+		return 0, &core.StoreError{Op: "put", Cause: core.ErrVersion}
+	case f == lost:
+		return 0, unknown
+	}
+	return m.object.Version, nil
+}
+
+func (m *memStore) setDown(on bool) { m.mu.Lock(); defer m.mu.Unlock(); m.down = on }
+
+type counts struct {
+	mu sync.Mutex
+	n  map[string]int
+}
+
+func (c *counts) Count(name string) { c.mu.Lock(); defer c.mu.Unlock(); c.n[name]++ }
+
+const lease = 10 * time.Second
+
+type world struct {
+	store *memStore
+	n     *counts
+}
+
+// instance returns a process of its own.
+func (w *world) instance(id string) *weight.Weight {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return weight.New(core.NewShared(logrus.NewEntry(log)), w.store, core.InstanceID(id), weight.WithSlots(2),
+		weight.WithLease(lease), weight.WithCounters(w.n), weight.WithReadGap(100*time.Millisecond))
+}
+
+// Guards against more loads at once than slots, and against slots that are never free again.
+func TestSlots(t *testing.T) {
+	ctx := context.Background()
+	full := func(is *is.I, w *weight.Weight) {
+		is.Helper()
+		_, err := w.Acquire(ctx, "probe")
+		is.True(errors.Is(err, core.ErrNoSlot))
+		time.Sleep(200 * time.Millisecond) // past the time in which the answer is repeated without a read
+	}
+	take := func(is *is.I, w *weight.Weight) core.Lease {
+		is.Helper()
+		l, err := w.Acquire(ctx, "endpoint")
+		is.NoErr(err)
+		is.True(time.Until(l.Until) > 0 && time.Until(l.Until) <= lease)
+		return l
+	}
+	for name, run := range map[string]func(is *is.I, w *world, a, b *weight.Weight){
+		"limit, release, two writes per load": func(is *is.I, w *world, a, b *weight.Weight) {
+			first := take(is, a)
+			take(is, b)
+			full(is, a)
+			full(is, b)
+			is.NoErr(a.Release(ctx, first))
+			take(is, b)
+			is.Equal(w.store.puts, 4)
+		},
+		"many holders race": func(is *is.I, w *world, _, _ *weight.Weight) {
+			var wg sync.WaitGroup
+			var mu sync.Mutex
+			got := 0
+			for i := range 20 {
+				in := w.instance(fmt.Sprint(i))
+				wg.Go(func() {
+					if _, err := in.Acquire(ctx, "endpoint"); err == nil {
+						mu.Lock()
+						got++
+						mu.Unlock()
+					}
+				})
+			}
+			wg.Wait()
+			is.Equal(got, 2)
+		},
+		"lost answer is read back": func(is *is.I, w *world, a, b *weight.Weight) {
+			w.store.fail = func(int) fate { return lost }
+			l := take(is, a)
+			take(is, b)
+			full(is, a)
+			is.NoErr(a.Release(ctx, l))
+			take(is, b)
+			is.Equal(w.store.puts, 4)
+		},
+		"lost answer and lost reading: the slot is found again": func(is *is.I, w *world, a, b *weight.Weight) {
+			w.store.fail = func(put int) fate { w.store.down = put == 1; return lost }
+			_, err := a.Acquire(ctx, "endpoint")
+			is.True(err != nil)
+			w.store.setDown(false)
+			w.store.fail = nil
+			take(is, a)
+			is.Equal(w.store.puts, 1)
+			take(is, b)
+			full(is, b)
+		},
+		"write that arrives late does not take a second slot": func(is *is.I, w *world, a, b *weight.Weight) {
+			w.store.fail = func(put int) fate {
+				if put == 1 {
+					return late
+				}
+				return ok
+			}
+			take(is, a)
+			w.store.pending()
+			take(is, b)
+			full(is, a)
+		},
+		"killed holder's slot is free after the lease": func(is *is.I, w *world, a, b *weight.Weight) {
+			take(is, a)
+			take(is, a)
+			full(is, b) // sees both leases
+			time.Sleep(lease - time.Second)
+			full(is, b)
+			time.Sleep(time.Second)
+			take(is, b)
+			is.Equal(w.n.n[weight.CountExpired], 2)
+		},
+		"observer without history waits a whole lease": func(is *is.I, w *world, a, b *weight.Weight) {
+			take(is, a)
+			take(is, a)
+			time.Sleep(2 * lease)
+			full(is, b)
+			time.Sleep(lease)
+			take(is, b)
+		},
+		"renewed lease is kept": func(is *is.I, w *world, a, b *weight.Weight) {
+			l, m := take(is, a), take(is, a)
+			for range 10 {
+				time.Sleep(lease / 2)
+				var err error
+				l, err = a.Renew(ctx, l)
+				is.NoErr(err)
+				m, err = a.Renew(ctx, m)
+				is.NoErr(err)
+				full(is, b)
+			}
+		},
+		"renewal with lost answer counts once": func(is *is.I, w *world, a, b *weight.Weight) {
+			l := take(is, a)
+			w.store.fail = func(int) fate { return lost }
+			time.Sleep(lease / 2)
+			l, err := a.Renew(ctx, l)
+			is.NoErr(err)
+			is.True(time.Until(l.Until) > lease-time.Second)
+			is.Equal(w.store.puts, 2)
+		},
+		"holder paused past its lease exceeds the limit by one and learns it": func(is *is.I, w *world, a, b *weight.Weight) {
+			l := take(is, a)
+			take(is, b)
+			full(is, b)
+			time.Sleep(lease + time.Second)
+			take(is, b)
+			_, err := a.Renew(ctx, l)
+			is.True(errors.Is(err, core.ErrNoSlot))
+			is.NoErr(a.Release(ctx, l))
+			is.Equal(w.n.n[weight.CountOverrun], 1)
+		},
+		"store down: no slot, and a failed release goes with the next update": func(is *is.I, w *world, a, b *weight.Weight) {
+			l := take(is, a)
+			take(is, a)
+			w.store.setDown(true)
+			_, err := b.Acquire(ctx, "endpoint")
+			is.True(err != nil && !errors.Is(err, core.ErrNoSlot))
+			is.True(a.Release(ctx, l) != nil)
+			w.store.setDown(false)
+			take(is, a)
+			full(is, b)
+		},
+		"full answer is not read again at once": func(is *is.I, w *world, a, b *weight.Weight) {
+			take(is, a)
+			take(is, a)
+			gets := w.store.gets
+			for range 50 {
+				_, err := b.Acquire(ctx, "endpoint")
+				is.True(errors.Is(err, core.ErrNoSlot))
+			}
+			is.Equal(w.store.gets, gets+1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := &world{store: &memStore{}, n: &counts{n: map[string]int{}}}
+				run(is.New(t), w, w.instance("a"), w.instance("b"))
+			})
+		})
+	}
+}
