Drive endpoints by core/order with slots for loads

Cause: orders went out only at polls, from every instance that had the pool open, without limit, and an endpoint counted as accepting during its load. Change: io/driver carries out the steps of one endpoint and wakes at tickets and reports. Only the pool's owner sends. An endpoint whose load was ordered takes no new work until it reports the model. The orders' states are in /debug/vars and in snipeshed status.

--- a/app/app.go
+++ b/app/app.go
@@ -18,6 +18,7 @@
 	"snipeshed/core/admit"
 	"snipeshed/core/budget"
 	"snipeshed/core/member"
+	"snipeshed/core/order"
 	"snipeshed/core/queue"
 	"snipeshed/core/state"
 	"snipeshed/io/action"
@@ -30,6 +31,7 @@
 	"snipeshed/io/relay"
 	"snipeshed/io/roster"
 	"snipeshed/io/store"
+	"snipeshed/io/weight"
 	"snipeshed/wire"
 )
 
@@ -148,7 +150,9 @@
 	a.members = member.New(self, ms(cfg.GetSuspectMs()))
 	a.store = store.New(a.Shared, cfg, link.New(cfg))
 	a.relay = relay.New(a.Shared, cfg, a.members, a.state, a.store, roster.New(cfg))
-	a.host = host.New(a.Shared, cfg, a.relay, a.members, o.newPolicy, host.WithCounters(a.meter))
+	a.host = host.New(a.Shared, cfg, a.relay, a.members, o.newPolicy, host.WithCounters(a.meter),
+		host.WithSlots(weight.New(a.Shared, a.store, self.ID, weight.WithCounters(a.meter),
+			weight.WithSlots(int(cfg.GetWeightSlots())), weight.WithLease(ms(cfg.GetWeightLeaseMs())))))
 	a.state.Subscribe(a.host.Configure)
 	retries := budget.New(budget.WithPercent(cfg.GetRetryBudgetPercent()))
 	a.action = action.New(a.Shared, a.store, a.relay,
@@ -185,6 +189,15 @@
 		}
 		return out
 	})
+	a.meter.Publish("orders", func() any {
+		out := map[core.EndpointID]order.State{}
+		for _, p := range a.host.Pools() {
+			for id, s := range p.Orders() {
+				out[id] = s
+			}
+		}
+		return out
+	})
 	a.meter.Publish("ticket", func() any { return a.state.Number() })
 }
 
--- a/app/status.go
+++ b/app/status.go
@@ -7,6 +7,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/member"
+	"snipeshed/core/order"
 	"snipeshed/io/host"
 	"snipeshed/io/link"
 	"snipeshed/io/meter"
@@ -92,6 +93,9 @@
 	if info.Accepting {
 		out.State = "accepting"
 	}
+	if s := p.Orders()[ep]; s != order.StateDone {
+		out.State += ", " + string(s)
+	}
 	out.Running, out.KvUsed, out.KvCapacity = int64(info.Load.Running), int64(info.Load.KVUsed), int64(info.Load.KVCapacity)
 	return out
 }
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -8,7 +8,9 @@
 
 	"snipeshed/conf"
 	"snipeshed/core"
+	"snipeshed/core/order"
 	"snipeshed/core/shard"
+	"snipeshed/io/driver"
 	"snipeshed/io/engine"
 	"snipeshed/io/link"
 	"snipeshed/io/pool"
@@ -24,6 +26,7 @@
 	counters  Counters
 	newPolicy func() core.Policy
 	newRunner func(address string) core.Runner
+	slots     core.Slots
 
 	mu       sync.Mutex
 	current  *core.Config
@@ -55,6 +58,9 @@
 	return func(h *Host) { h.newRunner = fn }
 }
 
+// WithSlots sets where the slots for loads of models come from.
+func WithSlots(s core.Slots) Option { return func(h *Host) { h.slots = s } }
+
 type noCounters struct{}
 
 // Count does nothing.
@@ -101,15 +107,31 @@
 
 // Own opens the pools that this instance owns by hash, so that their endpoints get orders and are known before the first call.
 func (h *Host) Own(now time.Time) {
-	self := h.members.Self().ID
 	for _, id := range h.Shard().All() {
-		owners := h.members.Owners(now, Resource(id), 1)
-		if len(owners) == 1 && owners[0].ID == self {
+		if h.owns(now, id) {
 			_, _ = h.pool(id) // an unknown pool was removed meanwhile
 		}
 	}
 }
 
+// owns reports whether this instance is the owner of a pool by hash.
+func (h *Host) owns(now time.Time, id core.PoolID) bool {
+	owners := h.members.Owners(now, Resource(id), 1)
+	return len(owners) == 1 && owners[0].ID == h.members.Self().ID
+}
+
+// driverOptions make the endpoints of a pool be ordered by its owner only: former owners keep their pools open.
+func (h *Host) driverOptions(id core.PoolID) []driver.Option {
+	opts := []driver.Option{
+		driver.WithCounters(h.counters), driver.WithOwner(func() bool { return h.owns(h.Clock.Now(), id) }),
+		driver.WithOrder(order.WithReportLag(ms(h.cfg.GetReportLagMs()))),
+	}
+	if h.slots != nil {
+		opts = append(opts, driver.WithSlots(h.slots))
+	}
+	return opts
+}
+
 // Resource is the name under which a pool's owner is hashed.
 func Resource(id core.PoolID) string { return "pool/" + string(id) }
 
@@ -137,7 +159,8 @@
 		}
 	}
 	p := pool.New(h.Shared, id, h.newPolicy(), h.newRunner,
-		pool.WithPollInterval(ms(h.cfg.GetLoadPollMs())), pool.WithListLeaving(h.members.EndpointLeaving))
+		pool.WithPollInterval(ms(h.cfg.GetLoadPollMs())), pool.WithListLeaving(h.members.EndpointLeaving),
+		pool.WithDriver(h.driverOptions(id)...))
 	p.Configure(h.current, h.shard.Endpoints(id))
 	h.pools[id] = p
 	return p, nil
--- a/io/pool/endpoint.go
+++ b/io/pool/endpoint.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"snipeshed/core"
+	"snipeshed/io/driver"
 )
 
 // endpoint is what a pool knows of one model runner.
@@ -14,67 +14,57 @@
 	address string
 	runner  core.Runner
 	wanted  core.RunnerOrder
+	driver  *driver.Driver
+	stop    context.CancelFunc
 
 	load    core.RunnerLoad
 	up      bool
 	leaving bool
 }
 
-// accepting reports whether new work may go to the endpoint.
+// accepting reports whether new work may go to the endpoint; one that waits for its order goes on with its old version.
 func (e *endpoint) accepting(listLeaving func(string) bool) bool {
-	return e.up && !e.leaving && !e.load.Leaving && e.load.Model == e.wanted.Model && !listLeaving(e.address)
+	return e.up && !e.leaving && !e.load.Leaving && e.load.Model == e.wanted.Model &&
+		!e.driver.Loading() && !listLeaving(e.address)
 }
 
-// ordered reports whether the endpoint has the state that the tickets want.
-func (e *endpoint) ordered(l core.RunnerLoad) bool {
-	w := e.wanted
-	if l.Model != w.Model || l.Version != w.Version || l.Role != w.Role || len(l.Adapters) != len(w.Adapters) {
-		return false
-	}
-	for i, a := range w.Adapters {
-		if l.Adapters[i] != a {
-			return false
-		}
-	}
-	return true
+// open adds an endpoint and starts its driver; p.mu is held.
+func (p *Pool) open(t target) *endpoint {
+	e := &endpoint{id: t.id, address: t.address, runner: p.newRunner(t.address)}
+	opts := append([]driver.Option{driver.WithChanged(p.refresh)}, p.driverOpts...)
+	e.driver = driver.New(p.Shared, t.id, e.runner, opts...)
+	ctx, cancel := context.WithCancel(p.ctx)
+	e.stop = cancel
+	p.done.Go(func() { e.driver.Run(ctx) })
+	p.endpoints[t.id] = e
+	return e
 }
 
-// poll asks the endpoint for its load and repeats its order until the endpoint reports the wanted state.
-func (p *Pool) poll(ctx context.Context, e *endpoint, wanted core.RunnerOrder) {
+// poll asks the endpoint for its load, which its driver compares with the wanted state.
+func (p *Pool) poll(ctx context.Context, e *endpoint) {
 	l, err := e.runner.Load(ctx)
 	if ctx.Err() != nil {
 		return
 	}
+	if err == nil {
+		e.driver.Report(l)
+	} else {
+		e.driver.Unreachable()
+	}
 	p.mu.Lock()
 	was := e.up
 	e.up = err == nil
 	if err == nil {
 		e.load = l
 	}
-	behind := err == nil && !e.ordered(l)
 	p.mu.Unlock()
 	if was != (err == nil) {
 		p.Log.WithFields(logFields(e, err)).Info("endpoint changed reachability")
 	}
-	if behind {
-		p.order(ctx, e, wanted)
-	}
-}
-
-func (p *Pool) order(ctx context.Context, e *endpoint, wanted core.RunnerOrder) {
-	err := e.runner.Order(ctx, wanted)
-	switch {
-	case err == nil:
-		p.Log.WithFields(logFields(e, nil)).WithField("number", wanted.Number).Info("order accepted by endpoint")
-	case errors.Is(err, core.ErrOldOrder):
-		p.Log.WithFields(logFields(e, err)).Warn("endpoint has a newer order; waiting for its ticket")
-	default:
-		p.Log.WithFields(logFields(e, err)).Warn("order failed; it is repeated at the next poll")
-	}
 }
 
 func logFields(e *endpoint, err error) map[string]any {
-	f := map[string]any{"endpoint": e.id, "address": e.address, "up": e.up}
+	f := map[string]any{"endpoint": e.id, "address": e.address, "up": err == nil}
 	if err != nil {
 		f["error"] = err.Error()
 	}
--- /dev/null
+++ b/io/pool/order_test.go
@@ -0,0 +1,223 @@
+package pool_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"snipeshed/core"
+	"snipeshed/core/order"
+	"snipeshed/core/queue"
+	"snipeshed/io/driver"
+	"snipeshed/io/engine"
+	"snipeshed/io/pool"
+	"snipeshed/stand/host"
+	"snipeshed/stand/runner"
+	"snipeshed/wire"
+)
+
+const (
+	poll = 2 * time.Second
+	lag  = 500 * time.Millisecond
+	load = 5 * time.Second
+)
+
+// recorder is an owner's client of an engine; hold delays its orders as a pause of the owner would.
+type recorder struct {
+	core.Runner
+	mu     sync.Mutex
+	hold   chan struct{}
+	orders []sentOrder
+}
+
+type sentOrder struct {
+	core.RunnerOrder
+	at  time.Time
+	err error
+}
+
+func (r *recorder) Order(ctx context.Context, o core.RunnerOrder) error {
+	if r.hold != nil {
+		<-r.hold
+	}
+	err := r.Runner.Order(ctx, o)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.orders = append(r.orders, sentOrder{o, time.Now(), err})
+	return err
+}
+
+func (r *recorder) sent() []sentOrder {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]sentOrder(nil), r.orders...)
+}
+
+type world struct {
+	t      *testing.T
+	pipe   *host.Pipe
+	runner *runner.Runner
+}
+
+func newWorld(t *testing.T, opts ...runner.Option) *world {
+	w := &world{t: t, pipe: host.NewPipe()}
+	opts = append([]runner.Option{
+		runner.WithListener(w.pipe), runner.WithModel("m", "1"), runner.WithRole("a"), runner.WithLoadLag(lag), runner.WithLoadTime(load),
+	}, opts...)
+	w.runner = runner.New(opts...)
+	if err := w.runner.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = w.runner.Close() })
+	return w
+}
+
+func config(n core.TicketNumber, version, role string, checks bool) *core.Config {
+	return &core.Config{
+		Number: n, SetBy: map[string]core.TicketNumber{"endpoint/e": n},
+		Ranks: map[core.RankName]*wire.Rank{"urgent": {Name: "urgent", Priority: 1}},
+		Endpoints: map[core.EndpointID]*wire.Endpoint{"e": {
+			Name: "e", Address: "127.0.0.1:1", ChecksFencing: checks,
+			Wanted: &wire.Wanted{Model: "m", Version: version, Role: role},
+		}},
+	}
+}
+
+// owner returns a pool of another instance.
+func (w *world) owner(cfg *core.Config, hold chan struct{}, opts ...driver.Option) (*pool.Pool, *recorder) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := &recorder{Runner: engine.New("127.0.0.1:1", w.pipe.Client()), hold: hold}
+	opts = append(opts, driver.WithOrder(order.WithReportLag(lag)))
+	p := pool.New(core.NewShared(logrus.NewEntry(log)), "m/0", queue.New(), func(string) core.Runner { return r },
+		pool.WithPollInterval(poll), pool.WithDriver(opts...))
+	w.t.Cleanup(p.Close)
+	p.Configure(cfg, []core.EndpointID{"e"})
+	return p, r
+}
+
+// Guards against a paused owner whose late order stays in effect.
+func TestLateOrderOfPausedOwner(t *testing.T) {
+	for name, c := range map[string]struct {
+		checks  bool
+		version string
+		bound   time.Duration
+	}{
+		"checking engine refuses":                      {true, "1", 0},
+		"ignoring engine is put right":                 {false, "1", 2*poll + lag},
+		"ignoring engine with a load is put right too": {false, "2", 2*poll + lag},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var worst time.Duration
+			for offset := time.Duration(0); offset < poll; offset += 100 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					worst = max(worst, lateOrder(t, c.checks, c.version, offset))
+				})
+			}
+			t.Logf("put right after at most %v, bound %v", worst, c.bound)
+			is.New(t).True(worst <= c.bound)
+		})
+	}
+}
+
+// lateOrder returns how long the late order was in effect.
+func lateOrder(t *testing.T, checks bool, version string, offset time.Duration) time.Duration {
+	is := is.New(t)
+	w := newWorld(t, runner.WithOrderCheck(checks))
+	paused := make(chan struct{})
+	_, old := w.owner(config(5, version, "old", checks), paused)
+	time.Sleep(time.Second)
+	p, current := w.owner(config(6, "1", "new", checks), nil)
+	time.Sleep(10*time.Second + offset)
+	is.Equal(p.Orders()["e"], order.StateDone)
+	before := len(current.sent())
+
+	close(paused)
+	synctest.Wait()
+	late := old.sent()
+	is.Equal(len(late), 1)
+	is.Equal(errors.Is(late[0].err, core.ErrOldOrder), checks)
+	time.Sleep(30 * time.Second)
+	is.Equal(p.Orders()["e"], order.StateDone)
+	is.Equal(len(old.sent()), 1) // the old owner sees the newer number and does not fight
+	after := current.sent()[before:]
+	if checks {
+		is.Equal(len(after), 0)
+		return 0
+	}
+	is.Equal(len(after), 1)
+	return after[0].at.Sub(late[0].at)
+}
+
+// noSlots is a weight store that is down.
+type noSlots struct{ core.Slots }
+
+// Acquire fails.
+func (noSlots) Acquire(context.Context, core.EndpointID) (core.Lease, error) {
+	return core.Lease{}, errors.New("store is down")
+}
+
+// Guards against new work at an endpoint that loads, against cut generations, and against an endpoint that stops
+// serving its old version before its load may begin.
+func TestDrain(t *testing.T) {
+	for name, c := range map[string]struct {
+		down          bool
+		version, role string
+		orders        int
+		refusing      bool
+	}{
+		"new version drains":                       {false, "2", "a", 1, true},
+		"role only goes on":                        {false, "1", "b", 1, false},
+		"store down: old version goes on":          {true, "2", "a", 0, false},
+		"store down: role is ordered all the same": {true, "1", "b", 1, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld(t)
+				var opts []driver.Option
+				if c.down {
+					opts = append(opts, driver.WithSlots(noSlots{}))
+				}
+				p, r := w.owner(config(1, "1", "a", true), nil, opts...)
+				time.Sleep(5 * time.Second)
+				is.True(p.Reports()["e"].Accepting)
+				sent := len(r.sent())
+				stream, err := r.Generate(t.Context(), core.GenerateRequest{RequestID: "r", Model: "m", Prompt: "[output=500] x", MaxTokens: 500})
+				is.NoErr(err)
+				defer stream.Close()
+				_, err = stream.Next()
+				is.NoErr(err)
+
+				start := time.Now()
+				p.Configure(config(2, c.version, c.role, true), []core.EndpointID{"e"})
+				synctest.Wait()
+				is.Equal(len(r.sent())-sent, c.orders) // before the next poll
+				if c.orders > 0 {
+					is.Equal(r.sent()[sent].at, start)
+				}
+				is.Equal(p.Reports()["e"].Accepting, !c.refusing)
+				var done core.Event
+				for !done.Done {
+					done, err = stream.Next()
+					is.NoErr(err)
+				}
+				is.Equal(done.Tokens, core.Tokens(500))
+				if c.refusing {
+					time.Sleep(load - time.Since(start) - time.Millisecond)
+					is.True(!p.Reports()["e"].Accepting)
+				}
+				time.Sleep(load + poll + lag)
+				is.True(p.Reports()["e"].Accepting)
+				is.Equal(len(r.sent())-sent, c.orders)
+			})
+		})
+	}
+}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -8,6 +8,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"snipeshed/core"
+	"snipeshed/core/order"
+	"snipeshed/io/driver"
 )
 
 // Pool admits calls to the endpoints of one pool.
@@ -18,14 +20,17 @@
 	pollEvery   time.Duration
 	listLeaving func(address string) bool
 	newRunner   func(address string) core.Runner
+	driverOpts  []driver.Option
 
 	mu        sync.Mutex
 	policy    core.Policy
 	waiting   map[core.RequestID]chan core.Action
 	endpoints map[core.EndpointID]*endpoint
 
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	ctx     context.Context
+	cancel  context.CancelFunc
+	pollNow chan struct{}
+	done    sync.WaitGroup
 }
 
 // Option changes a Pool.
@@ -39,6 +44,11 @@
 	return func(p *Pool) { p.listLeaving = fn }
 }
 
+// WithDriver passes options to the drivers that order the endpoints.
+func WithDriver(opts ...driver.Option) Option {
+	return func(p *Pool) { p.driverOpts = append(p.driverOpts, opts...) }
+}
+
 const defaultPollInterval = 2 * time.Second
 
 // Target describes an endpoint of the pool as the tickets want it.
@@ -46,13 +56,15 @@
 	id      core.EndpointID
 	address string
 	order   core.RunnerOrder
+	checks  bool
 }
 
 // New returns a pool without endpoints and starts to poll.
 func New(shared core.Shared, id core.PoolID, policy core.Policy, newRunner func(address string) core.Runner, opts ...Option) *Pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &Pool{
-		Shared: shared, id: id, policy: policy, newRunner: newRunner, cancel: cancel,
+		Shared: shared, id: id, policy: policy, newRunner: newRunner, ctx: ctx, cancel: cancel,
+		pollNow:     make(chan struct{}, 1),
 		pollEvery:   defaultPollInterval,
 		listLeaving: func(string) bool { return false },
 		waiting:     map[core.RequestID]chan core.Action{},
@@ -84,16 +96,18 @@
 	}
 	for id, e := range p.endpoints {
 		if t, ok := targets[id]; !ok || t.address != e.address {
+			e.stop()
 			delete(p.endpoints, id)
 		}
 	}
 	for id, t := range targets {
 		e := p.endpoints[id]
 		if e == nil {
-			e = &endpoint{id: id, address: t.address, runner: p.newRunner(t.address)}
-			p.endpoints[id] = e
+			e = p.open(t)
+			p.pollSoon()
 		}
 		e.wanted = t.order
+		e.driver.Want(t.order, t.checks)
 	}
 	p.apply(p.policy.SetRules(now, rules(cfg)))
 	p.setRunners(now)
@@ -102,7 +116,7 @@
 func newTarget(cfg *core.Config, id core.EndpointID) target {
 	ep := cfg.Endpoints[id]
 	w := ep.GetWanted()
-	return target{id: id, address: ep.GetAddress(), order: core.RunnerOrder{
+	return target{id: id, address: ep.GetAddress(), checks: ep.GetChecksFencing(), order: core.RunnerOrder{
 		Number: cfg.SetBy["endpoint/"+string(id)], Model: core.ModelName(w.GetModel()),
 		Version: w.GetVersion(), Adapters: w.GetAdapters(), Role: w.GetRole(),
 	}}
@@ -239,6 +253,17 @@
 	return out
 }
 
+// Orders returns how far each endpoint is from the state that the tickets want.
+func (p *Pool) Orders() map[core.EndpointID]order.State {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[core.EndpointID]order.State, len(p.endpoints))
+	for id, e := range p.endpoints {
+		out[id] = e.driver.State()
+	}
+	return out
+}
+
 // Drain refuses every waiting call as leaving, so that its entry takes it to another instance.
 func (p *Pool) Drain() {
 	p.mu.Lock()
@@ -292,23 +317,32 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		case <-p.pollNow:
 		}
 		p.pollAll(ctx)
 		t.Reset(p.pollEvery)
 	}
 }
 
+// pollSoon polls before the next interval, because a new endpoint gets no order before its first report.
+func (p *Pool) pollSoon() {
+	select {
+	case p.pollNow <- struct{}{}:
+	default:
+	}
+}
+
 func (p *Pool) pollAll(ctx context.Context) {
 	p.mu.Lock()
-	orders := make(map[*endpoint]core.RunnerOrder, len(p.endpoints))
+	polled := make([]*endpoint, 0, len(p.endpoints))
 	for _, e := range p.endpoints {
-		orders[e] = e.wanted
+		polled = append(polled, e)
 	}
 	p.mu.Unlock()
 	var g errgroup.Group
-	for e, o := range orders {
+	for _, e := range polled {
 		g.Go(func() error {
-			p.poll(ctx, e, o)
+			p.poll(ctx, e)
 			p.refresh()
 			return nil
 		})
--- a/stand/runner/admin.go
+++ b/stand/runner/admin.go
@@ -120,6 +120,7 @@
 	s := r.state
 	s.Load = r.batch.Load()
 	s.Leaving = r.leaving
+	s.Loading = time.Now().Before(r.order.ready)
 	return s
 }
 
--- a/stand/runner/runner.go
+++ b/stand/runner/runner.go
@@ -40,7 +40,9 @@
 // State counts what a runner has done; it is exact and current.
 type State struct {
 	batch.Load
-	Leaving     bool  `json:"leaving"`
+	Leaving bool `json:"leaving"`
+	// Loading tells that the runner loads a model.
+	Loading     bool  `json:"loading"`
 	Started     int64 `json:"started"`
 	Finished    int64 `json:"finished"`
 	Canceled    int64 `json:"canceled"`
