--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -170,6 +170,14 @@
 			{0, sent(order.NotSent), order.Release},
 			{0, released, order.Wait},
 		},
+		"order that was not sent leaves the slot to the load before it": {
+			{0, want(2, "2", "a", true), order.Nothing},
+			{0, reports(1, "m", "1", "a"), order.Acquire},
+			{0, grant, order.Send},
+			{0, sent(order.Accepted), order.Nothing},
+			{0, want(3, "3", "a", true), order.Send},
+			{0, sent(order.NotSent), order.Wait},
+		},
 		"order with unknown outcome keeps its slot": {
 			{0, want(2, "2", "a", true), order.Nothing},
 			{0, reports(1, "m", "1", "a"), order.Acquire},
