--- a/io/weight/weight.go
+++ b/io/weight/weight.go
@@ -230,7 +230,7 @@
 // update reads the record, changes it and writes it, again when another process was faster; w.mu is held.
 //
 // It returns the end of a lease that counts from before the write. A write whose answer is lost is resolved by
-// reading back; if that fails, nonce is kept as unknown.
+// calling change with the record read back; nonce, if any, is kept as unknown until then.
 func (w *Weight) update(ctx context.Context, nonce string, change func(time.Time, *record) error) (time.Time, error) {
 	// first is the start of the first write that may have taken effect: from then on others may count the lease.
 	var first time.Time
@@ -239,10 +239,6 @@
 		if err != nil {
 			return time.Time{}, err
 		}
-		if nonce != "" && r.index(nonce) >= 0 {
-			delete(w.unknown, nonce)
-			return first.Add(w.lease), nil // the answer to the write was lost
-		}
 		now := w.Clock.Now()
 		if err := change(now, &r); err != nil {
 			return first.Add(w.lease), err
