--- a/app/inspect.go
+++ b/app/inspect.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"snipeshed/core"
+	"snipeshed/core/order"
 	"snipeshed/io/host"
 	"snipeshed/io/link"
 	"snipeshed/wire"
@@ -33,18 +34,22 @@
 				Pool: string(id), Rank: string(r.Rank), Waiting: int64(r.Waiting), ExpectedWaitMs: r.ExpectedWait.Milliseconds(),
 			})
 		}
+		orders := p.Orders()
 		for ep, info := range p.Reports() {
-			out.Endpoints = append(out.Endpoints, i.endpoint(id, ep, info))
+			out.Endpoints = append(out.Endpoints, i.endpoint(id, ep, info, orders[ep]))
 		}
 	}
 	return out, nil
 }
 
-func (i *inspector) endpoint(id core.PoolID, ep core.EndpointID, info core.RunnerInfo) *wire.EndpointStatus {
+func (i *inspector) endpoint(id core.PoolID, ep core.EndpointID, info core.RunnerInfo, o order.State) *wire.EndpointStatus {
 	state := "not accepting"
 	if info.Accepting {
 		state = "accepting"
 	}
+	if o != order.StateDone {
+		state += ", " + string(o)
+	}
 	return &wire.EndpointStatus{
 		Name: string(ep), Pool: string(id), Owner: string(i.app.members.Self().ID), State: state,
 		Running: int64(info.Load.Running), KvUsed: int64(info.Load.KVUsed), KvCapacity: int64(info.Load.KVCapacity),
