Test the bytes of the control plane of a steady fleet

Cause: the budget of 2 KB/s per instance was measured by hand only. Change: tests on loopback count the bytes at both ends of each connection; io/link counts accepted connections for that. A test also covers a peer whose open connection fell silent.

--- a/io/link/link.go
+++ b/io/link/link.go
@@ -10,7 +10,7 @@
 	"snipeshed/conf"
 )
 
-// Link makes clients and servers from one instance's settings and counts the bytes of its clients.
+// Link makes clients and servers from one instance's settings and counts the bytes of its clients and listeners.
 type Link struct {
 	cfg  *conf.Settings
 	sent atomic.Int64
@@ -20,7 +20,7 @@
 // New returns a Link.
 func New(cfg *conf.Settings) *Link { return &Link{cfg: cfg} }
 
-// Bytes returns the bytes sent and received on connections that this Link's clients opened.
+// Bytes returns the bytes sent and received on connections that this Link's clients opened and its listeners accepted.
 func (l *Link) Bytes() (sent, received int64) { return l.sent.Load(), l.rcvd.Load() }
 
 // PeerClient returns a client that speaks only unencrypted HTTP/2 and pings idle connections.
@@ -81,6 +81,23 @@
 	}
 }
 
+// Listener returns a listener that counts the bytes of the connections that it accepts.
+func (l *Link) Listener(ln net.Listener) net.Listener { return &countedListener{Listener: ln, link: l} }
+
+type countedListener struct {
+	net.Listener
+	link *Link
+}
+
+// Accept returns the next connection.
+func (l *countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: c, link: l.link}, nil
+}
+
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 type countedConn struct {
--- /dev/null
+++ b/io/relay/bytes_test.go
@@ -0,0 +1,171 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/core/member"
+	"snipeshed/core/state"
+	"snipeshed/io/link"
+	"snipeshed/io/roster"
+	"snipeshed/io/store"
+	"snipeshed/stand/objs"
+)
+
+// tcpNode is an instance's control plane on loopback with the default settings.
+type tcpNode struct {
+	*Relay
+	peer     core.Peer
+	listener net.Listener
+	server   *link.Link
+	platform *link.Link
+	roster   *roster.Roster
+	cfg      *conf.Settings
+	close    func()
+}
+
+func (n *tcpNode) bytes() int64 {
+	var total int64
+	for _, count := range []func() (int64, int64){n.Bytes, n.server.Bytes, n.platform.Bytes, n.roster.Bytes} {
+		sent, received := count()
+		total += sent + received
+	}
+	return total
+}
+
+func startTCP(t *testing.T, platform *objs.Objs, size int) []*tcpNode {
+	is := is.New(t)
+	var nodes []*tcpNode
+	for i := range size {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		n := &tcpNode{listener: ln, cfg: &conf.Settings{PlatformUrl: platform.URL()}}
+		conf.SetDefaults(n.cfg)
+		n.peer = core.Peer{
+			ID: core.InstanceID(fmt.Sprintf("instance-%03d", i)), Address: ln.Addr().String(),
+			FailureDomain: core.FailureDomain(fmt.Sprintf("zone-%d", i%3)),
+		}
+		platform.SetInstance(objs.Instance{
+			ID: string(n.peer.ID), Address: n.peer.Address, FailureDomain: n.peer.FailureDomain,
+			Kind: member.KindInstance, State: member.StateLive,
+		})
+		nodes = append(nodes, n)
+	}
+	for _, n := range nodes {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		shared := core.NewShared(logrus.NewEntry(log))
+		n.platform = link.New(n.cfg)
+		s := store.New(shared, n.cfg, n.platform)
+		n.roster = roster.New(n.cfg)
+		n.Relay = New(shared, n.cfg, member.New(n.peer, ms(n.cfg.GetSuspectMs())), state.New(), s, n.roster)
+		n.server = link.New(n.cfg)
+		srv := n.server.Server(n.Handler())
+		go func() { _ = srv.Serve(n.server.Listener(n.listener)) }()
+		n.close = func() {
+			n.Relay.Close()
+			_ = srv.Close()
+			s.Close()
+			n.roster.Close()
+		}
+		t.Cleanup(n.close)
+		n.Start()
+	}
+	for _, n := range nodes {
+		<-n.Ready()
+	}
+	return nodes
+}
+
+func startPlatform(t *testing.T) *objs.Objs {
+	platform := objs.New()
+	is.New(t).NoErr(platform.Start())
+	t.Cleanup(func() { _ = platform.Close() })
+	return platform
+}
+
+// Guards against control traffic of a steady fleet above 2 KB per second and instance, both directions and
+// both ends of each connection, with the platform, at the default settings.
+func TestSteadyBytes(t *testing.T) {
+	is := is.New(t)
+	nodes := startTCP(t, startPlatform(t), 9)
+	time.Sleep(2 * time.Second)
+	before := make([]int64, len(nodes))
+	for i, n := range nodes {
+		before[i] = n.bytes()
+	}
+	const seconds = 4
+	time.Sleep(seconds * time.Second)
+	var sum int64
+	for i, n := range nodes {
+		perSecond := (n.bytes() - before[i]) / seconds
+		sum += perSecond
+		t.Logf("instance=%s bytes_per_s=%d", n.peer.ID, perSecond)
+		is.True(perSecond < 2000)
+	}
+	t.Logf("mean_bytes_per_s=%d", sum/int64(len(nodes)))
+}
+
+// Guards against exchanges without news that send more than the digests, or that open a connection each time.
+func TestExchangeBytes(t *testing.T) {
+	is := is.New(t)
+	nodes := startTCP(t, startPlatform(t), 2)
+	nodes[0].stop() // no other exchanges
+	time.Sleep(1200 * time.Millisecond)
+	total := func() int64 {
+		sent, received := nodes[0].Bytes()
+		return sent + received
+	}
+	is.NoErr(nodes[0].exchange(context.Background(), nodes[1].peer))
+	before := total()
+	const rounds = 50
+	for range rounds {
+		is.NoErr(nodes[0].exchange(context.Background(), nodes[1].peer))
+	}
+	perExchange := (total() - before) / rounds
+	t.Logf("bytes_per_exchange=%d", perExchange)
+	is.True(perExchange < 250)
+}
+
+// Guards against a peer whose open connection fell silent and that stays suspect although new connections work.
+func TestSilentConnection(t *testing.T) {
+	is := is.New(t)
+	nodes := startTCP(t, startPlatform(t), 2)
+	hang := make(chan struct{})
+	defer close(hang)
+	var once atomic.Bool
+	h := nodes[1].Handler()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	srv := link.New(nodes[1].cfg).Server(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+		if once.CompareAndSwap(false, true) {
+			select {
+			case <-hang:
+			case <-req.Context().Done():
+			}
+			return
+		}
+		h.ServeHTTP(w, req)
+	}))
+	go func() { _ = srv.Serve(ln) }()
+	defer srv.Close()
+	p := nodes[1].peer
+	p.Address = ln.Addr().String()
+	began := time.Now()
+	is.True(nodes[0].exchange(context.Background(), p) != nil)
+	is.True(time.Since(began) < exchangeTimeout+time.Second)
+	is.Equal(len(nodes[0].members.Peers(time.Now())), 0) // suspect
+	is.NoErr(nodes[0].exchange(context.Background(), p))
+	is.Equal(len(nodes[0].members.Peers(time.Now())), 1)
+}
--- a/io/relay/world_test.go
+++ b/io/relay/world_test.go
@@ -107,7 +107,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	members := member.New(n.peer, ms(n.cfg.GetSuspectMs()))
-	r := New(core.NewShared(logrus.NewEntry(log)), n.cfg, members, n.state, n, roster{n}, WithDialer(n.dialPeer))
+	r := New(core.NewShared(logrus.NewEntry(log)), n.cfg, members, n.state, n, listOf{n}, WithDialer(n.dialPeer))
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	n.Relay = r
@@ -321,9 +321,9 @@
 	}
 }
 
-type roster struct{ *node }
+type listOf struct{ *node }
 
-func (r roster) List(ctx context.Context, since uint64) ([]*wire.Instance, uint64, error) {
+func (r listOf) List(ctx context.Context, since uint64) ([]*wire.Instance, uint64, error) {
 	if err := r.reach(ctx); err != nil {
 		return nil, 0, err
 	}
