Use one retry budget for generations and services; remove old action records

Cause: io/action had its own budget interface, so the instance's budget was not used for application services, and records of actions were kept for ever.

--- a/app/app.go
+++ b/app/app.go
@@ -163,9 +163,10 @@
 	a.state.Subscribe(a.configure)
 	retries := budget.New(budget.WithPercent(cfg.GetRetryBudgetPercent()))
 	a.action = action.New(a.Shared, a.store, a.relay,
-		action.Instance(self.ID), action.Settings(cfg),
-		action.Client(link.New(cfg).EndpointClient()),
-		action.EndpointUsable(func(_ core.EndpointID, address string) bool { return !a.members.EndpointLeaving(address) }))
+		action.WithInstance(self.ID), action.WithSettings(cfg), action.WithRetryBudget(retries),
+		action.WithRetention(a.members, ms(cfg.GetActionRetentionMs())),
+		action.WithClient(link.New(cfg).EndpointClient()),
+		action.WithEndpointUsable(func(_ core.EndpointID, address string) bool { return !a.members.EndpointLeaving(address) }))
 	calls := peer.New(link.New(cfg).PeerClient(), cfg.GetMaxBodyBytes())
 	a.entry = entry.New(entry.Parts{
 		Shared: a.Shared, Settings: cfg, Config: a.relay, Members: a.members, Host: a.host, Shard: a.host.Shard,
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -232,10 +232,6 @@
 	return b
 }
 
-func (w *world) post(n *fleet.Node, key, path string, body []byte, header map[string]string) (*http.Response, error) {
-	return post(w.client, n.ClientAddress(), key, path, body, header)
-}
-
 func post(c *http.Client, address, key, path string, body []byte, header map[string]string) (*http.Response, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
--- a/io/action/fake_test.go
+++ b/io/action/fake_test.go
@@ -284,7 +284,7 @@
 	}
 	for i := range instances {
 		w.instances = append(w.instances, New(quiet(), w.store, testConfig(addresses...),
-			Client(&http.Client{Transport: w.end}), Instance(core.InstanceID(rune('1'+i)))))
+			WithClient(&http.Client{Transport: w.end}), WithInstance(core.InstanceID(rune('1'+i)))))
 	}
 	return w
 }
--- a/io/action/plain.go
+++ b/io/action/plain.go
@@ -45,7 +45,7 @@
 		}
 		tried[ep.id] = true
 		if n == 0 {
-			a.budget.Call(a.Clock.Now(), c.team, ep.id)
+			a.budget.Call(c.team, ep.id)
 		}
 		resp, sent, err := a.send(ctx, c, ep, 0)
 		if err == nil {
@@ -59,7 +59,7 @@
 		a.Log.WithField("request_id", c.id).WithField("endpoint", ep.id).WithField("sent", sent).WithError(err).Warn("call_failed")
 		if ctx.Err() != nil || (sent && !idempotent(c.method)) ||
 			n+1 == maxAttempts || len(a.candidates(c.service, tried)) == 0 ||
-			!a.budget.Retry(a.Clock.Now(), c.team, ep.id) || !sleep(ctx, rand.N(firstPause<<n)+1) {
+			!a.budget.Retry(c.team, ep.id) || !sleep(ctx, rand.N(firstPause<<n)+1) {
 			break
 		}
 	}
--- a/io/action/protected.go
+++ b/io/action/protected.go
@@ -204,7 +204,7 @@
 	}
 	defer a.pick.put(ep.id)
 	if len(f.tried) == 0 {
-		a.budget.Call(a.Clock.Now(), f.team, ep.id)
+		a.budget.Call(f.team, ep.id)
 	}
 	f.tried[ep.id] = true
 	ctx, cancel := context.WithDeadline(ctx, f.deadline.Add(lateAnswer))
@@ -214,7 +214,7 @@
 	switch {
 	case err != nil && !sent:
 		log.WithError(err).Warn("action_not_sent")
-		more := len(a.candidates(f.service, f.tried)) > 0 && a.budget.Retry(a.Clock.Now(), f.team, ep.id)
+		more := len(a.candidates(f.service, f.tried)) > 0 && a.budget.Retry(f.team, ep.id)
 		return claim.Event{Kind: claim.EventNotSent, More: more}
 	case err != nil:
 		log.WithError(err).Warn("action_answer_lost")
--- a/io/action/retain.go
+++ b/io/action/retain.go
@@ -25,9 +25,9 @@
 	hexDigits = "0123456789abcdef"
 )
 
-// Retention removes records that are older than d, at least two hours. A removed key counts as new, so d must be longer
+// WithRetention removes records that are older than d, at least two hours. A removed key counts as new, so d must be longer
 // than any client goes on retrying. Each instance removes the part that members assign to it by hash.
-func Retention(members core.Members, d time.Duration) Option {
+func WithRetention(members core.Members, d time.Duration) Option {
 	return func(a *Action) { a.members, a.retention = members, max(d, minRetention) }
 }
 
--- a/io/action/retain_test.go
+++ b/io/action/retain_test.go
@@ -40,8 +40,8 @@
 				is := is.NewRelaxed(t)
 				w := newWorld(2, "10.0.0.1:1")
 				for i := range w.instances {
-					w.instances[i] = New(quiet(), w.store, testConfig("10.0.0.1:1"), Client(w.instances[0].client),
-						Instance(w.instances[i].instance), Retention(spread{}, 24*time.Hour))
+					w.instances[i] = New(quiet(), w.store, testConfig("10.0.0.1:1"), WithClient(w.instances[0].client),
+						WithInstance(w.instances[i].instance), WithRetention(spread{}, 24*time.Hour))
 				}
 				for i := range 60 {
 					is.Equal(w.call(i%2, "POST", "/confirm", fmt.Sprintf("old%d", i), "b", time.Minute), ran)
