Test the burst of loads while an owner stops

Cause: no test showed what becomes of slots and orders when the owner of a pool goes in the middle of a burst. Change: a scenario stops the owner of the first pool after 1 s.

--- a/app/orders_test.go
+++ b/app/orders_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"snipeshed/conf"
+	"snipeshed/core"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
 	"snipeshed/stand/runner"
@@ -23,27 +25,35 @@
 )
 
 // Guards against a burst of orders that exceeds the weight store's limit or costs many store writes, also while
-// answers of the object API are lost or it is down.
+// answers of the object API are lost, while it is down and while an owner stops.
 func TestBurstOfLoads(t *testing.T) {
-	for name, fault := range map[string]func(f *fleet.Fleet){
-		"no fault": func(*fleet.Fleet) {},
-		"ten lost answers": func(f *fleet.Fleet) {
+	for name, fault := range map[string]func(f *fleet.Fleet) (stopped core.InstanceID){
+		"the owner of a pool stops": func(f *fleet.Fleet) core.InstanceID {
+			owner := f.Nodes[0].Owner(fleet.Model + "/0")
+			i := slices.IndexFunc(f.Nodes, func(n *fleet.Node) bool { return n.ID == owner })
+			time.AfterFunc(time.Second, func() { _ = f.Nodes[i].Stop() }) // Close returns the same error
+			return owner
+		},
+		"no fault": func(*fleet.Fleet) core.InstanceID { return "" },
+		"ten lost answers": func(f *fleet.Fleet) core.InstanceID {
 			f.Platform.LoseAnswers(10, "weights/")
+			return ""
 		},
-		"outage of 1.5 s": func(f *fleet.Fleet) {
+		"outage of 1.5 s": func(f *fleet.Fleet) core.InstanceID {
 			time.AfterFunc(500*time.Millisecond, func() { f.Platform.SetOutage(objs.OutageRefuse) })
 			time.AfterFunc(2*time.Second, func() { f.Platform.SetOutage(objs.OutageNone) })
+			return ""
 		},
 	} {
 		t.Run(name, func(t *testing.T) { burst(t, fault) })
 	}
 }
 
-func burst(t *testing.T, fault func(f *fleet.Fleet)) {
+func burst(t *testing.T, fault func(f *fleet.Fleet) core.InstanceID) {
 	is := is.New(t)
 	f, err := fleet.New(fleet.WithSettings(func(cfg *conf.Settings) {
 		cfg.WeightSlots, cfg.LoadPollMs, cfg.ReportLagMs = burstSlots, 100, 100
-		cfg.LeaveDelayMs = proto.Int64(0)
+		cfg.LeaveDelayMs, cfg.WeightLeaseMs = proto.Int64(0), 3000
 	}))
 	is.NoErr(err)
 	defer func() { is.NoErr(f.Close()) }()
@@ -64,10 +74,12 @@
 	is.NoErr(err)
 	is.NoErr(f.WaitTicket(10*time.Second, next.GetNumber()))
 	start := time.Now()
-	fault(f)
+	stopped := fault(f)
 	l := watch{f: f, was: make([]bool, burstEndpoints)}
-	is.NoErr(fleet.Wait(60*time.Second, "all endpoints loaded and all slots free", func() bool {
-		return l.look() && slots(is, f) == 0
+	is.NoErr(fleet.Wait(60*time.Second, "all endpoints loaded", l.look))
+	// A stopped owner leaves the slots of running loads to their leases; the others are given back.
+	is.NoErr(fleet.Wait(10*time.Second, "slots free", func() bool {
+		return !slices.ContainsFunc(f.Nodes, func(n *fleet.Node) bool { return n.ID != stopped && slots(is, f, n.ID) > 0 })
 	}))
 	c := f.Platform.Counts()
 	spent := int64(c.Revision) - int64(next.GetNumber())
@@ -114,12 +126,12 @@
 	return l.loads >= burstEndpoints && now == 0
 }
 
-// slots returns how many slots are taken.
-func slots(is *is.I, f *fleet.Fleet) int {
+// slots returns how many slots an instance has taken.
+func slots(is *is.I, f *fleet.Fleet, holder core.InstanceID) int {
 	o, ok := f.Platform.Get("weights/slots")
 	if !ok {
 		return 0
 	}
 	is.True(json.Valid(o.Value))
-	return strings.Count(string(o.Value), `"nonce"`)
+	return strings.Count(string(o.Value), `"holder":"`+string(holder)+`"`)
 }
