Let protected actions open the circuit breaker of a hanging store

Cause: io/action gave each store call a context with the store's own timeout, which began earlier, so every call of an action ended by its caller's context. io/store counts such a call as given up, not as failed. An instance whose store accepts connections and answers nothing so went on claiming, and told each client outcome_unknown. Ruled out: the half-open state (io/store tries a store that counts as down with a read first).

Change: only the time left until the deadline shortens a store call. Adds tests of tickets and of the platform: a relay killed and another cut off from the store, the store refusing and hanging, lost answers, racing operators, an instance cut off from everything.

Actions whose deadline is shorter than the store's timeout still don't count.

--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -24,11 +24,13 @@
 	errs    []error
 	wg      sync.WaitGroup
 	stop    chan struct{}
+	once    sync.Once
 }
 
 // startLoad lets n clients take turns among the instances that pick returns, as the platform's balancer does.
-func startLoad(n, output int, pick func(i int) (c *http.Client, address string)) *load {
+func startLoad(t *testing.T, n, output int, pick func(i int) (c *http.Client, address string)) *load {
 	l := &load{stop: make(chan struct{})}
+	t.Cleanup(l.close) // also when the test ends early
 	for i := range n {
 		l.wg.Go(func() {
 			for j := i; ; j++ {
@@ -59,11 +61,15 @@
 	}
 }
 
+func (l *load) close() {
+	l.once.Do(func() { close(l.stop) })
+	l.wg.Wait()
+}
+
 // end waits for the open requests and returns the counts; a request that failed without the proof of not_run is an error.
 func (l *load) end(t *testing.T) (completed, refused int) {
 	t.Helper()
-	close(l.stop)
-	l.wg.Wait()
+	l.close()
 	kinds := map[string]int{}
 	for _, a := range l.answers {
 		if a.notRun() {
@@ -150,7 +156,7 @@
 				side.Go(func() { running[k] = w.chat(entry, long[k]) })
 				is.NoErr(fleet.Wait(startLimit, "long answer runs", func() bool { return w.total() == k+1 }))
 			}
-			l := startLoad(6, 10, w.fresh())
+			l := startLoad(t, 6, 10, w.fresh())
 			time.Sleep(500 * time.Millisecond)
 			i := 0 // the runner that takes most of the work
 			for k, r := range w.Runners {
@@ -245,7 +251,7 @@
 	t.Parallel()
 	is := is.New(t)
 	w := start(t)
-	l := startLoad(8, 40, w.fresh())
+	l := startLoad(t, 8, 40, w.fresh())
 	for _, old := range slices.Clone(w.Nodes) {
 		w.mu.Lock()
 		next, err := w.AddNode()
--- /dev/null
+++ b/e2e/ticket_test.go
@@ -0,0 +1,241 @@
+package e2e
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/io/oper"
+	"snipeshed/stand/fleet"
+	"snipeshed/stand/objs"
+	"snipeshed/wire"
+)
+
+// team returns a ticket that sets one team's weight, with a key of that name.
+func team(name, author string, base uint64, weight int64) *wire.Ticket {
+	return &wire.Ticket{Id: core.NewRandomID(), Author: author, Base: base, Items: []*wire.Item{{
+		Body: &wire.Item_Team{Team: &wire.Team{
+			Name: name, Weight: weight, Keys: []*wire.Key{{Sha256: fleet.KeyDigest("key-" + name), Rank: "urgent"}},
+		}},
+	}}}
+}
+
+// try applies a ticket and returns the number, or the typed error.
+func try(n *fleet.Node, t *wire.Ticket) (uint64, *core.Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
+	defer cancel()
+	got, err := n.Apply(ctx, t)
+	if err == nil {
+		return got.GetNumber(), nil
+	}
+	var typed *core.Error
+	if errors.As(oper.ErrorFrom(err), &typed) {
+		return 0, typed
+	}
+	return 0, &core.Error{Kind: core.KindInternal, Message: err.Error(), Run: core.RunUnknown}
+}
+
+// weights returns a team's weight in force at each instance.
+func (w *world) weights(name string) []int64 {
+	var out []int64
+	for _, n := range w.Nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		r, err := wire.NewOperatorProtobufClient("http://"+n.OperatorAddress(), w.client).Show(ctx, &wire.ShowRequest{})
+		cancel()
+		if err != nil {
+			w.t.Error(err)
+			continue
+		}
+		for _, item := range r.GetConfiguration().GetEntries() {
+			if item.GetItem().GetTeam().GetName() == name {
+				out = append(out, item.GetItem().GetTeam().GetWeight())
+			}
+		}
+	}
+	return out
+}
+
+// TestTicketWithRelayKilled guards against instances that stay behind when the relay of their failure domain is gone:
+// each instance is the only one of its domain, so each is a relay; all but one lose their link to the platform.
+func TestTicketWithRelayKilled(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t, defaultIntervals()...)
+	is.NoErr(w.Nodes[0].Kill())
+	w.Nodes[1].PlatformLink.Partition() // learns of tickets only from the other
+	began := time.Now()
+	number, err := try(w.Nodes[2], team("nagasaki", "morning", 1, 3))
+	is.True(err == nil)
+	for _, n := range w.Nodes[1:] {
+		is.NoErr(fleet.Wait(ticketBound, "ticket in force", func() bool { return n.Ticket() == core.TicketNumber(number) }))
+	}
+	took := time.Since(began)
+	t.Logf("in force at the remaining instances after %s", took)
+	is.True(took <= ticketBound)
+	for _, n := range w.Nodes[1:] {
+		q := ask{key: "key-nagasaki", output: 5, mark: newMark()}
+		is.NoErr(complete(w.chat(n, q), q))
+	}
+}
+
+// TestStoreDown guards against an outage of the store that stops generations, against tickets and protected actions that
+// are taken during it, and against a state that a new instance takes from an older source than its peers.
+func TestStoreDown(t *testing.T) {
+	t.Parallel()
+	for _, mode := range []objs.Outage{objs.OutageRefuse, objs.OutageHang} {
+		t.Run(string(mode), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := start(t, fleet.WithSettings(func(s *conf.Settings) { s.StoreTimeoutMs, s.VouchLimitMs = 500, 3000 }))
+			number := w.apply(w.Nodes[1], team("nagasaki", "morning", 1, 3))
+			l := startLoad(t, 3, 20, w.fresh())
+			w.Platform.SetOutage(mode)
+			time.Sleep(4 * time.Second) // longer than the vouch limit
+			// A claim that is sent before the circuit breaker has seen 3 calls fail has an unknown effect.
+			unknown, known := 0, 0
+			for unknown < 4 && known < 2 {
+				a := w.act(w.Nodes[0], "outage-"+newMark(), time.Second)
+				is.True(a.err != nil)
+				if a.err.Kind == core.KindOutcomeUnknown && known == 0 {
+					is.Equal(a.err.Run, core.RunUnknown)
+					unknown++
+					continue
+				}
+				is.Equal(a.err.Kind, core.KindStoreDown)
+				is.Equal(a.err.Run, core.RunNot)
+				known++
+			}
+			t.Logf("%d actions of unknown outcome before the store was known to be down", unknown)
+			is.Equal(known, 2)
+			is.Equal(w.Services[0].Counts().Total, int64(0))
+			_, err := try(w.Nodes[2], team("omuta", "morning", number, 1))
+			t.Logf("ticket: %v", err)
+			is.True(err != nil)
+			is.Equal(err.Kind, core.KindStoreDown)
+			is.Equal(err.Run, core.RunNot)
+
+			seeds := []string{w.Nodes[0].PeerLink.Addr(), w.Nodes[1].PeerLink.Addr()}
+			w.mu.Lock()
+			late, lerr := w.AddNode(func(s *conf.Settings) { s.Seeds = seeds })
+			w.mu.Unlock()
+			is.NoErr(lerr)
+			is.NoErr(fleet.Wait(startLimit, "new instance ready", late.Ready))
+			is.Equal(uint64(late.Ticket()), number) // ready, so not older than its peers
+			q := ask{key: "key-nagasaki", output: 5, mark: newMark()}
+			is.NoErr(complete(w.chat(late, q), q))
+
+			w.Platform.SetOutage(objs.OutageNone)
+			back := time.Now()
+			is.NoErr(fleet.Wait(ticketBound, "ticket accepted after the outage", func() bool {
+				n, err := try(w.Nodes[2], team("omuta", "afternoon", number, 2))
+				return err == nil && n == number+1
+			}))
+			is.NoErr(w.WaitTicket(ticketBound, number+1))
+			t.Logf("the next ticket was in force everywhere %s after the end of the outage", time.Since(back))
+			is.NoErr(fleet.Wait(ticketBound, "action accepted after the outage", func() bool {
+				return w.act(w.Nodes[0], "after-outage", 5*time.Second).status == 200
+			}))
+			completed, _ := l.end(t)
+			is.True(completed > 20)
+		})
+	}
+}
+
+// TestTicketAnswersLost guards against a ticket that is accepted twice, or told refused, when the answers to its write are lost.
+func TestTicketAnswersLost(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t)
+	for i := range 4 {
+		base := uint64(w.Nodes[0].Ticket())
+		ticket := team("nagasaki", "morning", base, int64(10+i))
+		w.Platform.LoseAnswers(1+i%2, "tickets/")
+		first, err := try(w.Nodes[i%3], ticket)
+		is.True(err == nil)
+		is.Equal(first, base+1)
+		again, err := try(w.Nodes[(i+1)%3], ticket) // a retry with the same id at another instance
+		is.True(err == nil)
+		is.Equal(again, first)
+		is.NoErr(w.WaitTicket(ticketBound, first))
+	}
+	is.Equal(w.weights("nagasaki"), []int64{13, 13, 13})
+}
+
+// TestRacingOperators guards against two operators who both succeed on one item, and against a loser who is not told of the winner.
+func TestRacingOperators(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t)
+	for round := range 5 {
+		base := uint64(w.Nodes[0].Ticket())
+		authors := []string{"morning", "afternoon"}
+		var numbers [2]uint64
+		var errs [2]*core.Error
+		var both sync.WaitGroup
+		for i, author := range authors {
+			both.Go(func() {
+				numbers[i], errs[i] = try(w.Nodes[(round+i)%3], team("nagasaki", author, base, int64(100*round+i+1)))
+			})
+		}
+		both.Wait()
+		winner := 0
+		if errs[0] != nil {
+			winner = 1
+		}
+		lost := errs[1-winner]
+		is.True(errs[winner] == nil && lost != nil) // exactly one wins
+		is.Equal(lost.Kind, core.KindConflict)
+		is.Equal(lost.Run, core.RunNot)
+		is.True(strings.Contains(lost.Message, authors[winner]) && strings.Contains(lost.Message, "team/nagasaki"))
+		is.NoErr(w.WaitTicket(ticketBound, numbers[winner]))
+		want := int64(100*round + winner + 1)
+		is.Equal(w.weights("nagasaki"), []int64{want, want, want})
+		if round == 0 {
+			t.Log(lost)
+		}
+	}
+}
+
+// TestCutOff guards against an instance that goes on with an old state when it reaches neither the store nor any peer.
+func TestCutOff(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	const limit = 2 * time.Second
+	w := start(t, fleet.WithSettings(func(s *conf.Settings) { s.VouchLimitMs = limit.Milliseconds() }))
+	last := w.Nodes[2]
+	q := ask{output: 500, mark: newMark(), at: 20} // 4 s, over the limit
+	var cut time.Time
+	var side sync.WaitGroup
+	var running answer
+	isCut := make(chan struct{})
+	q.then = func() {
+		last.PlatformLink.Partition()
+		is.NoErr(w.Nodes[0].Kill())
+		is.NoErr(w.Nodes[1].Kill())
+		cut = time.Now()
+		close(isCut)
+	}
+	side.Go(func() { running = w.chat(last, q) })
+	<-isCut
+	for time.Since(cut) < limit {
+		time.Sleep(20 * time.Millisecond)
+	}
+	for range 10 {
+		a := w.chat(last, ask{output: 2})
+		is.True(a.err != nil)
+		is.Equal(a.err.Kind, core.KindStaleState)
+		is.Equal(a.err.Run, core.RunNot)
+		is.True(!last.Ready())
+	}
+	side.Wait()
+	is.NoErr(complete(running, q)) // what runs is finished
+	is.NoErr(last.PlatformLink.Restore())
+	is.NoErr(fleet.Wait(ticketBound, "ready again", last.Ready))
+}
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -37,6 +37,8 @@
 	// ticketBound is the time in which a ticket is in force everywhere (design 1.2).
 	ticketBound = 10 * time.Second
 	startLimit  = 20 * time.Second
+	// stopLimit ends a test that failed midway; a stop that takes as long cuts requests off and so fails the test.
+	stopLimit = 20 * time.Second
 )
 
 const pool = core.PoolID(fleet.Model + "/0")
@@ -70,6 +72,7 @@
 		fleet.WithLinks(), fleet.WithPlatform(objs.WithListLag(100 * time.Millisecond)),
 		fleet.WithSettings(func(s *conf.Settings) {
 			s.LeaveDelayMs, s.ListPollMs, s.GossipIntervalMs, s.LoadPollMs = new(int64(300)), 200, 200, 200
+			s.StopTimeoutMs = new(stopLimit.Milliseconds())
 		}),
 	}, opts...)
 	if path := os.Getenv("E2E_LOGS"); path != "" {
@@ -83,6 +86,7 @@
 	w := &world{Fleet: f, t: t, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
 	t.Cleanup(func() {
 		w.client.CloseIdleConnections()
+		f.Platform.SetOutage(objs.OutageNone) // outcomes that wait for the store can be recorded
 		if err := f.Close(); err != nil {
 			t.Errorf("close fleet: %v", err)
 		}
@@ -232,10 +236,6 @@
 	return b
 }
 
-func (w *world) post(n *fleet.Node, key, path string, body []byte, header map[string]string) (*http.Response, error) {
-	return post(w.client, n.ClientAddress(), key, path, body, header)
-}
-
 func post(c *http.Client, address, key, path string, body []byte, header map[string]string) (*http.Response, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
--- a/io/action/protected.go
+++ b/io/action/protected.go
@@ -141,12 +141,13 @@
 	return claim.Event{Kind: claim.EventRead, Version: o.Version, Record: rec}
 }
 
+// storeContext shortens a store call only to the time that is left. The store's own timeout must end the others,
+// because only that counts towards its circuit breaker: a caller that gives up says nothing of the object API.
 func (a *Action) storeContext(ctx context.Context, f *flight) (context.Context, context.CancelFunc) {
-	limit := ms(a.cfg.GetStoreTimeoutMs())
-	if left := f.deadline.Sub(a.Clock.Now()); left > 0 {
-		limit = min(limit, max(left, minStoreWait))
+	if left := f.deadline.Sub(a.Clock.Now()); left > 0 && left < ms(a.cfg.GetStoreTimeoutMs()) {
+		return context.WithTimeout(ctx, max(left, minStoreWait))
 	}
-	return context.WithTimeout(ctx, limit)
+	return context.WithCancel(ctx)
 }
 
 // pause waits a random time that grows with the number of failures; it returns false once ctx has ended.
