--- a/stand/cmds/main.go
+++ b/stand/cmds/main.go
@@ -22,7 +22,7 @@
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError:   usageError,
 		Action:         rootAction,
-		Commands:       []*cli.Command{platformCommand(), runnerCommand(), appCommand(), demoCommand(), benchCommand(), policyCommand()},
+		Commands:       []*cli.Command{platformCommand(), runnerCommand(), appCommand(), demoCommand(), benchCommand(), policyCommand(), scaleCommand()},
 	}
 	if err := root.Run(ctx, args); err != nil {
 		fmt.Fprintf(stderr, "standin: %v\n", err)
--- /dev/null
+++ b/stand/cmds/scale.go
@@ -0,0 +1,38 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"snipeshed/stand/scale"
+)
+
+func scaleCommand() *cli.Command {
+	return &cli.Command{
+		Name:         "bench-scale",
+		Usage:        "measures the control plane of growing fleets in this process and prints key=value lines",
+		Description:  "Example: standin bench-scale --largest 64",
+		OnUsageError: usageError,
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "largest", Usage: "instances of the largest fleet to measure", Value: 350, Validator: notNegativeInt},
+			&cli.DurationFlag{Name: "window", Usage: "time for which each idle fleet is observed", Value: 2 * time.Second, Validator: notNegativeDuration},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Args().Present() {
+				return fmt.Errorf("unexpected argument %q; see %s --help", c.Args().First(), c.FullName())
+			}
+			s := scale.New(c.Root().Writer, c.Duration("window"))
+			cases := slices.DeleteFunc(scale.Cases(), func(x scale.Case) bool { return x.Instances > c.Int("largest") })
+			for _, x := range cases {
+				if err := s.Run(ctx, x); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+}
