Keep a fleet that starts at once from asking everyone

Cause: with the store just back, each instance asked all others at each interval until its own breaker closed: 16,000 connections for 128 instances, whose handling kept the store's answers from arriving. Change: an instance asks everyone only when one of three random peers has a state, and takes a peer's store contact since its own start in place of its own. Connections of a start are closed when it ends.

--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -187,6 +187,45 @@
 			is.Equal(w.stale(), 0)
 			is.Equal(w.minNumber(), core.TicketNumber(1))
 		}},
+		{"instances that start together without the store do not all ask all others", func(is *is.I, w *world) {
+			var seeds []string
+			for i := range 20 {
+				seeds = append(seeds, fmt.Sprintf("10.0.0.1:%d", i))
+			}
+			w.platform(down)
+			for range seeds {
+				w.add("zone-0", func(s *conf.Settings) { s.Seeds = seeds }).Start()
+			}
+			const rounds = 20
+			time.Sleep(rounds * time.Second)
+			w.mu.Lock()
+			is.True(w.calls <= 2*rounds*len(seeds)*fewPeers) // the rounds are half a second apart at least
+			w.mu.Unlock()
+			w.platform(up)
+			time.Sleep(5 * time.Second)
+			is.Equal(w.stale(), 0)
+		}},
+		{"peer with a store contact since the start stands in for the store", func(is *is.I, w *world) {
+			nodes := w.fleet(6, 3)
+			n := w.add("zone-0", func(s *conf.Settings) { s.Seeds = []string{nodes[0].peer.Address} })
+			w.platform(func(x *node) error {
+				if x == n {
+					return errCut
+				}
+				return nil
+			})
+			w.cut(func(a, b *node) error {
+				if a == n && b != nodes[0] {
+					return errCut
+				}
+				return nil
+			})
+			w.accept()
+			n.Start()
+			time.Sleep(10 * time.Second)
+			is.NoErr(n.Fresh())
+			is.Equal(n.state.Number(), core.TicketNumber(1))
+		}},
 		{"restart with the store up but older than the peers", func(is *is.I, w *world) {
 			nodes := w.fleet(4, 3)
 			for _, n := range nodes {
--- a/io/relay/start.go
+++ b/io/relay/start.go
@@ -15,7 +15,9 @@
 
 // catchUpAtStart takes the highest state of the store and the peers; it returns false when the Relay is closed before that.
 func (r *Relay) catchUpAtStart() bool {
+	began := r.Clock.Now()
 	for {
+		asked := r.Clock.Now()
 		var stored bool
 		var g sync.WaitGroup
 		g.Go(func() { stored = r.loadStore() })
@@ -25,7 +27,13 @@
 		if r.ctx.Err() != nil {
 			return false
 		}
-		if stored || r.askEveryone() {
+		// A store contact of a peer since the start, with a state that is no newer than this one, is as good as an own one.
+		if stored || r.vouch.storeAge(r.Clock.Now()) <= r.Clock.Now().Sub(began) {
+			return true
+		}
+		// While none of the few peers has a state, the whole fleet starts. If all instances then asked all others,
+		// 128 of them on one machine would keep each other from starting.
+		if r.vouch.heardSince(asked) && r.askEveryone() {
 			return true
 		}
 		if !r.sleep(r.ctx, jittered(ms(r.cfg.GetGossipIntervalMs()))) {
@@ -70,6 +78,7 @@
 //
 // All peers are asked before that is decided, so that the state is no older than that of any peer that answers.
 func (r *Relay) askEveryone() bool {
+	defer r.closeUnused(r.Clock.Now().Add(longestAge)) // no partner has been chosen yet
 	began := r.Clock.Now()
 	asked := map[string]bool{}
 	for {
--- a/io/relay/vouch.go
+++ b/io/relay/vouch.go
@@ -144,5 +144,17 @@
 	return len(others) > 0 && n >= halfOf(len(others))
 }
 
+// heardSince reports whether any instance that has a state has been heard since a time.
+func (v *vouch) heardSince(since time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, at := range v.heard {
+		if !at.Before(since) {
+			return true
+		}
+	}
+	return false
+}
+
 // halfOf returns how many others make at least half of the members together with this instance, but at least one.
 func halfOf(others int) int { return max((others+2)/2-1, 1) }
--- a/io/relay/world_test.go
+++ b/io/relay/world_test.go
@@ -37,6 +37,7 @@
 	list     []*wire.Instance
 	listRev  uint64
 	watches  int
+	calls    int // between instances
 	puts     int
 }
 
@@ -188,6 +189,7 @@
 		return nil, errCut
 	}
 	n := w.nodes[i]
+	w.calls++
 	r, fails := n.Relay, w.peerErr
 	w.mu.Unlock()
 	err := fails(l.from, n)
