--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -157,13 +157,15 @@
 				is.NoErr(fleet.Wait(startLimit, "long answer runs", func() bool { return w.total() == k+1 }))
 			}
 			l := startLoad(t, 6, 10, w.fresh())
-			time.Sleep(500 * time.Millisecond)
 			i := 0 // the runner that takes most of the work
-			for k, r := range w.Runners {
-				if r.State().Started > w.Runners[i].State().Started {
-					i = k
+			is.NoErr(fleet.Wait(startLimit, "a runner takes work", func() bool {
+				for k, r := range w.Runners {
+					if r.State().Started > w.Runners[i].State().Started {
+						i = k
+					}
 				}
-			}
+				return w.Runners[i].State().Started > 10
+			}))
 			left, had := time.Now(), w.Runners[i].State().Started
 			tt.leave(w, i)
 			time.Sleep(time.Until(left.Add(leaveBound)))
