--- /dev/null
+++ b/stand/trial/trial_test.go
@@ -0,0 +1,73 @@
+package trial
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+	"snipeshed/core/fifo"
+	"snipeshed/core/queue"
+	"snipeshed/stand/batch"
+)
+
+// recorded reads testdata/flood.jsonl: ten seconds of Hashimoto's work at four times the capacity of two small engines.
+func recorded(t *testing.T) []Arrival {
+	is := is.New(t)
+	f, err := os.Open("testdata/flood.jsonl")
+	is.NoErr(err)
+	defer f.Close()
+	var out []Arrival
+	for s := bufio.NewScanner(f); s.Scan(); {
+		var a Arrival
+		is.NoErr(json.Unmarshal(s.Bytes(), &a))
+		out = append(out, a)
+	}
+	return out
+}
+
+// Guards against decisions that change between runs of the same trace, and against unnoticed changes of the policy:
+// a change that moves these outcomes states the new ones and why.
+func TestReplay(t *testing.T) {
+	small := Fleet{Engines: 2, Config: batch.Config{KVCapacity: 20_000, MaxRunning: 16}}
+	for _, tc := range []struct {
+		name   string
+		policy func() core.Policy
+		want   Outcome
+	}{
+		{"first-come round robin", func() core.Policy { return fifo.New(fifo.WithRunningLimit(16), fifo.WithQueueLimit(50)) }, Outcome{Started: 134, Done: 134, Tokens: 61054, Preemptions: 14}},
+		{"queue", func() core.Policy { return queue.New() }, Outcome{Started: 134, Done: 134, Tokens: 61054}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			for range 2 {
+				got, err := Replay(tc.policy(), &Users()[1], small, recorded(t))
+				is.NoErr(err)
+				is.Equal(got, tc.want)
+				is.Equal(got.Done, got.Started) // nothing that was started is lost
+			}
+		})
+	}
+}
+
+// Guards against floods that take the urgent rank's target or the other rank's floor.
+func TestFloods(t *testing.T) {
+	f := Fleet{Engines: 3}
+	for _, u := range Users() {
+		for _, rank := range []core.RankName{urgent, background} {
+			t.Run(u.Name+" "+string(rank), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				phases := []phase{{to: 160 * time.Second, load: 0.5}, {from: 60 * time.Second, to: 150 * time.Second, load: 2, rank: rank}}
+				m, err := run(queue.New(), &u, f, u.trace(7, f, phases), phases)
+				is.NoErr(err)
+				is.True(m.urgentInTarget() >= 0.99)
+				is.True(m.keptOfFloor(1, other(rank)) >= 0.95)
+			})
+		}
+	}
+}
