--- a/core/queue/refuse.go
+++ b/core/queue/refuse.go
@@ -39,5 +39,5 @@
 }
 
 func overload(r *rank, wait time.Duration, limit time.Duration) string {
-	return fmt.Sprintf("expected wait of %s in rank %q exceeds its limit of %s", wait.Round(time.Millisecond), r.rule.Name, limit.Round(time.Millisecond))
+	return fmt.Sprintf("wait of %s in rank %q exceeds its limit of %s", wait.Round(time.Millisecond), r.rule.Name, limit.Round(time.Millisecond))
 }
