--- a/core/prefix/prefix.go
+++ b/core/prefix/prefix.go
@@ -8,8 +8,8 @@
 
 const (
 	bytesPerToken  = 4
-	blockBytes     = 256 // one hash per block; engines cache whole blocks
-	maxHashedBytes = 16 * blockBytes
+	blockBytes     = 64 // 16 tokens, the blocks that engines cache
+	maxHashedBytes = 64 * blockBytes
 )
 
 // Tokens estimates a text's length.
--- a/io/meter/meter.go
+++ b/io/meter/meter.go
@@ -48,6 +48,15 @@
 // Count adds one to a named counter.
 func (m *Meter) Count(name string) { m.counts.Add(name, 1) }
 
+// Value returns a counter.
+func (m *Meter) Value(name string) int64 {
+	v, _ := m.counts.Get(name).(*expvar.Int) // nil before the first count
+	if v == nil {
+		return 0
+	}
+	return v.Value()
+}
+
 // FirstToken records the time from a request's arrival to its first token.
 func (m *Meter) FirstToken(team core.TeamName, rank core.RankName, d time.Duration) {
 	for _, s := range m.both(team, rank) {
--- a/io/pool/endpoint.go
+++ b/io/pool/endpoint.go
@@ -71,4 +71,4 @@
 	return f
 }
 
-const tickInterval = 50 * time.Millisecond
+const tickInterval = 20 * time.Millisecond // a start that the prompt limit holds back happens at a tick
--- a/io/weight/weight.go
+++ b/io/weight/weight.go
@@ -53,6 +53,10 @@
 	CountConflicts = "weight_conflicts"
 	// CountTaken counts slots taken.
 	CountTaken = "weight_taken"
+	// CountRenewed counts leases renewed because a load takes longer than half of one.
+	CountRenewed = "weight_renewed"
+	// CountUnused counts slots whose taking was resolved too late for a load.
+	CountUnused = "weight_unused"
 	// CountExpired counts slots taken from a holder that did not renew its lease.
 	CountExpired = "weight_expired"
 	// CountOverrun counts own slots found taken away, during whose loads the limit may have been exceeded by one.
@@ -138,6 +142,7 @@
 		switch {
 		case until.Sub(now) < w.lease/2:
 			// Too little is left for a load.
+			w.counters.Count(CountUnused)
 			delete(w.unknown, nonce)
 			w.dropped[nonce] = true
 		case r.index(nonce) >= 0:
@@ -186,6 +191,7 @@
 		return l, err
 	}
 	w.mine[l.Nonce] = until
+	w.counters.Count(CountRenewed)
 	return core.Lease{Nonce: l.Nonce, Until: until}, nil
 }
 
