--- a/app/app.go
+++ b/app/app.go
@@ -55,6 +55,10 @@
 	leaving   atomic.Bool
 	// changed wakes ownPools after a new configuration.
 	changed chan struct{}
+	killed  atomic.Bool
+	// life ends with Kill.
+	life   context.Context
+	cancel context.CancelFunc
 }
 
 // Listeners of an instance.
@@ -101,6 +105,7 @@
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
+	a.life, a.cancel = context.WithCancel(context.Background())
 	o := options{newPolicy: func() core.Policy {
 		return queue.New(
 			queue.WithTeamSharePercent(cfg.GetTeamSharePercent()),
@@ -158,9 +163,10 @@
 	a.state.Subscribe(a.configure)
 	retries := budget.New(budget.WithPercent(cfg.GetRetryBudgetPercent()))
 	a.action = action.New(a.Shared, a.store, a.relay,
-		action.Instance(self.ID), action.Settings(cfg),
-		action.Client(link.New(cfg).EndpointClient()),
-		action.EndpointUsable(func(_ core.EndpointID, address string) bool { return !a.members.EndpointLeaving(address) }))
+		action.WithInstance(self.ID), action.WithSettings(cfg), action.WithRetryBudget(retries),
+		action.WithRetention(a.members, ms(cfg.GetActionRetentionMs())),
+		action.WithClient(link.New(cfg).EndpointClient()),
+		action.WithEndpointUsable(func(_ core.EndpointID, address string) bool { return !a.members.EndpointLeaving(address) }))
 	calls := peer.New(link.New(cfg).PeerClient(), cfg.GetMaxBodyBytes())
 	a.entry = entry.New(entry.Parts{
 		Shared: a.Shared, Settings: cfg, Config: a.relay, Members: a.members, Host: a.host, Shard: a.host.Shard,
@@ -260,7 +266,10 @@
 	a.relay.Start()
 	own, stopOwning := context.WithCancel(ctx)
 	g.Go(func() error { return a.ownPools(own) })
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-a.life.Done():
+	}
 	stopOwning()
 	a.stop()
 	err := g.Wait()
--- a/io/relay/world_test.go
+++ b/io/relay/world_test.go
@@ -37,6 +37,7 @@
 	list     []*wire.Instance
 	listRev  uint64
 	watches  int
+	calls    int // between instances
 	puts     int
 }
 
@@ -107,7 +108,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	members := member.New(n.peer, ms(n.cfg.GetSuspectMs()))
-	r := New(core.NewShared(logrus.NewEntry(log)), n.cfg, members, n.state, n, roster{n}, WithDialer(n.dialPeer))
+	r := New(core.NewShared(logrus.NewEntry(log)), n.cfg, members, n.state, n, listOf{n}, WithDialer(n.dialPeer))
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	n.Relay = r
@@ -188,6 +189,7 @@
 		return nil, errCut
 	}
 	n := w.nodes[i]
+	w.calls++
 	r, fails := n.Relay, w.peerErr
 	w.mu.Unlock()
 	err := fails(l.from, n)
@@ -321,9 +323,9 @@
 	}
 }
 
-type roster struct{ *node }
+type listOf struct{ *node }
 
-func (r roster) List(ctx context.Context, since uint64) ([]*wire.Instance, uint64, error) {
+func (r listOf) List(ctx context.Context, since uint64) ([]*wire.Instance, uint64, error) {
 	if err := r.reach(ctx); err != nil {
 		return nil, 0, err
 	}
