--- /dev/null
+++ b/e2e/answer_test.go
@@ -0,0 +1,189 @@
+package e2e
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"github.com/tmaxmax/go-sse"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/stand/batch"
+	"snipeshed/stand/fleet"
+	"snipeshed/stand/runner"
+)
+
+// TestAnswers guards against incomplete answers through an entry that owns the pool and through those that do not, and
+// against answers that other clients' libraries cannot read.
+func TestAnswers(t *testing.T) {
+	t.Parallel()
+	w := start(t)
+	for _, n := range w.Nodes {
+		for _, whole := range []bool{false, true} {
+			q := ask{output: 60, mark: newMark(), whole: whole}
+			a := w.chat(n, q)
+			if err := complete(a, q); err != nil {
+				t.Errorf("%s: %v", n.ID, err)
+			}
+			if a.finish != "stop" {
+				t.Errorf("%s: finish reason %q", n.ID, a.finish)
+			}
+		}
+	}
+	t.Run("openai-go", func(t *testing.T) {
+		is := is.New(t)
+		for _, n := range w.Nodes {
+			c := openai.NewClient(option.WithBaseURL("http://"+n.ClientAddress()+"/v1"), option.WithAPIKey(fleet.UrgentKey), option.WithMaxRetries(0))
+			params := openai.ChatCompletionNewParams{
+				Model: fleet.Service, Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("[output=40][mark=lib] survey")},
+			}
+			got, err := c.Chat.Completions.New(t.Context(), params)
+			is.NoErr(err)
+			tokens, err := runner.CheckText(got.Choices[0].Message.Content, "", "lib")
+			is.NoErr(err)
+			is.Equal(tokens, core.Tokens(40))
+			is.Equal(got.Usage.CompletionTokens, int64(40))
+
+			var text strings.Builder
+			stream := c.Chat.Completions.NewStreaming(t.Context(), params)
+			for stream.Next() {
+				if cs := stream.Current().Choices; len(cs) > 0 {
+					text.WriteString(cs[0].Delta.Content)
+				}
+			}
+			is.NoErr(stream.Err())
+			tokens, err = runner.CheckText(text.String(), "", "lib")
+			is.NoErr(err)
+			is.Equal(tokens, core.Tokens(40))
+			list, err := c.Models.List(t.Context())
+			is.NoErr(err)
+			is.Equal(len(list.Data), 1)
+			is.Equal(list.Data[0].ID, fleet.Service)
+		}
+	})
+	t.Run("go-sse", func(t *testing.T) {
+		is := is.New(t)
+		q := ask{output: 40, mark: newMark()}
+		resp, err := post(w.client, w.Nodes[1].ClientAddress(), fleet.UrgentKey, "/v1/chat/completions", chatBody(&q), nil)
+		is.NoErr(err)
+		defer resp.Body.Close()
+		var text strings.Builder
+		last := ""
+		for ev, err := range sse.Read(resp.Body, nil) {
+			is.NoErr(err)
+			is.Equal(ev.Type, "")
+			if last = ev.Data; last == "[DONE]" {
+				continue
+			}
+			var c chunk
+			is.NoErr(json.Unmarshal([]byte(ev.Data), &c))
+			text.WriteString(c.Choices[0].Delta.Content)
+		}
+		tokens, err := runner.CheckText(text.String(), core.RequestID(resp.Header.Get("Request-Id")), q.mark)
+		is.NoErr(err)
+		is.Equal(tokens, core.Tokens(40))
+		is.Equal(last, "[DONE]")
+	})
+}
+
+// TestRefusals guards against refusals without their kind, status and remedy, and without the proof that nothing ran.
+func TestRefusals(t *testing.T) {
+	t.Parallel()
+	w := start(t, fleet.WithSettings(func(s *conf.Settings) { s.MaxBodyBytes = 2048 }))
+	ok := `{"model":"` + fleet.Service + `","messages":[{"role":"user","content":"[output=3] go"}]}`
+	tests := []struct {
+		name, key, path, body string
+		header                map[string]string
+		status                int
+		kind                  core.Kind
+	}{
+		{name: "bad key", key: "none", body: ok, status: 401, kind: core.KindBadCredential},
+		{name: "malformed body", body: `{"model":`, status: 400, kind: core.KindBadRequest},
+		{name: "no messages", body: `{"model":"` + fleet.Service + `"}`, status: 400, kind: core.KindBadRequest},
+		{name: "malformed timeout", body: ok, header: map[string]string{"Snipeshed-Timeout-Ms": "soon"}, status: 400, kind: core.KindBadRequest},
+		{name: "body over the limit", body: ok + strings.Repeat(" ", 4096), status: 413, kind: core.KindBodyTooLarge},
+		{name: "unknown model", body: strings.Replace(ok, fleet.Service, "none", 1), status: 404, kind: core.KindUnknownModel},
+		{name: "unknown path", path: "/v2/chat", body: ok, status: 404, kind: core.KindNotFound},
+		{name: "unknown service", path: "/services/none/orders", body: "{}", status: 404, kind: core.KindUnknownService},
+		{name: "protected action without a key", path: "/services/" + fleet.AppService + "/orders/a", body: "{}", status: 400, kind: core.KindBadRequest},
+	}
+	before := w.total()
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			key, path := tt.key, tt.path
+			if key == "" {
+				key = fleet.UrgentKey
+			}
+			if path == "" {
+				path = "/v1/chat/completions"
+			}
+			for _, n := range w.Nodes {
+				resp, err := post(w.client, n.ClientAddress(), key, path, []byte(tt.body), tt.header)
+				is.NoErr(err)
+				a := answer{status: resp.StatusCode}
+				a.readWhole(resp.Body)
+				resp.Body.Close()
+				is.Equal(a.status, tt.status)
+				is.True(a.err != nil)
+				is.Equal(a.err.Kind, tt.kind)
+				is.Equal(a.err.Run, core.RunNot)
+				is.True(a.err.Message != "" && a.err.Remedy != "" && a.err.RequestID != "")
+			}
+		})
+	}
+	if w.total() != before || w.Services[0].Counts().Total != 0 {
+		t.Error("a refused request was run")
+	}
+}
+
+// TestQueueRefusals guards against calls that wait past their deadline or without limit, and against not_run told for a
+// call that the engines got.
+func TestQueueRefusals(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := startWith(t, []runner.Option{runner.WithBatch(batch.Config{KVCapacity: 1500})}) // few answers fit
+	_, entry := w.owner()
+	l := startLoad(t, 60, 400, func(int) (*http.Client, string) { return w.client, entry.ClientAddress() })
+	time.Sleep(time.Second)
+	started := w.total()
+	queued := w.chat(entry, ask{key: fleet.SlowKey, output: 3, timeout: 400 * time.Millisecond})
+	t.Logf("deadline while queued: %s", queued)
+	is.True(queued.notRun())
+	is.True(queued.err.Kind == core.KindDeadline || queued.err.Kind == core.KindOverloaded)
+	is.True(queued.took < 400*time.Millisecond+resumeSlack)
+	is.Equal(w.starts(core.RequestID(queued.err.RequestID)), 0)
+	urgent := w.chat(entry, ask{output: 3, timeout: 10 * time.Second})
+	t.Logf("overload: %s", urgent)
+	if urgent.err != nil {
+		is.Equal(urgent.err.Kind, core.KindOverloaded)
+		is.Equal(urgent.status, http.StatusTooManyRequests)
+		is.Equal(urgent.err.Run, core.RunNot)
+		is.True(urgent.err.RetryAfterMS > 0)
+		is.Equal(w.starts(core.RequestID(urgent.err.RequestID)), 0)
+	}
+	l.mu.Lock()
+	kinds := map[core.Kind]int{}
+	for _, a := range l.answers {
+		if a.err == nil {
+			continue
+		}
+		kinds[a.err.Kind]++
+		if a.notRun() && w.starts(core.RequestID(a.err.RequestID)) > 0 {
+			t.Errorf("told not_run, but an engine got it: %s", a)
+		}
+	}
+	l.mu.Unlock()
+	t.Logf("%d started, refusals of the load %v", started, kinds)
+	is.True(kinds[core.KindOverloaded] > 0)
+	for _, r := range w.Runners {
+		r.Reset() // ends the long answers
+	}
+	l.once.Do(func() { close(l.stop) })
+}
--- a/e2e/world_test.go
+++ b/e2e/world_test.go
@@ -63,8 +63,8 @@
 	return startWith(t, nil, opts...)
 }
 
-// startWith also changes the first ticket.
-func startWith(t *testing.T, change func(*wire.Ticket), opts ...fleet.Option) *world {
+// startWith also sets options of the runners.
+func startWith(t *testing.T, runners []runner.Option, opts ...fleet.Option) *world {
 	t.Helper()
 	is := is.New(t)
 	// The instances find each other sooner than by default; tests of the instance list's lag set their own.
@@ -92,7 +92,7 @@
 		}
 	})
 	for range 3 {
-		_, err := f.AddRunner(runner.WithLoadLag(100 * time.Millisecond))
+		_, err := f.AddRunner(append(runners, runner.WithLoadLag(100*time.Millisecond))...)
 		is.NoErr(err)
 	}
 	_, err = f.AddService()
@@ -110,11 +110,7 @@
 		}
 		return true
 	}))
-	first := f.Ticket()
-	if change != nil {
-		change(first)
-	}
-	w.apply(f.Nodes[0], first)
+	w.apply(f.Nodes[0], f.Ticket())
 	is.NoErr(f.WaitAccepting(startLimit, len(f.Runners)))
 	return w
 }
--- a/stand/fleet/ticket.go
+++ b/stand/fleet/ticket.go
@@ -19,6 +19,18 @@
 
 // Ticket returns a ticket for the fleet's endpoints: two ranks, two teams, a model service and an application service.
 func (f *Fleet) Ticket() *wire.Ticket {
+	var runners, services []string
+	for i := range f.Runners {
+		runners = append(runners, f.runnerAddress(i))
+	}
+	for _, s := range f.Services {
+		services = append(services, s.Addr())
+	}
+	return NewTicket(runners, services)
+}
+
+// NewTicket returns the same ticket for endpoints at the given addresses.
+func NewTicket(runners, services []string) *wire.Ticket {
 	t := &wire.Ticket{Id: core.NewRandomID(), Author: "fleet", Comment: "first configuration"}
 	add := func(items ...*wire.Item) { t.Items = append(t.Items, items...) }
 	add(
@@ -39,15 +51,15 @@
 			{Sha256: KeyDigest(OtherKey), Rank: "background"},
 		}}}},
 	)
-	for i := range f.Runners {
+	for i, addr := range runners {
 		add(&wire.Item{Body: &wire.Item_Endpoint{Endpoint: &wire.Endpoint{
-			Name: fmt.Sprintf("runner-%d", i), Address: f.runnerAddress(i), FailureDomain: string(domain(i)), ChecksFencing: true,
+			Name: fmt.Sprintf("runner-%d", i), Address: addr, FailureDomain: string(domain(i)), ChecksFencing: true,
 			Wanted: &wire.Wanted{Model: Model, Version: "1"},
 		}}})
 	}
-	for i, s := range f.Services {
+	for i, addr := range services {
 		add(&wire.Item{Body: &wire.Item_Endpoint{Endpoint: &wire.Endpoint{
-			Name: fmt.Sprintf("application-%d", i), Address: s.Addr(), FailureDomain: string(domain(i)), Service: AppService,
+			Name: fmt.Sprintf("application-%d", i), Address: addr, FailureDomain: string(domain(i)), Service: AppService,
 		}}})
 	}
 	return t
