Use an endpoint again after it stopped leaving

Cause: io/pool kept for the life of the pool that an endpoint had refused a call because it leaves, whatever its later load reports said. Ruled out: the instance list (it held the endpoint as live) and the lag of the reports (100 ms here).

Change: a refusal outweighs the load reports for 3 s, then the report decides.

--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -269,3 +269,22 @@
 	is.True(completed > 50)
 	is.True(refused <= completed/10) // the balancer sees readiness fail before an instance refuses
 }
+
+// TestEndpointReturns guards against an endpoint that stays unused after it stopped leaving.
+func TestEndpointReturns(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w := start(t)
+	l := startLoad(t, 6, 10, w.fresh())
+	for i, r := range w.Runners {
+		if i > 0 {
+			r.SetLeaving(true) // noticed by refused calls and by the load reports
+		}
+	}
+	time.Sleep(time.Second)
+	for _, r := range w.Runners {
+		r.SetLeaving(false)
+	}
+	is.NoErr(w.WaitAccepting(leaveBound+resumeSlack, len(w.Runners)))
+	l.end(t)
+}
--- a/io/pool/endpoint.go
+++ b/io/pool/endpoint.go
@@ -15,14 +15,19 @@
 	runner  core.Runner
 	wanted  core.RunnerOrder
 
-	load    core.RunnerLoad
-	up      bool
-	leaving bool
+	load core.RunnerLoad
+	up   bool
+	// refused is when the endpoint last refused a call because it leaves.
+	refused time.Time
 }
 
+// refusedFor is how long a refusal outweighs load reports, which lag behind it. After that a report decides, since
+// an endpoint can stop leaving; one whose report lags longer refuses again.
+const refusedFor = 3 * time.Second
+
 // accepting reports whether new work may go to the endpoint.
-func (e *endpoint) accepting(listLeaving func(string) bool) bool {
-	return e.up && !e.leaving && !e.load.Leaving && e.load.Model == e.wanted.Model && !listLeaving(e.address)
+func (e *endpoint) accepting(now time.Time, listLeaving func(string) bool) bool {
+	return e.up && now.Sub(e.refused) >= refusedFor && !e.load.Leaving && e.load.Model == e.wanted.Model && !listLeaving(e.address)
 }
 
 // ordered reports whether the endpoint has the state that the tickets want.
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -214,7 +214,7 @@
 		return
 	}
 	if leaving {
-		e.leaving = true
+		e.refused = p.Clock.Now()
 	} else {
 		e.up = false
 	}
@@ -281,7 +281,7 @@
 }
 
 func (p *Pool) info(e *endpoint) core.RunnerInfo {
-	return core.RunnerInfo{ID: e.id, KVCapacity: e.load.KVCapacity, Accepting: e.accepting(p.listLeaving), Load: e.load}
+	return core.RunnerInfo{ID: e.id, KVCapacity: e.load.KVCapacity, Accepting: e.accepting(p.Clock.Now(), p.listLeaving), Load: e.load}
 }
 
 func (p *Pool) pollLoop(ctx context.Context) {
