--- a/io/pool/endpoint.go
+++ b/io/pool/endpoint.go
@@ -17,14 +17,19 @@
 	driver  *driver.Driver
 	stop    context.CancelFunc
 
-	load    core.RunnerLoad
-	up      bool
-	leaving bool
+	load core.RunnerLoad
+	up   bool
+	// refused is when the endpoint last refused a call because it leaves.
+	refused time.Time
 }
 
+// refusedFor is how long a refusal outweighs load reports, which lag behind it. After that a report decides, since
+// an endpoint can stop leaving; one whose report lags longer refuses again.
+const refusedFor = 3 * time.Second
+
 // accepting reports whether new work may go to the endpoint; one that waits for its order goes on with its old version.
-func (e *endpoint) accepting(listLeaving func(string) bool) bool {
-	return e.up && !e.leaving && !e.load.Leaving && e.load.Model == e.wanted.Model &&
+func (e *endpoint) accepting(now time.Time, listLeaving func(string) bool) bool {
+	return e.up && now.Sub(e.refused) >= refusedFor && !e.load.Leaving && e.load.Model == e.wanted.Model &&
 		!e.driver.Loading() && !listLeaving(e.address)
 }
 
