--- a/app/app.go
+++ b/app/app.go
@@ -18,6 +18,7 @@
 	"snipeshed/core/admit"
 	"snipeshed/core/budget"
 	"snipeshed/core/member"
+	"snipeshed/core/order"
 	"snipeshed/core/queue"
 	"snipeshed/core/state"
 	"snipeshed/io/action"
@@ -30,6 +31,7 @@
 	"snipeshed/io/relay"
 	"snipeshed/io/roster"
 	"snipeshed/io/store"
+	"snipeshed/io/weight"
 	"snipeshed/wire"
 )
 
@@ -51,7 +53,9 @@
 	listeners [listenerCount]net.Listener
 	servers   [listenerCount]*http.Server
 	leaving   atomic.Bool
-	killed    atomic.Bool
+	// changed wakes ownPools after a new configuration.
+	changed chan struct{}
+	killed  atomic.Bool
 	// life ends with Kill.
 	life   context.Context
 	cancel context.CancelFunc
@@ -97,7 +101,7 @@
 
 // New makes an instance and opens its listeners.
 func New(cfg *conf.Settings, log *logrus.Entry, opts ...Option) (*App, error) {
-	a := &App{Shared: core.NewShared(log), cfg: cfg, meter: meter.New(), state: state.New()}
+	a := &App{Shared: core.NewShared(log), cfg: cfg, meter: meter.New(), state: state.New(), changed: make(chan struct{}, 1)}
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
@@ -153,24 +157,35 @@
 	a.members = member.New(self, ms(cfg.GetSuspectMs()))
 	a.store = store.New(a.Shared, cfg, link.New(cfg))
 	a.relay = relay.New(a.Shared, cfg, a.members, a.state, a.store, roster.New(cfg))
-	a.host = host.New(a.Shared, cfg, a.relay, a.members, o.newPolicy, host.WithCounters(a.meter))
-	a.state.Subscribe(a.host.Configure)
+	a.host = host.New(a.Shared, cfg, a.relay, a.members, o.newPolicy, host.WithCounters(a.meter),
+		host.WithSlots(weight.New(a.Shared, a.store, self.ID, weight.WithCounters(a.meter),
+			weight.WithSlots(int(cfg.GetWeightSlots())), weight.WithLease(ms(cfg.GetWeightLeaseMs())))))
+	a.state.Subscribe(a.configure)
 	retries := budget.New(budget.WithPercent(cfg.GetRetryBudgetPercent()))
 	a.action = action.New(a.Shared, a.store, a.relay,
-		action.Instance(self.ID), action.Settings(cfg),
-		action.Client(link.New(cfg).EndpointClient()),
-		action.EndpointUsable(func(_ core.EndpointID, address string) bool { return !a.members.EndpointLeaving(address) }))
+		action.WithInstance(self.ID), action.WithSettings(cfg), action.WithRetryBudget(retries),
+		action.WithRetention(a.members, ms(cfg.GetActionRetentionMs())),
+		action.WithClient(link.New(cfg).EndpointClient()),
+		action.WithEndpointUsable(func(_ core.EndpointID, address string) bool { return !a.members.EndpointLeaving(address) }))
 	calls := peer.New(link.New(cfg).PeerClient(), cfg.GetMaxBodyBytes())
 	a.entry = entry.New(entry.Parts{
 		Shared: a.Shared, Settings: cfg, Config: a.relay, Members: a.members, Host: a.host, Shard: a.host.Shard,
 		Peer: calls, Services: a.action, Meter: a.meter, Budget: retries,
 	})
 	a.oper = oper.New(a.Shared, cfg, a.store, a.state,
-		oper.WithAccepted(a.accepted), oper.WithFleet(newFleet(a)), oper.WithLoad(a.addLoad))
+		oper.WithAccepted(a.accepted), oper.WithFleet(newFleet(a)), oper.WithLoad(newInspector(a).addLoad))
 	a.publish()
 	a.serve(calls)
 }
 
+func (a *App) configure(cfg *core.Config) {
+	a.host.Configure(cfg)
+	select {
+	case a.changed <- struct{}{}:
+	default: // a wake-up is already due
+	}
+}
+
 func (a *App) accepted(t *wire.Ticket) {
 	if err := a.relay.Learn(t); err != nil {
 		a.Log.WithField("ticket", t.GetNumber()).WithError(err).Warn("accepted ticket waits for the tickets before it")
@@ -190,6 +205,15 @@
 		}
 		return out
 	})
+	a.meter.Publish("orders", func() any {
+		out := map[core.EndpointID]order.State{}
+		for _, p := range a.host.Pools() {
+			for id, s := range p.Orders() {
+				out[id] = s
+			}
+		}
+		return out
+	})
 	a.meter.Publish("ticket", func() any { return a.state.Number() })
 }
 
@@ -198,6 +222,7 @@
 	l := link.New(a.cfg)
 	peers := http.NewServeMux()
 	peers.Handle(wire.PeerPathPrefix, a.relay.Handler())
+	peers.Handle(wire.InspectPathPrefix, wire.NewInspectServer(newInspector(a)))
 	calls.Register(peers, a.host)
 
 	operators := http.NewServeMux()
@@ -269,6 +294,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-a.changed:
 		case <-t.C:
 		}
 	}
--- a/e2e/leave_test.go
+++ b/e2e/leave_test.go
@@ -157,13 +157,15 @@
 				is.NoErr(fleet.Wait(startLimit, "long answer runs", func() bool { return w.total() == k+1 }))
 			}
 			l := startLoad(t, 6, 10, w.fresh())
-			time.Sleep(500 * time.Millisecond)
 			i := 0 // the runner that takes most of the work
-			for k, r := range w.Runners {
-				if r.State().Started > w.Runners[i].State().Started {
-					i = k
+			is.NoErr(fleet.Wait(startLimit, "a runner takes work", func() bool {
+				for k, r := range w.Runners {
+					if r.State().Started > w.Runners[i].State().Started {
+						i = k
+					}
 				}
-			}
+				return w.Runners[i].State().Started > 10
+			}))
 			left, had := time.Now(), w.Runners[i].State().Started
 			tt.leave(w, i)
 			time.Sleep(time.Until(left.Add(leaveBound)))
@@ -209,8 +211,10 @@
 		n := []*fleet.Node{owner, entry}[i/2%2]
 		calls.Go(func() { results <- result{w.chat(n, q), q} })
 	}
-	time.Sleep(800 * time.Millisecond)
-	waiting := w.waiting()
+	waiting := 0
+	if err := fleet.Wait(startLimit, "queued calls", func() bool { waiting = w.waiting(); return waiting > 0 }); err != nil {
+		t.Fatal(err)
+	}
 	if err := owner.Stop(); err != nil {
 		t.Error(err)
 	}
--- a/io/action/fake_test.go
+++ b/io/action/fake_test.go
@@ -4,10 +4,13 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -29,6 +32,7 @@
 	late              // answer lost, takes effect after fault.wait
 	refused           // certainly no effect
 	slow              // waits, then works unless the caller has given up; the effect comes either way
+	mute              // the endpoint's transport fails without calling its hooks
 	paused            // works, and the caller is paused for fault.wait before it learns of it
 )
 
@@ -116,6 +120,28 @@
 	return s.write(key, value, v)
 }
 
+func (s *memStore) List(_ context.Context, prefix, after string, limit int) ([]core.Object, core.Version, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []core.Object
+	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(list) < limit {
+			list = append(list, s.objects[key])
+		}
+	}
+	return list, s.last, nil
+}
+
+func (s *memStore) Delete(_ context.Context, key string, v core.Version) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.objects[key].Version != v {
+		return core.ErrVersion
+	}
+	delete(s.objects, key)
+	return nil
+}
+
 func (s *memStore) Get(ctx context.Context, key string) (core.Object, error) {
 	s.mu.Lock()
 	s.ngets++
@@ -146,6 +172,8 @@
 	// runs counts how often each key was run, sends how often it arrived at all.
 	runs, sends map[string]int
 	fencing     map[string]string
+	// onRun, if set, learns of each execution, and answers are then the id of the request that was run.
+	onRun func(key, id string)
 }
 
 func (e *runner) RoundTrip(req *http.Request) (*http.Response, error) {
@@ -159,9 +187,13 @@
 	}
 	e.mu.Unlock()
 	trace := httptrace.ContextClientTrace(req.Context())
+	if f.effect == mute {
+		return nil, errLost
+	}
 	trace.GetConn(req.URL.Host)
 	if f.effect == refused {
-		return nil, errors.New("connection refused")
+		// A dial that timed out matches context.DeadlineExceeded although the call's deadline has not passed.
+		return nil, fmt.Errorf("dial: %w", context.DeadlineExceeded)
 	}
 	trace.GotConn(httptrace.GotConnInfo{})
 	key := ""
@@ -174,6 +206,9 @@
 		e.mu.Lock()
 		defer e.mu.Unlock()
 		e.runs[key]++
+		if e.onRun != nil {
+			e.onRun(key, req.Header.Get(headerID))
+		}
 	}
 	e.mu.Lock()
 	e.sends[key]++
@@ -197,6 +232,9 @@
 		run()
 	}
 	answer := e.answer
+	if e.onRun != nil {
+		answer = req.Header.Get(headerID)
+	}
 	if answer == "" {
 		answer = "ran " + string(body)
 	}
@@ -246,7 +284,7 @@
 	}
 	for i := range instances {
 		w.instances = append(w.instances, New(quiet(), w.store, testConfig(addresses...),
-			Client(&http.Client{Transport: w.end}), Instance(core.InstanceID(rune('1'+i)))))
+			WithClient(&http.Client{Transport: w.end}), WithInstance(core.InstanceID(rune('1'+i)))))
 	}
 	return w
 }
