End a stream whose owners fail in turn as stream_broken; new connections to services

Cause: when no owner could resume a generation, the stream ended with the last owner's refusal (no_endpoint or leaving) although tokens had been delivered, and a whole answer was not generated again. A call of an application service on an idle connection that had gone silent waited until its deadline. Change: after the first token every end but the deadline is stream_broken; a refused resume counts as a lost generation; services get a new connection for each call. A call that goes silent after it was sent still waits until its deadline.

--- a/io/action/action.go
+++ b/io/action/action.go
@@ -26,9 +26,8 @@
 	retention time.Duration
 	sweeping  context.CancelFunc
 
-	shared http.RoundTripper
-	once   http.RoundTripper
-	pick   picker
+	transport http.RoundTripper
+	pick      picker
 
 	// ctx ends background work when Close stops waiting for it.
 	ctx    context.Context
@@ -51,7 +50,7 @@
 	if a.usable == nil {
 		a.usable = func(core.EndpointID, string) bool { return true }
 	}
-	a.shared, a.once = transports(a.client.Transport)
+	a.transport = transport(a.client.Transport)
 	a.pick.open = map[core.EndpointID]int{}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	var ctx context.Context
@@ -97,8 +96,6 @@
 	}
 	a.cancel()
 	<-finished
-	closeIdle(a.shared)
-	closeIdle(a.once)
 	return err
 }
 
--- a/io/action/send.go
+++ b/io/action/send.go
@@ -17,29 +17,23 @@
 // maxResponseHeader keeps a recorded result of the largest body below the object API's limit of one megabyte.
 const maxResponseHeader = 64 << 10
 
-// transports returns one transport for calls that may be repeated and one that opens a connection for each call.
-// An endpoint that closes an idle connection while a call is being written leaves it unknown whether the call ran; a
-// new connection avoids that for protected actions.
-func transports(rt http.RoundTripper) (shared, once http.RoundTripper) {
+// transport returns a transport that opens a connection for each call.
+//
+// An endpoint that closes an idle connection while a call is being written leaves it unknown whether the call ran,
+// and a call on an idle connection that went silent would wait until its deadline.
+func transport(rt http.RoundTripper) http.RoundTripper {
 	if rt == nil {
 		rt = http.DefaultTransport
 	}
 	t, ok := rt.(*http.Transport)
 	if !ok {
-		return rt, rt
-	}
-	s := t.Clone()
-	s.DisableCompression = true
-	s.MaxResponseHeaderBytes = maxResponseHeader
-	o := s.Clone()
-	o.DisableKeepAlives = true
-	return s, o
-}
-
-func closeIdle(rt http.RoundTripper) {
-	if c, ok := rt.(interface{ CloseIdleConnections() }); ok {
-		c.CloseIdleConnections()
+		return rt
 	}
+	t = t.Clone()
+	t.DisableCompression = true
+	t.MaxResponseHeaderBytes = maxResponseHeader
+	t.DisableKeepAlives = true
+	return t
 }
 
 // send makes one transmission. Its second result is false only if the endpoint certainly got nothing.
@@ -62,12 +56,10 @@
 	sendOnce(req, c.body)
 	req.Header.Set(headerID, string(c.id))
 	req.Header.Set(headerTimeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
-	rt := a.shared
 	if c.protected {
-		rt = a.once
 		req.Header.Set(headerFencing, strconv.FormatUint(uint64(fencing), 10))
 	}
-	resp, err := rt.RoundTrip(req)
+	resp, err := a.transport.RoundTrip(req)
 	if err != nil {
 		return nil, connected.Load() || !asked.Load(), err
 	}
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -212,7 +212,7 @@
 		p.badPools = append(p.badPools, p.pool)
 		p.pool = ""
 		return e.retry(p)
-	case kind == core.KindStreamBroken:
+	case kind == core.KindStreamBroken || kind == core.KindNoEndpoint:
 		return e.regenerate(p)
 	}
 	return false
@@ -278,6 +278,10 @@
 	var found *core.Error
 	if errors.As(err, &found) {
 		e := *found
+		if p.next > 0 && e.Kind != core.KindDeadline {
+			// Whatever stopped the last owner, the client's part of the answer ends here.
+			e.Kind = core.KindStreamBroken
+		}
 		if e.Run == core.RunNot && (p.maybeRun || p.at != nil) {
 			e.Run = p.run()
 		}
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -299,9 +299,18 @@
 
 // What a broken generation leads to depends on whether the client has had a part of it.
 func TestBrokenGeneration(t *testing.T) {
-	broken := &core.Error{Kind: core.KindStreamBroken, Message: "lost", Remedy: "again", Run: core.RunUnknown}
-	for _, stream := range []bool{true, false} {
-		t.Run(fmt.Sprintf("stream=%t", stream), func(t *testing.T) {
+	tests := []struct {
+		name   string
+		stream bool
+		broken *core.Error
+	}{
+		{"stream, generation lost", true, &core.Error{Kind: core.KindStreamBroken, Run: core.RunUnknown}},
+		{"stream, resume refused", true, &core.Error{Kind: core.KindNoEndpoint, Run: core.RunNot}},
+		{"whole, generation lost", false, &core.Error{Kind: core.KindStreamBroken, Run: core.RunUnknown}},
+		{"whole, resume refused", false, &core.Error{Kind: core.KindNoEndpoint, Run: core.RunNot}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			b := start(t, nil)
 			attempts := 0
@@ -310,21 +319,23 @@
 				is.NoErr(begin(send, core.GenerationID(fmt.Sprint("g", attempts))))
 				is.NoErr(token(send, 0))
 				if attempts == 1 {
-					return broken
+					return tt.broken
 				}
 				is.Equal(req.Avoid, []string{"e"})
 				return end(send, 1)
 			}
-			resp := b.post(t, "Bearer "+key, fmt.Sprintf(ask, stream)) //nolint:bodyclose // post closes it
+			resp := b.post(t, "Bearer "+key, fmt.Sprintf(ask, tt.stream)) //nolint:bodyclose // post closes it
 			body, err := io.ReadAll(resp.Body)
 			is.NoErr(err)
-			if !stream {
+			if !tt.stream {
 				is.Equal(resp.StatusCode, 200) // generated again
 				is.Equal(attempts, 2)
 				return
 			}
 			is.Equal(attempts, 1) // never spliced
 			is.True(strings.Contains(string(body), "event: error"))
+			is.True(strings.Contains(string(body), `"kind":"stream_broken"`))
+			is.True(strings.Contains(string(body), `"run":"run"`) || tt.broken.Run != core.RunNot)
 			is.True(strings.Contains(string(body), `"tokens_delivered":1`))
 			is.True(!strings.Contains(string(body), "[DONE]"))
 		})
