--- a/core/check/at.go
+++ b/core/check/at.go
@@ -34,6 +34,14 @@
 	textPattern  = regexp.MustCompile(`^[^\x00-\x1f\x7f]*$`)
 )
 
+// region may be left out by a fleet of one region.
+func (a at) region(value string) error {
+	if value == "" {
+		return nil
+	}
+	return a.name("region", value)
+}
+
 func (a at) name(field, value string) error {
 	if !namePattern.MatchString(value) {
 		return a.fault(field, value, "use 1 to 63 lower-case letters, digits, dots, dashes or underscores, starting with a letter or digit")
--- a/core/check/item.go
+++ b/core/check/item.go
@@ -92,7 +92,7 @@
 }
 
 func (a at) endpoint(e *wire.Endpoint) error {
-	err := first(a.name("name", e.GetName()), a.address("address", e.GetAddress()), a.name("failure_domain", e.GetFailureDomain()))
+	err := first(a.name("name", e.GetName()), a.address("address", e.GetAddress()), a.name("failure_domain", e.GetFailureDomain()), a.region(e.GetRegion()))
 	if err != nil {
 		return err
 	}
--- a/core/shard/shard.go
+++ b/core/shard/shard.go
@@ -2,8 +2,8 @@
 
 import (
 	"fmt"
-	"sort"
-	"strconv"
+	"maps"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -14,41 +14,64 @@
 type Shard struct {
 	pools     map[core.ModelName][]core.PoolID
 	endpoints map[core.PoolID][]core.EndpointID
-	models    map[core.PoolID]core.ModelName
+	groups    map[core.PoolID]group
 }
 
-// New divides the endpoints of each model into pools of about size endpoints.
+// group is the endpoints that may share pools.
+type group struct {
+	model  core.ModelName
+	region string
+}
+
+// New divides the endpoints of each model and region into pools of about size endpoints.
 //
-// An endpoint goes to a pool by rendezvous hash, so that adding a pool moves
-// only the endpoints that the new pool gets.
+// An endpoint goes to a pool by rendezvous hash, so that adding a pool moves only
+// the endpoints that the new pool gets. Regions do not share pools, because an
+// owner that is cut off from a region could not reach half of its pool.
 func New(cfg *core.Config, size int) *Shard {
 	s := &Shard{
 		pools:     map[core.ModelName][]core.PoolID{},
 		endpoints: map[core.PoolID][]core.EndpointID{},
-		models:    map[core.PoolID]core.ModelName{},
+		groups:    map[core.PoolID]group{},
 	}
-	byModel := map[core.ModelName][]core.EndpointID{}
+	groups := map[group][]core.EndpointID{}
 	for id, ep := range cfg.Endpoints {
 		if m := core.ModelName(ep.GetWanted().GetModel()); m != "" {
-			byModel[m] = append(byModel[m], id)
+			g := group{model: m, region: ep.GetRegion()}
+			groups[g] = append(groups[g], id)
 		}
 	}
-	for m, ids := range byModel {
-		sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-		n := (len(ids) + size - 1) / size
-		for i := 0; i < n; i++ {
-			p := poolID(m, i)
-			s.pools[m] = append(s.pools[m], p)
-			s.models[p] = m
-		}
-		for _, id := range ids {
-			p := best(s.pools[m], id)
-			s.endpoints[p] = append(s.endpoints[p], id)
-		}
+	for g, ids := range groups {
+		s.add(g, ids, size)
+	}
+	for _, pools := range s.pools {
+		slices.Sort(pools)
 	}
 	return s
 }
 
+func (s *Shard) add(g group, ids []core.EndpointID, size int) {
+	slices.Sort(ids)
+	var pools []core.PoolID
+	for i := range (len(ids) + size - 1) / size {
+		p := g.pool(i)
+		pools = append(pools, p)
+		s.groups[p] = g
+	}
+	for _, id := range ids {
+		p := best(pools, id)
+		s.endpoints[p] = append(s.endpoints[p], id)
+	}
+	s.pools[g.model] = append(s.pools[g.model], pools...)
+}
+
+func (g group) pool(i int) core.PoolID {
+	if g.region == "" {
+		return core.PoolID(fmt.Sprintf("%s/%d", g.model, i))
+	}
+	return core.PoolID(fmt.Sprintf("%s@%s/%d", g.model, g.region, i)) // no model's name has an @
+}
+
 // Pools returns the pools of a model.
 func (s *Shard) Pools(m core.ModelName) []core.PoolID { return s.pools[m] }
 
@@ -56,21 +79,13 @@
 func (s *Shard) Endpoints(p core.PoolID) []core.EndpointID { return s.endpoints[p] }
 
 // Model returns the model of a pool, or "" for an unknown pool.
-func (s *Shard) Model(p core.PoolID) core.ModelName { return s.models[p] }
+func (s *Shard) Model(p core.PoolID) core.ModelName { return s.groups[p].model }
 
-// All returns every pool in order of name.
-func (s *Shard) All() []core.PoolID {
-	all := make([]core.PoolID, 0, len(s.models))
-	for p := range s.models {
-		all = append(all, p)
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
-	return all
-}
+// Region returns the region of a pool's endpoints, or "" when they name none.
+func (s *Shard) Region(p core.PoolID) string { return s.groups[p].region }
 
-func poolID(m core.ModelName, i int) core.PoolID {
-	return core.PoolID(fmt.Sprintf("%s/%s", m, strconv.Itoa(i)))
-}
+// All returns every pool in order of name.
+func (s *Shard) All() []core.PoolID { return slices.Sorted(maps.Keys(s.groups)) }
 
 func best(pools []core.PoolID, id core.EndpointID) core.PoolID {
 	var top core.PoolID
--- a/io/entry/choose.go
+++ b/io/entry/choose.go
@@ -15,11 +15,12 @@
 
 // choose picks the pool for a call.
 //
-// Calls with the same first block of the prompt go to the same pool unless its
-// wait is longer than that of a random other one.
+// Calls with the same first block of the prompt go to the same pool of the own
+// region, if there is one, unless its wait is longer than that of a random other.
 func (e *Entry) choose(g *generation, avoid []core.PoolID) (core.PoolID, error) {
 	now := e.Clock.Now()
-	pools := slices.Clone(e.Shard().Pools(g.call.Model))
+	sh := e.Shard()
+	pools := slices.Clone(sh.Pools(g.call.Model))
 	pools = slices.DeleteFunc(pools, func(p core.PoolID) bool { return slices.Contains(avoid, p) })
 	if len(pools) == 0 {
 		return "", &core.Error{
@@ -38,7 +39,11 @@
 			Remedy: "send the request again after the stated time", Run: core.RunNot, RetryAfter: loadAge,
 		}
 	}
-	first := preferred(open, g.call.Prompt)
+	near := slices.DeleteFunc(slices.Clone(open), func(p core.PoolID) bool { return sh.Region(p) != e.Settings.GetRegion() })
+	if len(near) == 0 {
+		near = open
+	}
+	first := preferred(near, g.call.Prompt)
 	other := open[rand.IntN(len(open))]
 	if e.wait(other, g, now)+affinityWait < e.wait(first, g, now) {
 		return other, nil
