--- a/app/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package app puts the parts of one instance together.
-package app
--- a/cli/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package cli holds the commands of the snipeshed binary.
-package cli
--- a/cmd/snipeshed/main.go
+++ b/cmd/snipeshed/main.go
@@ -4,7 +4,7 @@
 import (
 	"os"
 
-	"snipeshed/cli"
+	"snipeshed/cmds"
 )
 
-func main() { os.Exit(cli.Main(os.Args, os.Stdout, os.Stderr)) }
+func main() { os.Exit(cmds.Main(os.Args, os.Stdout, os.Stderr)) }
--- a/cli/apply.go
+++ b/cmds/apply.go
@@ -1,4 +1,4 @@
-package cli
+package cmds
 
 import (
 	"context"
--- a/cli/cli_test.go
+++ b/cmds/cmds_test.go
@@ -1,4 +1,4 @@
-package cli_test
+package cmds_test
 
 import (
 	"bytes"
@@ -17,7 +17,7 @@
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
 
-	"snipeshed/cli"
+	"snipeshed/cmds"
 	"snipeshed/conf"
 	"snipeshed/core"
 	"snipeshed/core/state"
@@ -76,7 +76,7 @@
 	t.Setenv("USER", "piret")
 	var out, errs bytes.Buffer
 	args := strings.Fields(strings.ReplaceAll("snipeshed "+line, "FILE", path))
-	code = cli.Main(args, &out, &errs)
+	code = cmds.Main(args, &out, &errs)
 	return code, out.String(), errs.String()
 }
 
--- /dev/null
+++ b/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of the snipeshed binary.
+package cmds
--- a/cli/serve.go
+++ b/cmds/serve.go
@@ -1,11 +1,11 @@
-package cli
+package cmds
 
 import (
 	"context"
 
 	"github.com/urfave/cli/v3"
 
-	"snipeshed/app"
+	"snipeshed/daemon"
 	"snipeshed/conf"
 )
 
@@ -20,7 +20,7 @@
 			if err != nil {
 				return err
 			}
-			return app.Run(ctx, s, c.Root().ErrWriter)
+			return daemon.Run(ctx, s, c.Root().ErrWriter)
 		},
 	}
 }
--- a/cli/ticket.go
+++ b/cmds/ticket.go
@@ -1,4 +1,4 @@
-package cli
+package cmds
 
 import (
 	"github.com/urfave/cli/v3"
--- a/app/app.go
+++ b/daemon/daemon.go
@@ -1,4 +1,4 @@
-package app
+package daemon
 
 import (
 	"context"
@@ -35,8 +35,8 @@
 	"snipeshed/wire"
 )
 
-// App is one instance.
-type App struct {
+// Daemon is one instance.
+type Daemon struct {
 	core.Shared
 
 	cfg     *conf.Settings
@@ -69,7 +69,7 @@
 	listenerCount
 )
 
-// Option changes an App while it is made.
+// Option changes an Daemon while it is made.
 type Option func(*options)
 
 type options struct {
@@ -100,8 +100,8 @@
 }
 
 // New makes an instance and opens its listeners.
-func New(cfg *conf.Settings, log *logrus.Entry, opts ...Option) (*App, error) {
-	a := &App{Shared: core.NewShared(log), cfg: cfg, meter: meter.New(), state: state.New(), changed: make(chan struct{}, 1)}
+func New(cfg *conf.Settings, log *logrus.Entry, opts ...Option) (*Daemon, error) {
+	a := &Daemon{Shared: core.NewShared(log), cfg: cfg, meter: meter.New(), state: state.New(), changed: make(chan struct{}, 1)}
 	if err := a.listen(); err != nil {
 		return nil, err
 	}
@@ -122,7 +122,7 @@
 	return a, nil
 }
 
-func (a *App) listen() error {
+func (a *Daemon) listen() error {
 	addrs := [listenerCount]string{a.cfg.GetClientAddress(), a.cfg.GetPeerAddress(), a.cfg.GetOperatorAddress()}
 	names := [listenerCount]string{"client_address", "peer_address", "operator_address"}
 	for i, addr := range addrs {
@@ -139,7 +139,7 @@
 	return nil
 }
 
-func (a *App) closeListeners() {
+func (a *Daemon) closeListeners() {
 	for _, l := range a.listeners {
 		if l != nil {
 			_ = l.Close() // nothing was served on it
@@ -148,7 +148,7 @@
 }
 
 // build makes the parts; the order follows their dependencies.
-func (a *App) build(o *options) {
+func (a *Daemon) build(o *options) {
 	cfg := a.cfg
 	self := core.Peer{
 		ID: core.InstanceID(cfg.GetInstance()), Address: a.PeerAddress(),
@@ -178,7 +178,7 @@
 	a.serve(calls)
 }
 
-func (a *App) configure(cfg *core.Config) {
+func (a *Daemon) configure(cfg *core.Config) {
 	a.host.Configure(cfg)
 	select {
 	case a.changed <- struct{}{}:
@@ -186,13 +186,13 @@
 	}
 }
 
-func (a *App) accepted(t *wire.Ticket) {
+func (a *Daemon) accepted(t *wire.Ticket) {
 	if err := a.relay.Learn(t); err != nil {
 		a.Log.WithField("ticket", t.GetNumber()).WithError(err).Warn("accepted ticket waits for the tickets before it")
 	}
 }
 
-func (a *App) publish() {
+func (a *Daemon) publish() {
 	a.meter.Publish("store_calls", func() any { return a.store.Counts() })
 	a.meter.Publish("control_bytes", func() any {
 		sent, received := a.relay.Bytes()
@@ -218,7 +218,7 @@
 }
 
 // serve makes the servers of the three listeners.
-func (a *App) serve(calls *peer.Peer) {
+func (a *Daemon) serve(calls *peer.Peer) {
 	l := link.New(a.cfg)
 	peers := http.NewServeMux()
 	peers.Handle(wire.PeerPathPrefix, a.relay.Handler())
@@ -238,18 +238,18 @@
 }
 
 // ClientAddress returns the address of the clients' listener.
-func (a *App) ClientAddress() string { return a.listeners[clientListener].Addr().String() }
+func (a *Daemon) ClientAddress() string { return a.listeners[clientListener].Addr().String() }
 
 // PeerAddress returns the address of the listener for other instances.
-func (a *App) PeerAddress() string { return a.listeners[peerListener].Addr().String() }
+func (a *Daemon) PeerAddress() string { return a.listeners[peerListener].Addr().String() }
 
 // OperatorAddress returns the address of the operators' listener.
-func (a *App) OperatorAddress() string { return a.listeners[operatorListener].Addr().String() }
+func (a *Daemon) OperatorAddress() string { return a.listeners[operatorListener].Addr().String() }
 
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // Run serves until ctx ends, then shuts down gracefully.
-func (a *App) Run(ctx context.Context) error {
+func (a *Daemon) Run(ctx context.Context) error {
 	a.Log.WithFields(logrus.Fields{
 		"client_address": a.ClientAddress(), "peer_address": a.PeerAddress(), "operator_address": a.OperatorAddress(),
 		"failure_domain": a.cfg.GetFailureDomain(),
@@ -280,7 +280,7 @@
 // ownInterval is how soon an instance opens a pool that it has come to own.
 const ownInterval = 500 * time.Millisecond
 
-func (a *App) ownPools(ctx context.Context) error {
+func (a *Daemon) ownPools(ctx context.Context) error {
 	select {
 	case <-a.relay.Ready():
 	case <-ctx.Done():
--- /dev/null
+++ b/daemon/doc.go
@@ -0,0 +1,2 @@
+// Package daemon puts the parts of one instance together.
+package daemon
--- a/app/health.go
+++ b/daemon/health.go
@@ -1,4 +1,4 @@
-package app
+package daemon
 
 import (
 	"fmt"
@@ -6,7 +6,7 @@
 )
 
 // addHealth adds the addresses that the platform's balancer asks.
-func (a *App) addHealth(mux *http.ServeMux) {
+func (a *Daemon) addHealth(mux *http.ServeMux) {
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if reason := a.unready(); reason != "" {
@@ -18,7 +18,7 @@
 }
 
 // unready returns why the instance takes no requests, or "".
-func (a *App) unready() string {
+func (a *Daemon) unready() string {
 	if a.leaving.Load() {
 		return "leaving"
 	}
--- a/app/inspect.go
+++ b/daemon/inspect.go
@@ -1,4 +1,4 @@
-package app
+package daemon
 
 import (
 	"cmp"
@@ -19,11 +19,11 @@
 
 // inspector shows the pools of the fleet to operators.
 type inspector struct {
-	app    *App
+	app    *Daemon
 	client *http.Client
 }
 
-func newInspector(a *App) *inspector { return &inspector{app: a, client: link.New(a.cfg).PeerClient()} }
+func newInspector(a *Daemon) *inspector { return &inspector{app: a, client: link.New(a.cfg).PeerClient()} }
 
 // Pools gives endpoints and queues of the pools that are open here.
 func (i *inspector) Pools(context.Context, *wire.PoolsRequest) (*wire.PoolsResponse, error) {
--- a/app/orders_test.go
+++ b/daemon/orders_test.go
@@ -1,4 +1,4 @@
-package app_test
+package daemon_test
 
 import (
 	"context"
--- a/app/status.go
+++ b/daemon/status.go
@@ -1,4 +1,4 @@
-package app
+package daemon
 
 import (
 	"context"
@@ -14,11 +14,11 @@
 
 // fleet asks other instances for their digests.
 type fleet struct {
-	app    *App
+	app    *Daemon
 	client *http.Client
 }
 
-func newFleet(a *App) *fleet { return &fleet{app: a, client: link.New(a.cfg).PeerClient()} }
+func newFleet(a *Daemon) *fleet { return &fleet{app: a, client: link.New(a.cfg).PeerClient()} }
 
 // Instances returns the known instances of snipeshed.
 func (f *fleet) Instances() []*wire.Instance {
@@ -36,7 +36,7 @@
 	return out
 }
 
-func (a *App) selfState() string {
+func (a *Daemon) selfState() string {
 	if a.leaving.Load() {
 		return member.StateLeaving
 	}
@@ -50,10 +50,10 @@
 }
 
 // Ticket returns the number of the ticket in force here.
-func (a *App) Ticket() core.TicketNumber { return a.state.Number() }
+func (a *Daemon) Ticket() core.TicketNumber { return a.state.Number() }
 
 // Accepting returns the endpoints that accept work in the pools that are open here.
-func (a *App) Accepting() []core.EndpointID {
+func (a *Daemon) Accepting() []core.EndpointID {
 	var out []core.EndpointID
 	for _, p := range a.host.Pools() {
 		for id, info := range p.Reports() {
@@ -66,10 +66,10 @@
 }
 
 // Meter returns the instance's counters and histograms.
-func (a *App) Meter() *meter.Meter { return a.meter }
+func (a *Daemon) Meter() *meter.Meter { return a.meter }
 
 // Owner returns the instance that owns a pool, as far as is known here.
-func (a *App) Owner(pool core.PoolID) core.InstanceID {
+func (a *Daemon) Owner(pool core.PoolID) core.InstanceID {
 	if o := a.members.Owners(a.Clock.Now(), host.Resource(pool), 1); len(o) > 0 {
 		return o[0].ID
 	}
@@ -77,10 +77,10 @@
 }
 
 // Others returns how many other instances are known here as live.
-func (a *App) Others() int { return len(a.members.Others()) }
+func (a *Daemon) Others() int { return len(a.members.Others()) }
 
 // Waiting returns the queued calls of each pool that is open here.
-func (a *App) Waiting() map[core.PoolID]int {
+func (a *Daemon) Waiting() map[core.PoolID]int {
 	out := map[core.PoolID]int{}
 	for id, p := range a.host.Pools() {
 		for _, r := range p.Load().Ranks {
--- a/app/stop.go
+++ b/daemon/stop.go
@@ -1,4 +1,4 @@
-package app
+package daemon
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 
 // stop shuts down gracefully: readiness fails, peers hear of it, queued calls go
 // to other instances, every open request ends, then the listeners close.
-func (a *App) stop() {
+func (a *Daemon) stop() {
 	if a.killed.Load() {
 		a.cut()
 		return
@@ -42,14 +42,14 @@
 	<-drained
 }
 
-func (a *App) sleep(ctx context.Context, d time.Duration) {
+func (a *Daemon) sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(d):
 	}
 }
 
-func (a *App) close() {
+func (a *Daemon) close() {
 	a.relay.Close()
 	a.host.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
@@ -64,7 +64,7 @@
 
 // Kill makes the instance end without draining: connections are cut as by the end of its process.
 // It stands for a crash where several instances share a process.
-func (a *App) Kill() {
+func (a *Daemon) Kill() {
 	a.killed.Store(true)
 	for _, s := range a.servers {
 		_ = s.Close() // also before Run has served on it
@@ -73,7 +73,7 @@
 }
 
 // cut ends everything that goes on after the connections were closed.
-func (a *App) cut() {
+func (a *Daemon) cut() {
 	a.relay.Close()
 	a.host.Close()
 	ended, cancel := context.WithCancel(context.Background())
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -169,7 +169,9 @@
 	backoff := firstBackoff
 	deadline := time.Now().Add(f.giveUp)
 	for {
-		s, err := f.open(ctx)
+		s, err := Open(ctx, f.silence, func(ctx context.Context) (core.Stream, error) {
+			return f.runner.Resume(ctx, f.generation, f.next)
+		})
 		if err == nil {
 			return f.replace(s)
 		}
@@ -185,33 +187,6 @@
 	}
 }
 
-// open bounds the time to the response headers but not the stream that follows.
-func (f *Follow) open(ctx context.Context) (core.Stream, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	t := time.AfterFunc(f.silence, cancel)
-	s, err := f.runner.Resume(ctx, f.generation, f.next)
-	if err == nil && !t.Stop() {
-		_ = s.Close() // the context that it reads with has ended
-		err = context.DeadlineExceeded
-	}
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	return &boundStream{Stream: s, cancel: cancel}, nil
-}
-
-type boundStream struct {
-	core.Stream
-	cancel context.CancelFunc
-}
-
-// Close ends reading.
-func (s *boundStream) Close() error {
-	s.cancel()
-	return s.Stream.Close()
-}
-
 func (f *Follow) broken(cause error) error {
 	return &core.Error{
 		Kind: core.KindStreamBroken, Message: fmt.Sprintf("the generation was lost after %d tokens", f.next),
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -108,33 +108,13 @@
 const headerTimeout = 3 * time.Second
 
 func (j *job) generate(ctx context.Context, runner core.Runner) (core.Stream, error) {
-	gctx, cancel := context.WithCancel(ctx)
-	t := time.AfterFunc(headerTimeout, cancel)
 	rank := j.config.Config().Ranks[j.req.Rank]
-	s, err := runner.Generate(gctx, core.GenerateRequest{
-		RequestID: j.req.RequestID, Model: j.req.Model, Prompt: j.req.Prompt,
-		MaxTokens: j.req.MaxTokens, Priority: rank.GetPriority(), Seed: j.req.Seed,
+	return follow.Open(ctx, headerTimeout, func(ctx context.Context) (core.Stream, error) {
+		return runner.Generate(ctx, core.GenerateRequest{
+			RequestID: j.req.RequestID, Model: j.req.Model, Prompt: j.req.Prompt,
+			MaxTokens: j.req.MaxTokens, Priority: rank.GetPriority(), Seed: j.req.Seed,
+		})
 	})
-	if err == nil && !t.Stop() {
-		_ = s.Close() // its context has ended
-		err = context.DeadlineExceeded
-	}
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	return &heldStream{Stream: s, cancel: cancel}, nil
-}
-
-type heldStream struct {
-	core.Stream
-	cancel context.CancelFunc
-}
-
-// Close ends reading.
-func (s *heldStream) Close() error {
-	s.cancel()
-	return s.Stream.Close()
 }
 
 func (j *job) followOptions() []follow.Option {
--- a/io/pool/endpoint.go
+++ b/io/pool/endpoint.go
@@ -91,5 +91,3 @@
 	}
 	return f
 }
-
-const tickInterval = 20 * time.Millisecond // a start that the prompt limit holds back happens at a tick
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sync/errgroup"
-
 	"snipeshed/core"
 	"snipeshed/core/order"
 	"snipeshed/io/driver"
@@ -142,112 +140,6 @@
 	return r
 }
 
-// Admit waits until the policy gives the call an endpoint or refuses it.
-func (p *Pool) Admit(ctx context.Context, c core.Call) (core.EndpointID, core.Runner, error) {
-	ch := make(chan core.Action, 1)
-	p.mu.Lock()
-	p.waiting[c.ID] = ch
-	p.apply(p.policy.Offer(p.Clock.Now(), c))
-	p.mu.Unlock()
-	select {
-	case a := <-ch:
-		return p.admitted(a)
-	case <-ctx.Done():
-	}
-	p.mu.Lock()
-	delete(p.waiting, c.ID)
-	select {
-	case a := <-ch:
-		if a.Kind == core.ActionStart {
-			p.apply(p.policy.Finish(p.Clock.Now(), c.ID, false))
-		}
-	default:
-		p.apply(p.policy.Cancel(p.Clock.Now(), c.ID))
-	}
-	p.mu.Unlock()
-	return "", nil, &core.Error{
-		Kind: core.KindDeadline, Message: "the call ended while it waited for an engine",
-		Remedy: "allow more time or send less work", Run: core.RunNot, Cause: context.Cause(ctx),
-	}
-}
-
-func (p *Pool) admitted(a core.Action) (core.EndpointID, core.Runner, error) {
-	if a.Kind == core.ActionRefuse {
-		return "", nil, a.Err
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	e := p.endpoints[a.Endpoint]
-	if e == nil {
-		p.apply(p.policy.Finish(p.Clock.Now(), a.ID, false))
-		return "", nil, core.ErrNotSent
-	}
-	return a.Endpoint, e.runner, nil
-}
-
-// Adopt takes a call that already runs; it returns nil when the endpoint is not in the pool.
-func (p *Pool) Adopt(c core.Call, ep core.EndpointID, generated core.Tokens) core.Runner {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	e := p.endpoints[ep]
-	if e == nil {
-		return nil
-	}
-	p.policy.Adopt(p.Clock.Now(), c, ep, generated)
-	return e.runner
-}
-
-// Observe passes an event of a running call to the policy; n is the number of tokens generated so far.
-func (p *Pool) Observe(id core.RequestID, ev core.Event, n core.Tokens) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.Clock.Now()
-	switch {
-	case ev.GenerationID != "":
-		p.policy.Cached(now, id, ev.CachedTokens)
-	case ev.Preempted:
-		p.policy.Preempted(now, id)
-	case !ev.Done:
-		p.policy.Token(now, id, n)
-	}
-}
-
-// Finish ends a running call.
-func (p *Pool) Finish(id core.RequestID, complete bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.apply(p.policy.Finish(p.Clock.Now(), id, complete))
-}
-
-// Answered notes that an endpoint took a call; leaving tells that it said so itself.
-func (p *Pool) Answered(ep core.EndpointID, leaving bool) {
-	if leaving {
-		p.Failed(ep, true)
-		return
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if e := p.endpoints[ep]; e != nil {
-		e.answered = p.Clock.Now()
-	}
-}
-
-// Failed notes that an endpoint did not take a call; leaving tells that it said so itself.
-func (p *Pool) Failed(ep core.EndpointID, leaving bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	e := p.endpoints[ep]
-	if e == nil {
-		return
-	}
-	if leaving {
-		e.refused = p.Clock.Now()
-	} else {
-		e.up = false
-	}
-	p.setRunners(p.Clock.Now())
-}
-
 // Load returns the pool's load.
 func (p *Pool) Load() core.PoolLoad {
 	p.mu.Lock()
@@ -277,24 +169,6 @@
 	return out
 }
 
-// Drain refuses every waiting call as leaving, so that its entry takes it to another instance.
-func (p *Pool) Drain() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for id := range p.waiting {
-		acts := p.policy.Cancel(p.Clock.Now(), id)
-		p.apply(append(acts, core.Action{Kind: core.ActionRefuse, ID: id, Err: Leaving()}))
-	}
-}
-
-// Leaving returns the error of an instance that is shutting down.
-func Leaving() *core.Error {
-	return &core.Error{
-		Kind: core.KindLeaving, Message: "this instance is shutting down",
-		Remedy: "send the request again; another instance will take it", Run: core.RunNot, RetryAfter: time.Second,
-	}
-}
-
 // apply hands actions to the calls that wait for them; p.mu is held.
 func (p *Pool) apply(acts []core.Action) {
 	for _, a := range acts {
@@ -323,85 +197,3 @@
 func (p *Pool) info(e *endpoint) core.RunnerInfo {
 	return core.RunnerInfo{ID: e.id, KVCapacity: e.load.KVCapacity, Accepting: e.accepting(p.Clock.Now(), p.listLeaving), Load: e.load}
 }
-
-func (p *Pool) pollLoop(ctx context.Context) {
-	t := time.NewTimer(0)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		case <-p.pollNow:
-		}
-		p.pollAll(ctx)
-		t.Reset(p.pollEvery)
-	}
-}
-
-// pollSoon polls before the next interval, because a new endpoint gets no order before its first report.
-func (p *Pool) pollSoon() {
-	select {
-	case p.pollNow <- struct{}{}:
-	default:
-	}
-}
-
-func (p *Pool) pollAll(ctx context.Context) {
-	p.mu.Lock()
-	polled := make([]*endpoint, 0, len(p.endpoints))
-	now := p.Clock.Now()
-	for _, e := range p.endpoints {
-		if e.due(now, p.pollEvery) {
-			e.polled = now
-			polled = append(polled, e)
-		}
-	}
-	p.mu.Unlock()
-	var g errgroup.Group
-	for _, e := range polled {
-		g.Go(func() error {
-			p.poll(ctx, e)
-			p.refresh()
-			return nil
-		})
-	}
-	_ = g.Wait() // no task returns an error
-}
-
-// refresh tells the policy of new reports at once, so that one silent endpoint does not delay the others.
-func (p *Pool) refresh() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.setRunners(p.Clock.Now())
-}
-
-func (p *Pool) tickLoop(ctx context.Context) {
-	t := time.NewTicker(tickInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-		p.mu.Lock()
-		now := p.Clock.Now()
-		if p.acceptanceChanged(now) {
-			p.setRunners(now)
-		}
-		p.apply(p.policy.Tick(now))
-		p.mu.Unlock()
-	}
-}
-
-// acceptanceChanged reports whether an endpoint's acceptance is not what the policy was told last. The instance list
-// and the end of a refusal change it without a report.
-func (p *Pool) acceptanceChanged(now time.Time) bool {
-	for _, e := range p.endpoints {
-		if e.told != e.accepting(now, p.listLeaving) {
-			return true
-		}
-	}
-	return false
-}
--- a/e2e/answer_test.go
+++ b/proof/answer_test.go
@@ -1,4 +1,4 @@
-package e2e
+package proof
 
 import (
 	"encoding/json"
--- a/e2e/process_test.go
+++ b/proof/process_test.go
@@ -1,4 +1,4 @@
-package e2e
+package proof
 
 import (
 	"bufio"
@@ -22,7 +22,7 @@
 	"snipeshed/core/member"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
-	"snipeshed/stand/svc"
+	"snipeshed/stand/apprun"
 )
 
 // procs are the processes of one test; it ends them by their ids.
@@ -205,7 +205,7 @@
 	is.True(longest <= detect+resumeSlack)
 
 	last := act(c, ins[0].client, "paused-holder", 2*time.Second)
-	var counts svc.Counts
+	var counts apprun.Counts
 	getJSON(t, "http://"+application+"/admin/counts", &counts)
 	t.Logf("paused holder: %s; second client: %s; third: %s; runs %v", paused, after, last, counts.Runs)
 	is.Equal(counts.Runs["paused-holder"], int64(1))
--- a/stand/svc/admin.go
+++ b/stand/apprun/admin.go
@@ -1,4 +1,4 @@
-package svc
+package apprun
 
 import (
 	"maps"
@@ -9,28 +9,28 @@
 )
 
 // Slow sets the duration of each call; it takes effect at the end of it, also when its caller has given up.
-func (s *Svc) Slow(d time.Duration) {
+func (s *Apprun) Slow(d time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.delay = d
 }
 
 // LoseAnswers cuts the connection after each of the next n runs.
-func (s *Svc) LoseAnswers(n int) {
+func (s *Apprun) LoseAnswers(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.losses = n
 }
 
 // SetRefuse switches whether calls are answered with 503 without being run.
-func (s *Svc) SetRefuse(on bool) {
+func (s *Apprun) SetRefuse(on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refuse = on
 }
 
 // Counts returns the calls so far.
-func (s *Svc) Counts() Counts {
+func (s *Apprun) Counts() Counts {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c := s.counts
@@ -39,13 +39,13 @@
 }
 
 // Runs returns how often a key ran.
-func (s *Svc) Runs(key string) int64 {
+func (s *Apprun) Runs(key string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.counts.Runs[key]
 }
 
-func (s *Svc) adminRoutes(mux *http.ServeMux) {
+func (s *Apprun) adminRoutes(mux *http.ServeMux) {
 	mux.HandleFunc("GET /admin/counts", func(w http.ResponseWriter, _ *http.Request) {
 		host.Reply(w, http.StatusOK, s.Counts())
 	})
--- a/stand/svc/svc.go
+++ b/stand/apprun/apprun.go
@@ -1,4 +1,4 @@
-package svc
+package apprun
 
 import (
 	"crypto/sha256"
@@ -12,8 +12,8 @@
 	"snipeshed/stand/host"
 )
 
-// Svc is an application runner that listens on HTTP.
-type Svc struct {
+// Apprun is an application runner that listens on HTTP.
+type Apprun struct {
 	*host.Host
 	set settings
 
@@ -48,13 +48,13 @@
 	BodySHA256 string `json:"body_sha256"`
 }
 
-// New returns a Svc that is not yet started.
-func New(opts ...Option) *Svc {
+// New returns a Apprun that is not yet started.
+func New(opts ...Option) *Apprun {
 	set := settings{checkFencing: true}
 	for _, o := range opts {
 		o(&set)
 	}
-	s := &Svc{set: set, delay: set.delay, fencing: map[string]uint64{}, counts: Counts{Runs: map[string]int64{}}}
+	s := &Apprun{set: set, delay: set.delay, fencing: map[string]uint64{}, counts: Counts{Runs: map[string]int64{}}}
 	mux := http.NewServeMux()
 	s.adminRoutes(mux)
 	// The mux would redirect paths such as a//b, but an application takes them as they are.
@@ -72,7 +72,7 @@
 const maxBodyBytes = 64 << 20
 
 // run runs a call; once its body has arrived, it runs even when its caller gives up.
-func (s *Svc) run(w http.ResponseWriter, r *http.Request) {
+func (s *Apprun) run(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		host.Refuse(w, http.StatusBadRequest, "the body could not be read: %v", err)
@@ -109,7 +109,7 @@
 }
 
 // accept reports whether a call may run; otherwise it has answered that it did not.
-func (s *Svc) accept(w http.ResponseWriter, r *http.Request, key string) bool {
+func (s *Apprun) accept(w http.ResponseWriter, r *http.Request, key string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.refuse {
--- a/stand/svc/svc_test.go
+++ b/stand/apprun/apprun_test.go
@@ -1,4 +1,4 @@
-package svc_test
+package apprun_test
 
 import (
 	"context"
@@ -12,18 +12,18 @@
 	"github.com/matryer/is"
 
 	"snipeshed/stand/host"
-	"snipeshed/stand/svc"
+	"snipeshed/stand/apprun"
 )
 
-// caller calls a Svc over connections in memory, so that it runs in virtual time.
+// caller calls a Apprun over connections in memory, so that it runs in virtual time.
 type caller struct {
 	*is.I
-	*svc.Svc
+	*apprun.Apprun
 	client *http.Client
 }
 
 // call returns the status, or 0 when there was no answer.
-func (c *caller) call(ctx context.Context, method, path, key, fence string) (status int, a svc.Answer) {
+func (c *caller) call(ctx context.Context, method, path, key, fence string) (status int, a apprun.Answer) {
 	req, err := http.NewRequestWithContext(ctx, method, "http://app"+path, strings.NewReader("body"))
 	c.NoErr(err)
 	if key != "" {
@@ -45,14 +45,14 @@
 	ctx := context.Background()
 	for _, tc := range []struct {
 		name, guards string
-		opts         []svc.Option
+		opts         []apprun.Option
 		run          func(c *caller)
 	}{
 		{"counts", "a second run that goes unnoticed", nil, func(c *caller) {
 			for want := range int64(2) {
 				status, a := c.call(ctx, "POST", "/swaps//7/confirm", "k1", "")
 				c.Equal(status, 200)
-				c.Equal(a, svc.Answer{
+				c.Equal(a, apprun.Answer{
 					Method: "POST", Path: "/swaps//7/confirm", Key: "k1", Run: want + 1,
 					BodySHA256: "230d8358dc8e8890b4c58deeb62912ee2f20357ae92a5cc861b98e68fe31acb5",
 				})
@@ -60,7 +60,7 @@
 			c.call(ctx, "PROPFIND", "/", "", "")
 			c.call(ctx, "GET", "/", "", "")
 			c.call(ctx, "GET", "/", "", "")
-			c.Equal(c.Counts(), svc.Counts{Runs: map[string]int64{"k1": 2, "": 3}, Total: 5, MaxRuns: 2})
+			c.Equal(c.Counts(), apprun.Counts{Runs: map[string]int64{"k1": 2, "": 3}, Total: 5, MaxRuns: 2})
 		}},
 		{"lost answer", "a lost answer taken for a call that did not run", nil, func(c *caller) {
 			status, _ := c.call(ctx, "POST", "/admin/lose_answers?count=1", "", "")
@@ -76,9 +76,9 @@
 			status, _ := c.call(ctx, "POST", "/", "k1", "")
 			c.Equal(status, 503)
 			c.call(ctx, "POST", "/admin/refuse?on=false", "", "")
-			c.Equal(c.Counts(), svc.Counts{Runs: map[string]int64{}, Refused: 1})
+			c.Equal(c.Counts(), apprun.Counts{Runs: map[string]int64{}, Refused: 1})
 		}},
-		{"slow", "a timeout taken for a call that did not run", []svc.Option{svc.WithDelay(2 * time.Second)}, func(c *caller) {
+		{"slow", "a timeout taken for a call that did not run", []apprun.Option{apprun.WithDelay(2 * time.Second)}, func(c *caller) {
 			short, cancel := context.WithTimeout(ctx, time.Second)
 			defer cancel()
 			status, _ := c.call(short, "POST", "/", "k1", "")
@@ -97,7 +97,7 @@
 			}
 			c.Equal(c.Counts().StaleFence, int64(1))
 		}},
-		{"fencing ignored", "an application without fencing that behaves as one with", []svc.Option{svc.WithFencingCheck(false)}, func(c *caller) {
+		{"fencing ignored", "an application without fencing that behaves as one with", []apprun.Option{apprun.WithFencingCheck(false)}, func(c *caller) {
 			c.call(ctx, "POST", "/", "k1", "5")
 			status, _ := c.call(ctx, "POST", "/", "k1", "4")
 			c.Equal(status, 200)
@@ -107,7 +107,7 @@
 			t.Log("guards against " + tc.guards)
 			synctest.Test(t, func(t *testing.T) {
 				p := host.NewPipe()
-				c := &caller{I: is.New(t), Svc: svc.New(append(tc.opts, svc.WithListener(p))...), client: p.Client()}
+				c := &caller{I: is.New(t), Apprun: apprun.New(append(tc.opts, apprun.WithListener(p))...), client: p.Client()}
 				c.NoErr(c.Start())
 				defer c.Close()
 				tc.run(c)
--- a/stand/svc/option.go
+++ b/stand/apprun/option.go
@@ -1,4 +1,4 @@
-package svc
+package apprun
 
 import (
 	"net"
@@ -13,7 +13,7 @@
 	delay        time.Duration
 }
 
-// Option changes a Svc.
+// Option changes a Apprun.
 type Option func(*settings)
 
 // WithAddr sets the address to listen on; the default is a free port on loopback.
@@ -29,5 +29,5 @@
 // WithFencingCheck sets whether a key's calls with an old fencing number are rejected (default true).
 func WithFencingCheck(on bool) Option { return func(s *settings) { s.checkFencing = on } }
 
-// WithDelay sets the duration of each call (default 0); see Svc.Slow.
+// WithDelay sets the duration of each call (default 0); see Apprun.Slow.
 func WithDelay(d time.Duration) Option { return func(s *settings) { s.delay = d } }
--- a/stand/cmds/app.go
+++ b/stand/cmds/app.go
@@ -5,7 +5,7 @@
 
 	"github.com/urfave/cli/v3"
 
-	"snipeshed/stand/svc"
+	"snipeshed/stand/apprun"
 )
 
 func appCommand() *cli.Command {
@@ -23,10 +23,10 @@
 			&cli.BoolFlag{Name: "check-fencing", Usage: "reject a key's calls with an old fencing number; =false ignores the numbers", Value: true},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
-			return serve(ctx, c, svc.New(
-				svc.WithAddr(c.String("address")),
-				svc.WithDelay(c.Duration("delay")),
-				svc.WithFencingCheck(c.Bool("check-fencing")),
+			return serve(ctx, c, apprun.New(
+				apprun.WithAddr(c.String("address")),
+				apprun.WithDelay(c.Duration("delay")),
+				apprun.WithFencingCheck(c.Bool("check-fencing")),
 			))
 		},
 	}
--- a/stand/cmds/demo.go
+++ b/stand/cmds/demo.go
@@ -12,7 +12,7 @@
 	"snipeshed/examples"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/runner"
-	"snipeshed/stand/svc"
+	"snipeshed/stand/apprun"
 )
 
 // Size and ports of the demo.
@@ -71,7 +71,7 @@
 		}
 	}
 	for _, addr := range demoServices {
-		if _, err := f.AddService(svc.WithAddr(addr)); err != nil {
+		if _, err := f.AddService(apprun.WithAddr(addr)); err != nil {
 			return err
 		}
 	}
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -12,14 +12,14 @@
 	"sync"
 	"time"
 
-	"snipeshed/app"
+	"snipeshed/daemon"
 	"snipeshed/conf"
 	"snipeshed/core"
 	"snipeshed/core/member"
 	"snipeshed/stand/link"
 	"snipeshed/stand/objs"
 	"snipeshed/stand/runner"
-	"snipeshed/stand/svc"
+	"snipeshed/stand/apprun"
 	"snipeshed/wire"
 )
 
@@ -27,7 +27,7 @@
 type Fleet struct {
 	Platform *objs.Objs
 	Runners  []*runner.Runner
-	Services []*svc.Svc
+	Services []*apprun.Apprun
 	Nodes    []*Node
 
 	// RunnerLinks lead to the runners, in their order, when the Fleet was made WithLinks.
@@ -116,8 +116,8 @@
 }
 
 // AddService starts an application runner and registers it in the instance list.
-func (f *Fleet) AddService(opts ...svc.Option) (*svc.Svc, error) {
-	s := svc.New(opts...)
+func (f *Fleet) AddService(opts ...apprun.Option) (*apprun.Apprun, error) {
+	s := apprun.New(opts...)
 	if err := s.Start(); err != nil {
 		return nil, fmt.Errorf("start application runner: %w", err)
 	}
@@ -134,7 +134,7 @@
 
 // Node is one running instance.
 type Node struct {
-	*app.App
+	*daemon.Daemon
 
 	ID core.InstanceID
 	// PeerLink leads to the peer listener and PlatformLink from here to the platform; both are nil without links.
@@ -165,7 +165,7 @@
 	if err := conf.Check("fleet", cfg); err != nil {
 		return nil, err
 	}
-	a, err := app.New(cfg, app.NewLog(cfg, f.logs))
+	a, err := daemon.New(cfg, daemon.NewLog(cfg, f.logs))
 	if err != nil {
 		return nil, err
 	}
@@ -179,7 +179,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	node := &Node{
-		App: a, ID: core.InstanceID(cfg.GetInstance()), PeerLink: peers, PlatformLink: platform,
+		Daemon: a, ID: core.InstanceID(cfg.GetInstance()), PeerLink: peers, PlatformLink: platform,
 		cancel: cancel, done: make(chan error, 1),
 	}
 	go func() { node.done <- a.Run(ctx) }()
@@ -198,7 +198,7 @@
 
 // Kill cuts the instance's connections without draining, as the end of its process would, and waits for its end.
 func (n *Node) Kill() error {
-	n.App.Kill()
+	n.Daemon.Kill()
 	return n.Stop()
 }
 
