--- a/cmds/serve.go
+++ b/cmds/serve.go
@@ -5,8 +5,8 @@
 
 	"github.com/urfave/cli/v3"
 
-	"snipeshed/daemon"
 	"snipeshed/conf"
+	"snipeshed/daemon"
 )
 
 func serveCommand() *cli.Command {
--- a/daemon/inspect.go
+++ b/daemon/inspect.go
@@ -23,7 +23,9 @@
 	client *http.Client
 }
 
-func newInspector(a *Daemon) *inspector { return &inspector{app: a, client: link.New(a.cfg).PeerClient()} }
+func newInspector(a *Daemon) *inspector {
+	return &inspector{app: a, client: link.New(a.cfg).PeerClient()}
+}
 
 // Pools gives endpoints and queues of the pools that are open here.
 func (i *inspector) Pools(context.Context, *wire.PoolsRequest) (*wire.PoolsResponse, error) {
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -20,9 +20,9 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"snipeshed/core/member"
+	"snipeshed/stand/apprun"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
-	"snipeshed/stand/apprun"
 )
 
 // procs are the processes of one test; it ends them by their ids.
--- a/stand/apprun/apprun_test.go
+++ b/stand/apprun/apprun_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/matryer/is"
 
-	"snipeshed/stand/host"
 	"snipeshed/stand/apprun"
+	"snipeshed/stand/host"
 )
 
 // caller calls a Apprun over connections in memory, so that it runs in virtual time.
--- a/stand/cmds/demo.go
+++ b/stand/cmds/demo.go
@@ -10,9 +10,9 @@
 
 	"snipeshed/conf"
 	"snipeshed/examples"
+	"snipeshed/stand/apprun"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/runner"
-	"snipeshed/stand/apprun"
 )
 
 // Size and ports of the demo.
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -12,14 +12,14 @@
 	"sync"
 	"time"
 
-	"snipeshed/daemon"
 	"snipeshed/conf"
 	"snipeshed/core"
 	"snipeshed/core/member"
+	"snipeshed/daemon"
+	"snipeshed/stand/apprun"
 	"snipeshed/stand/link"
 	"snipeshed/stand/objs"
 	"snipeshed/stand/runner"
-	"snipeshed/stand/apprun"
 	"snipeshed/wire"
 )
 
