Let make run end cleanly on Ctrl-C

Cause: go run answers an interrupt with status 1, so a planned end of the demo looked like a failure. Change: make run builds the binary and becomes it. Result: the clone's make run ended with Error 1 before, exit 0 after.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 	$(GO) vet ./...
 
 run: ## Starts stand-ins and three instances in one process on loopback.
-	$(GO) run ./cmd/standin demo
+	@$(GO) build -o bin/standin ./cmd/standin && exec bin/standin demo
 
 run-processes: build ## The same as separate processes.
 	scripts/processes.sh
