Never say not_run after an attempt that may have run

Cause: a pool's owner passed on the refusal of a second attempt with its not_run, although the answer to the first attempt had been lost and the engine may have started the generation. Change: the refusal carries the earlier attempt's run state; receivers in daemon follow the customary name. Result: TestRunOfRefusalAfterAnAttempt: not_run before, unknown after.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -81,11 +81,11 @@
 
 // Run serves until ctx ends, then shuts down gracefully.
 func Run(ctx context.Context, cfg *conf.Settings, logs io.Writer) error {
-	a, err := New(cfg, NewLog(cfg, logs))
+	d, err := New(cfg, NewLog(cfg, logs))
 	if err != nil {
 		return err
 	}
-	return a.Run(ctx)
+	return d.Run(ctx)
 }
 
 // NewLog returns the log of an instance: one key=value line per event.
@@ -101,11 +101,11 @@
 
 // New makes an instance and opens its listeners.
 func New(cfg *conf.Settings, log *logrus.Entry, opts ...Option) (*Daemon, error) {
-	a := &Daemon{Shared: core.NewShared(log), cfg: cfg, meter: meter.New(), state: state.New(), changed: make(chan struct{}, 1)}
-	if err := a.listen(); err != nil {
+	d := &Daemon{Shared: core.NewShared(log), cfg: cfg, meter: meter.New(), state: state.New(), changed: make(chan struct{}, 1)}
+	if err := d.listen(); err != nil {
 		return nil, err
 	}
-	a.life, a.cancel = context.WithCancel(context.Background())
+	d.life, d.cancel = context.WithCancel(context.Background())
 	o := options{newPolicy: func() core.Policy {
 		return queue.New(
 			queue.WithTeamSharePercent(cfg.GetTeamSharePercent()),
@@ -118,29 +118,29 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
-	a.build(&o)
-	return a, nil
+	d.build(&o)
+	return d, nil
 }
 
-func (a *Daemon) listen() error {
-	addrs := [listenerCount]string{a.cfg.GetClientAddress(), a.cfg.GetPeerAddress(), a.cfg.GetOperatorAddress()}
+func (d *Daemon) listen() error {
+	addrs := [listenerCount]string{d.cfg.GetClientAddress(), d.cfg.GetPeerAddress(), d.cfg.GetOperatorAddress()}
 	names := [listenerCount]string{"client_address", "peer_address", "operator_address"}
 	for i, addr := range addrs {
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
-			a.closeListeners()
+			d.closeListeners()
 			return &core.Error{
 				Kind: core.KindBadRequest, Message: fmt.Sprintf("setting %q: cannot listen on %s", names[i], addr),
 				Remedy: "free the port or choose another one", Run: core.RunNot, Cause: err,
 			}
 		}
-		a.listeners[i] = l
+		d.listeners[i] = l
 	}
 	return nil
 }
 
-func (a *Daemon) closeListeners() {
-	for _, l := range a.listeners {
+func (d *Daemon) closeListeners() {
+	for _, l := range d.listeners {
 		if l != nil {
 			_ = l.Close() // nothing was served on it
 		}
@@ -148,153 +148,153 @@
 }
 
 // build makes the parts; the order follows their dependencies.
-func (a *Daemon) build(o *options) {
-	cfg := a.cfg
+func (d *Daemon) build(o *options) {
+	cfg := d.cfg
 	self := core.Peer{
-		ID: core.InstanceID(cfg.GetInstance()), Address: a.PeerAddress(),
+		ID: core.InstanceID(cfg.GetInstance()), Address: d.PeerAddress(),
 		FailureDomain: core.FailureDomain(cfg.GetFailureDomain()),
 	}
-	a.members = member.New(self, ms(cfg.GetSuspectMs()))
-	a.store = store.New(a.Shared, cfg, link.New(cfg))
-	a.relay = relay.New(a.Shared, cfg, a.members, a.state, a.store, roster.New(cfg))
-	a.host = host.New(a.Shared, cfg, a.relay, a.members, o.newPolicy, host.WithCounters(a.meter),
-		host.WithSlots(weight.New(a.Shared, a.store, self.ID, weight.WithCounters(a.meter),
+	d.members = member.New(self, ms(cfg.GetSuspectMs()))
+	d.store = store.New(d.Shared, cfg, link.New(cfg))
+	d.relay = relay.New(d.Shared, cfg, d.members, d.state, d.store, roster.New(cfg))
+	d.host = host.New(d.Shared, cfg, d.relay, d.members, o.newPolicy, host.WithCounters(d.meter),
+		host.WithSlots(weight.New(d.Shared, d.store, self.ID, weight.WithCounters(d.meter),
 			weight.WithSlots(int(cfg.GetWeightSlots())), weight.WithLease(ms(cfg.GetWeightLeaseMs())))))
-	a.state.Subscribe(a.configure)
+	d.state.Subscribe(d.configure)
 	retries := budget.New(budget.WithPercent(cfg.GetRetryBudgetPercent()))
-	a.action = action.New(a.Shared, a.store, a.relay,
+	d.action = action.New(d.Shared, d.store, d.relay,
 		action.WithInstance(self.ID), action.WithSettings(cfg), action.WithRetryBudget(retries),
-		action.WithRetention(a.members, ms(cfg.GetActionRetentionMs())),
+		action.WithRetention(d.members, ms(cfg.GetActionRetentionMs())),
 		action.WithClient(link.New(cfg).EndpointClient()),
-		action.WithEndpointUsable(func(_ core.EndpointID, address string) bool { return !a.members.EndpointLeaving(address) }))
+		action.WithEndpointUsable(func(_ core.EndpointID, address string) bool { return !d.members.EndpointLeaving(address) }))
 	calls := peer.New(link.New(cfg).PeerClient(), cfg.GetMaxBodyBytes())
-	a.entry = entry.New(entry.Parts{
-		Shared: a.Shared, Settings: cfg, Config: a.relay, Members: a.members, Host: a.host, Shard: a.host.Shard,
-		Peer: calls, Services: a.action, Meter: a.meter, Budget: retries,
+	d.entry = entry.New(entry.Parts{
+		Shared: d.Shared, Settings: cfg, Config: d.relay, Members: d.members, Host: d.host, Shard: d.host.Shard,
+		Peer: calls, Services: d.action, Meter: d.meter, Budget: retries,
 	})
-	a.oper = oper.New(a.Shared, cfg, a.store, a.state,
-		oper.WithAccepted(a.accepted), oper.WithFleet(newFleet(a)), oper.WithLoad(newInspector(a).addLoad))
-	a.publish()
-	a.serve(calls)
+	d.oper = oper.New(d.Shared, cfg, d.store, d.state,
+		oper.WithAccepted(d.accepted), oper.WithFleet(newFleet(d)), oper.WithLoad(newInspector(d).addLoad))
+	d.publish()
+	d.serve(calls)
 }
 
-func (a *Daemon) configure(cfg *core.Config) {
-	a.host.Configure(cfg)
+func (d *Daemon) configure(cfg *core.Config) {
+	d.host.Configure(cfg)
 	select {
-	case a.changed <- struct{}{}:
+	case d.changed <- struct{}{}:
 	default: // a wake-up is already due
 	}
 }
 
-func (a *Daemon) accepted(t *wire.Ticket) {
-	if err := a.relay.Learn(t); err != nil {
-		a.Log.WithField("ticket", t.GetNumber()).WithError(err).Warn("accepted ticket waits for the tickets before it")
+func (d *Daemon) accepted(t *wire.Ticket) {
+	if err := d.relay.Learn(t); err != nil {
+		d.Log.WithField("ticket", t.GetNumber()).WithError(err).Warn("accepted ticket waits for the tickets before it")
 	}
 }
 
-func (a *Daemon) publish() {
-	a.meter.Publish("store_calls", func() any { return a.store.Counts() })
-	a.meter.Publish("control_bytes", func() any {
-		sent, received := a.relay.Bytes()
+func (d *Daemon) publish() {
+	d.meter.Publish("store_calls", func() any { return d.store.Counts() })
+	d.meter.Publish("control_bytes", func() any {
+		sent, received := d.relay.Bytes()
 		return map[string]int64{"sent": sent, "received": received}
 	})
-	a.meter.Publish("pools", func() any {
+	d.meter.Publish("pools", func() any {
 		out := map[core.PoolID]core.PoolLoad{}
-		for id, p := range a.host.Pools() {
+		for id, p := range d.host.Pools() {
 			out[id] = p.Load()
 		}
 		return out
 	})
-	a.meter.Publish("orders", func() any {
+	d.meter.Publish("orders", func() any {
 		out := map[core.EndpointID]order.State{}
-		for _, p := range a.host.Pools() {
+		for _, p := range d.host.Pools() {
 			for id, s := range p.Orders() {
 				out[id] = s
 			}
 		}
 		return out
 	})
-	a.meter.Publish("ticket", func() any { return a.state.Number() })
+	d.meter.Publish("ticket", func() any { return d.state.Number() })
 }
 
 // serve makes the servers of the three listeners.
-func (a *Daemon) serve(calls *peer.Peer) {
-	l := link.New(a.cfg)
+func (d *Daemon) serve(calls *peer.Peer) {
+	l := link.New(d.cfg)
 	peers := http.NewServeMux()
-	peers.Handle(wire.PeerPathPrefix, a.relay.Handler())
-	peers.Handle(wire.InspectPathPrefix, wire.NewInspectServer(newInspector(a)))
-	calls.Register(peers, a.host)
+	peers.Handle(wire.PeerPathPrefix, d.relay.Handler())
+	peers.Handle(wire.InspectPathPrefix, wire.NewInspectServer(newInspector(d)))
+	calls.Register(peers, d.host)
 
 	operators := http.NewServeMux()
-	operators.Handle(wire.OperatorPathPrefix, a.oper.Handler())
-	operators.Handle("GET /debug/vars", a.meter)
-	a.addHealth(operators)
+	operators.Handle(wire.OperatorPathPrefix, d.oper.Handler())
+	operators.Handle("GET /debug/vars", d.meter)
+	d.addHealth(operators)
 
 	clients := http.NewServeMux()
-	clients.Handle("/", a.entry)
-	a.addHealth(clients)
+	clients.Handle("/", d.entry)
+	d.addHealth(clients)
 
-	a.servers = [listenerCount]*http.Server{l.Server(clients), l.Server(peers), l.Server(operators)}
+	d.servers = [listenerCount]*http.Server{l.Server(clients), l.Server(peers), l.Server(operators)}
 }
 
 // ClientAddress returns the address of the clients' listener.
-func (a *Daemon) ClientAddress() string { return a.listeners[clientListener].Addr().String() }
+func (d *Daemon) ClientAddress() string { return d.listeners[clientListener].Addr().String() }
 
 // PeerAddress returns the address of the listener for other instances.
-func (a *Daemon) PeerAddress() string { return a.listeners[peerListener].Addr().String() }
+func (d *Daemon) PeerAddress() string { return d.listeners[peerListener].Addr().String() }
 
 // OperatorAddress returns the address of the operators' listener.
-func (a *Daemon) OperatorAddress() string { return a.listeners[operatorListener].Addr().String() }
+func (d *Daemon) OperatorAddress() string { return d.listeners[operatorListener].Addr().String() }
 
 func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // Run serves until ctx ends, then shuts down gracefully.
-func (a *Daemon) Run(ctx context.Context) error {
-	a.Log.WithFields(logrus.Fields{
-		"client_address": a.ClientAddress(), "peer_address": a.PeerAddress(), "operator_address": a.OperatorAddress(),
-		"failure_domain": a.cfg.GetFailureDomain(),
+func (d *Daemon) Run(ctx context.Context) error {
+	d.Log.WithFields(logrus.Fields{
+		"client_address": d.ClientAddress(), "peer_address": d.PeerAddress(), "operator_address": d.OperatorAddress(),
+		"failure_domain": d.cfg.GetFailureDomain(),
 	}).Info("instance starts")
 	var g errgroup.Group
-	for i, s := range a.servers {
+	for i, s := range d.servers {
 		g.Go(func() error {
-			if err := s.Serve(a.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
-				return fmt.Errorf("serve %s: %w", a.listeners[i].Addr(), err)
+			if err := s.Serve(d.listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				return fmt.Errorf("serve %s: %w", d.listeners[i].Addr(), err)
 			}
 			return nil
 		})
 	}
-	a.relay.Start()
+	d.relay.Start()
 	own, stopOwning := context.WithCancel(ctx)
-	g.Go(func() error { return a.ownPools(own) })
+	g.Go(func() error { return d.ownPools(own) })
 	select {
 	case <-ctx.Done():
-	case <-a.life.Done():
+	case <-d.life.Done():
 	}
 	stopOwning()
-	a.stop()
+	d.stop()
 	err := g.Wait()
-	a.Log.Info("instance stopped")
+	d.Log.Info("instance stopped")
 	return err
 }
 
 // ownInterval is how soon an instance opens a pool that it has come to own.
 const ownInterval = 500 * time.Millisecond
 
-func (a *Daemon) ownPools(ctx context.Context) error {
+func (d *Daemon) ownPools(ctx context.Context) error {
 	select {
-	case <-a.relay.Ready():
+	case <-d.relay.Ready():
 	case <-ctx.Done():
 		return nil
 	}
-	a.Log.WithField("ticket", a.state.Number()).Info("instance is ready")
+	d.Log.WithField("ticket", d.state.Number()).Info("instance is ready")
 	t := time.NewTicker(ownInterval)
 	defer t.Stop()
 	for {
-		a.host.Own(a.Clock.Now())
+		d.host.Own(d.Clock.Now())
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-a.changed:
+		case <-d.changed:
 		case <-t.C:
 		}
 	}
--- a/daemon/inspect.go
+++ b/daemon/inspect.go
@@ -19,18 +19,18 @@
 
 // inspector shows the pools of the fleet to operators.
 type inspector struct {
-	app    *Daemon
+	daemon *Daemon
 	client *http.Client
 }
 
-func newInspector(a *Daemon) *inspector {
-	return &inspector{app: a, client: link.New(a.cfg).PeerClient()}
+func newInspector(d *Daemon) *inspector {
+	return &inspector{daemon: d, client: link.New(d.cfg).PeerClient()}
 }
 
 // Pools gives endpoints and queues of the pools that are open here.
 func (i *inspector) Pools(context.Context, *wire.PoolsRequest) (*wire.PoolsResponse, error) {
 	out := &wire.PoolsResponse{}
-	for id, p := range i.app.host.Pools() {
+	for id, p := range i.daemon.host.Pools() {
 		for _, r := range p.Load().Ranks {
 			out.Queues = append(out.Queues, &wire.QueueStatus{
 				Pool: string(id), Rank: string(r.Rank), Waiting: int64(r.Waiting), ExpectedWaitMs: r.ExpectedWait.Milliseconds(),
@@ -53,7 +53,7 @@
 		state += ", " + string(o)
 	}
 	return &wire.EndpointStatus{
-		Name: string(ep), Pool: string(id), Owner: string(i.app.members.Self().ID), State: state,
+		Name: string(ep), Pool: string(id), Owner: string(i.daemon.members.Self().ID), State: state,
 		Running: int64(info.Load.Running), KvUsed: int64(info.Load.KVUsed), KvCapacity: int64(info.Load.KVCapacity),
 	}
 }
@@ -65,7 +65,7 @@
 
 // addLoad asks the owners of all pools for endpoints and queues and fills them into the status.
 func (i *inspector) addLoad(s *wire.StatusResponse) {
-	cfg := i.app.state.Config()
+	cfg := i.daemon.state.Config()
 	rows := map[string]*wire.EndpointStatus{}
 	for _, e := range s.GetEndpoints() {
 		rows[e.GetName()] = e
@@ -99,9 +99,9 @@
 
 func (i *inspector) owners() map[core.Peer][]core.PoolID {
 	out := map[core.Peer][]core.PoolID{}
-	now := i.app.Clock.Now()
-	for _, id := range i.app.host.Shard().All() {
-		if o := i.app.members.Owners(now, host.Resource(id), 1); len(o) > 0 {
+	now := i.daemon.Clock.Now()
+	for _, id := range i.daemon.host.Shard().All() {
+		if o := i.daemon.members.Owners(now, host.Resource(id), 1); len(o) > 0 {
 			out[o[0]] = append(out[o[0]], id)
 		}
 	}
@@ -111,7 +111,7 @@
 func (i *inspector) ask(owner core.Peer) (*wire.PoolsResponse, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), inspectTimeout)
 	defer cancel()
-	if owner.ID == i.app.members.Self().ID {
+	if owner.ID == i.daemon.members.Self().ID {
 		return i.Pools(ctx, &wire.PoolsRequest{})
 	}
 	return wire.NewInspectProtobufClient("http://"+owner.Address, i.client).Pools(ctx, &wire.PoolsRequest{})
@@ -119,7 +119,7 @@
 
 func (i *inspector) unanswered(rows map[string]*wire.EndpointStatus, owner core.Peer, pools []core.PoolID) {
 	for _, id := range pools {
-		for _, ep := range i.app.host.Shard().Endpoints(id) {
+		for _, ep := range i.daemon.host.Shard().Endpoints(id) {
 			if row := rows[string(ep)]; row != nil {
 				row.Pool, row.Owner, row.State = string(id), string(owner.ID), "owner does not answer"
 			}
--- a/daemon/status.go
+++ b/daemon/status.go
@@ -14,20 +14,20 @@
 
 // fleet asks other instances for their digests.
 type fleet struct {
-	app    *Daemon
+	daemon *Daemon
 	client *http.Client
 }
 
-func newFleet(a *Daemon) *fleet { return &fleet{app: a, client: link.New(a.cfg).PeerClient()} }
+func newFleet(d *Daemon) *fleet { return &fleet{daemon: d, client: link.New(d.cfg).PeerClient()} }
 
 // Instances returns the known instances of snipeshed.
 func (f *fleet) Instances() []*wire.Instance {
-	self := f.app.members.Self()
+	self := f.daemon.members.Self()
 	out := []*wire.Instance{{
 		Id: string(self.ID), Address: self.Address, FailureDomain: string(self.FailureDomain),
-		Kind: member.KindInstance, State: f.app.selfState(),
+		Kind: member.KindInstance, State: f.daemon.selfState(),
 	}}
-	for _, p := range f.app.members.Others() {
+	for _, p := range f.daemon.members.Others() {
 		out = append(out, &wire.Instance{
 			Id: string(p.ID), Address: p.Address, FailureDomain: string(p.FailureDomain),
 			Kind: member.KindInstance, State: member.StateLive,
@@ -36,8 +36,8 @@
 	return out
 }
 
-func (a *Daemon) selfState() string {
-	if a.leaving.Load() {
+func (d *Daemon) selfState() string {
+	if d.leaving.Load() {
 		return member.StateLeaving
 	}
 	return member.StateLive
@@ -50,12 +50,12 @@
 }
 
 // Ticket returns the number of the ticket in force here.
-func (a *Daemon) Ticket() core.TicketNumber { return a.state.Number() }
+func (d *Daemon) Ticket() core.TicketNumber { return d.state.Number() }
 
 // Accepting returns the endpoints that accept work in the pools that are open here.
-func (a *Daemon) Accepting() []core.EndpointID {
+func (d *Daemon) Accepting() []core.EndpointID {
 	var out []core.EndpointID
-	for _, p := range a.host.Pools() {
+	for _, p := range d.host.Pools() {
 		for id, info := range p.Reports() {
 			if info.Accepting {
 				out = append(out, id)
@@ -66,23 +66,23 @@
 }
 
 // Meter returns the instance's counters and histograms.
-func (a *Daemon) Meter() *meter.Meter { return a.meter }
+func (d *Daemon) Meter() *meter.Meter { return d.meter }
 
 // Owner returns the instance that owns a pool, as far as is known here.
-func (a *Daemon) Owner(pool core.PoolID) core.InstanceID {
-	if o := a.members.Owners(a.Clock.Now(), host.Resource(pool), 1); len(o) > 0 {
+func (d *Daemon) Owner(pool core.PoolID) core.InstanceID {
+	if o := d.members.Owners(d.Clock.Now(), host.Resource(pool), 1); len(o) > 0 {
 		return o[0].ID
 	}
 	return ""
 }
 
 // Others returns how many other instances are known here as live.
-func (a *Daemon) Others() int { return len(a.members.Others()) }
+func (d *Daemon) Others() int { return len(d.members.Others()) }
 
 // Waiting returns the queued calls of each pool that is open here.
-func (a *Daemon) Waiting() map[core.PoolID]int {
+func (d *Daemon) Waiting() map[core.PoolID]int {
 	out := map[core.PoolID]int{}
-	for id, p := range a.host.Pools() {
+	for id, p := range d.host.Pools() {
 		for _, r := range p.Load().Ranks {
 			out[id] += r.Waiting
 		}
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -10,74 +10,74 @@
 
 // stop shuts down gracefully: readiness fails, peers hear of it, queued calls go
 // to other instances, every open request ends, then the listeners close.
-func (a *Daemon) stop() {
-	if a.killed.Load() {
-		a.cut()
+func (d *Daemon) stop() {
+	if d.killed.Load() {
+		d.cut()
 		return
 	}
-	a.leaving.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), ms(a.cfg.GetStopTimeoutMs()+a.cfg.GetLeaveDelayMs()))
+	d.leaving.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), ms(d.cfg.GetStopTimeoutMs()+d.cfg.GetLeaveDelayMs()))
 	defer cancel()
-	a.relay.Leave(ctx)
-	a.Log.Info("instance is leaving")
-	a.sleep(ctx, ms(a.cfg.GetLeaveDelayMs()))
+	d.relay.Leave(ctx)
+	d.Log.Info("instance is leaving")
+	d.sleep(ctx, ms(d.cfg.GetLeaveDelayMs()))
 
 	drained := make(chan struct{})
 	go func() {
-		a.host.Drain()
+		d.host.Drain()
 		close(drained)
 	}()
-	if err := a.entry.Drain(ctx); err != nil {
-		a.Log.WithError(err).Error("open requests are cut off; raise stop_timeout_ms")
+	if err := d.entry.Drain(ctx); err != nil {
+		d.Log.WithError(err).Error("open requests are cut off; raise stop_timeout_ms")
 	}
 	select {
 	case <-drained:
 	case <-ctx.Done():
-		a.Log.Error("calls of other instances are cut off; raise stop_timeout_ms")
+		d.Log.Error("calls of other instances are cut off; raise stop_timeout_ms")
 	}
-	if err := a.action.Close(ctx); err != nil {
-		a.Log.WithError(err).Error("outcomes of protected actions are not all recorded")
+	if err := d.action.Close(ctx); err != nil {
+		d.Log.WithError(err).Error("outcomes of protected actions are not all recorded")
 	}
-	a.close()
+	d.close()
 	<-drained
 }
 
-func (a *Daemon) sleep(ctx context.Context, d time.Duration) {
+func (d *Daemon) sleep(ctx context.Context, wait time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(d):
+	case <-time.After(wait):
 	}
 }
 
-func (a *Daemon) close() {
-	a.relay.Close()
-	a.host.Close()
+func (d *Daemon) close() {
+	d.relay.Close()
+	d.host.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
-	for _, s := range a.servers {
+	for _, s := range d.servers {
 		if s.Shutdown(ctx) != nil {
 			_ = s.Close() // a connection stayed open past the timeout
 		}
 	}
-	a.store.Close()
+	d.store.Close()
 }
 
 // Kill makes the instance end without draining: connections are cut as by the end of its process.
 // It stands for a crash where several instances share a process.
-func (a *Daemon) Kill() {
-	a.killed.Store(true)
-	for _, s := range a.servers {
+func (d *Daemon) Kill() {
+	d.killed.Store(true)
+	for _, s := range d.servers {
 		_ = s.Close() // also before Run has served on it
 	}
-	a.cancel()
+	d.cancel()
 }
 
 // cut ends everything that goes on after the connections were closed.
-func (a *Daemon) cut() {
-	a.relay.Close()
-	a.host.Close()
+func (d *Daemon) cut() {
+	d.relay.Close()
+	d.host.Close()
 	ended, cancel := context.WithCancel(context.Background())
 	cancel()
-	_ = a.action.Close(ended) // ctx has ended: outcomes stay unrecorded, as after a crash
-	a.store.Close()
+	_ = d.action.Close(ended) // ctx has ended: outcomes stay unrecorded, as after a crash
+	d.store.Close()
 }
--- /dev/null
+++ b/io/host/host_test.go
@@ -0,0 +1,96 @@
+package host_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/core/fifo"
+	"snipeshed/core/member"
+	"snipeshed/io/host"
+	"snipeshed/wire"
+)
+
+// engine answers each generate call with the next of its errors.
+type engine struct {
+	core.Runner
+	errs  []error
+	calls int
+}
+
+func (e *engine) Load(context.Context) (core.RunnerLoad, error) {
+	return core.RunnerLoad{Model: "m", KVCapacity: 1000}, nil
+}
+
+func (e *engine) Order(context.Context, core.RunnerOrder) error { return nil }
+
+func (e *engine) Generate(context.Context, core.GenerateRequest) (core.Stream, error) {
+	e.calls++
+	return nil, e.errs[e.calls-1]
+}
+
+// closing refuses every call after the first.
+type closing struct {
+	*fifo.Fifo
+	offers int
+}
+
+func (c *closing) Offer(now time.Time, call core.Call) []core.Action {
+	c.offers++
+	if c.offers == 1 {
+		return c.Fifo.Offer(now, call)
+	}
+	return []core.Action{{Kind: core.ActionRefuse, ID: call.ID, Err: &core.Error{Kind: core.KindOverloaded, Run: core.RunNot}}}
+}
+
+type source struct{ cfg *core.Config }
+
+func (s source) Config() *core.Config { return s.cfg }
+func (s source) Fresh() error         { return nil }
+
+// A refusal after an attempt that may have run said not_run, although the engine may have started the generation.
+func TestRunOfRefusalAfterAnAttempt(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		run  core.Run
+	}{
+		{"the engine certainly did not get the call", core.ErrNotSent, core.RunNot},
+		{"the engine is leaving", core.ErrRunnerLeaving, core.RunNot},
+		{"the engine's answer was lost", errors.New("connection reset"), core.RunUnknown},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				cfg := &conf.Settings{Instance: "self", FailureDomain: "d", PlatformUrl: "http://127.0.0.1:1"}
+				conf.SetDefaults(cfg)
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				e := &engine{errs: []error{tt.err}}
+				src := source{&core.Config{Number: 1, Endpoints: map[core.EndpointID]*wire.Endpoint{
+					"e": {Name: "e", Address: "10.0.0.1:1", Wanted: &wire.Wanted{Model: "m"}},
+				}}}
+				h := host.New(core.NewShared(log.WithField("test", t.Name())), cfg, src,
+					member.New(core.Peer{ID: "self"}, time.Second), func() core.Policy { return &closing{Fifo: fifo.New()} },
+					host.WithRunner(func(string) core.Runner { return e }))
+				defer h.Close()
+				err := h.Serve(t.Context(), &core.CallRequest{RequestID: "r", Pool: "m/0", Model: "m"},
+					func(*core.Frame) error { return nil })
+				var refusal *core.Error
+				is.True(errors.As(err, &refusal))
+				is.Equal(refusal.Kind, core.KindOverloaded)
+				is.Equal(refusal.Run, tt.run)
+				is.Equal(e.calls, 1)
+			})
+		})
+	}
+}
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		if err != nil {
-			return err
+			return refusedAfter(run, err)
 		}
 		stream, err := j.generate(ctx, runner)
 		if err == nil {
@@ -104,6 +104,17 @@
 	}
 }
 
+// refusedAfter returns the refusal of a later attempt, which does not prove that an earlier one was not run.
+func refusedAfter(earlier core.Run, err error) error {
+	var refusal *core.Error
+	if earlier == core.RunNot || !errors.As(err, &refusal) {
+		return err
+	}
+	e := *refusal
+	e.Run = earlier
+	return &e
+}
+
 // headerTimeout bounds the time until an engine answers a generate request with its headers.
 const headerTimeout = 3 * time.Second
 
