Keep the run state of a call across pools

Cause: after a pool whose endpoint may have started the call, another pool's refusal told the client not_run. Change: a no_endpoint that does not prove not_run marks the call as maybe run. Result: TestRunAcrossPools/unknown: not_run before, unknown after.

--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -192,6 +192,7 @@
 		p.tried[owner.ID] = true
 		return true
 	case kind == core.KindNoEndpoint && p.at == nil:
+		p.maybeRun = p.maybeRun || !provesNotRun(err)
 		p.badPools = append(p.badPools, p.pool)
 		p.pool = ""
 		return e.retry(p)
@@ -201,6 +202,11 @@
 	return false
 }
 
+func provesNotRun(err error) bool {
+	var e *core.Error
+	return errors.As(err, &e) && e.Run == core.RunNot
+}
+
 // regenerate starts over when nothing has reached the client; a stream is never spliced from two generations.
 func (e *Entry) regenerate(p *progress) bool {
 	if !p.sink.reset() || !e.retry(p) {
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -297,6 +297,34 @@
 	}
 }
 
+// A refusal by a second pool said not_run after an attempt in the first one that may have run.
+func TestRunAcrossPools(t *testing.T) {
+	for _, first := range []core.Run{core.RunNot, core.RunUnknown} {
+		t.Run(string(first), func(t *testing.T) {
+			is := is.New(t)
+			b := start(t, nil)
+			sh := shard.New(&core.Config{Endpoints: map[core.EndpointID]*wire.Endpoint{
+				"e": {Wanted: &wire.Wanted{Model: "m"}}, "f": {Wanted: &wire.Wanted{Model: "m"}},
+			}}, 1)
+			b.entry.Shard = func() *shard.Shard { return sh }
+			var pools []core.PoolID
+			b.owner.serve = func(_ context.Context, req *core.CallRequest, _ func(*core.Frame) error) error {
+				pools = append(pools, req.Pool)
+				if len(pools) == 1 {
+					return &core.Error{Kind: core.KindNoEndpoint, Run: first}
+				}
+				return &core.Error{Kind: core.KindOverloaded, Run: core.RunNot}
+			}
+			resp := b.post(t, "Bearer "+key, fmt.Sprintf(ask, true)) //nolint:bodyclose // post closes it
+			var got reply.Body
+			is.NoErr(json.NewDecoder(resp.Body).Decode(&got))
+			is.Equal(len(pools), 2)
+			is.True(pools[0] != pools[1])
+			is.Equal(got.Error.Run, first)
+		})
+	}
+}
+
 // What a broken generation leads to depends on whether the client has had a part of it.
 func TestBrokenGeneration(t *testing.T) {
 	tests := []struct {
