Measure fleets of real processes

Cause: bench-scale runs the control plane of all instances in one process; the slopes of the real binary were not measured.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 
-.PHONY: build run run-processes test race lint format format-check generate generated-check models tools bench bench-policy bench-scale ci
+.PHONY: build run run-processes test race lint format format-check generate generated-check models tools bench bench-policy bench-scale bench-processes ci
 
 build:
 	$(GO) build -o bin/snipeshed ./cmd/snipeshed
@@ -49,5 +49,8 @@
 bench-scale:
 	$(GO) run ./cmd/standin bench-scale
 
+bench-processes: build ## Fleets of real processes.
+	scripts/scale.sh 4 16 64 128
+
 ci:
 	.ci/run
