Keep calls that a stopping owner had queued from being refused by the next one

A call that had waited at the stopping owner came to the next one as a new call, whose overload check could refuse it. And the next owner counted the time before its endpoints' first reports as time in which calls start slowly, so that three starts after half a second made the expected wait of 44 calls 5 s.

Ruled out: the entry's own shedding, which a call passes only once.

Change: an owner that hands a queued call back says so with a frame; the entry passes it on, and the policy then lets only the deadline end the wait. The start rate counts time only while an endpoint accepts calls.

Conclusion: a planned stop no longer turns an admitted call into a refusal. A call that reaches the stopping owner after its queue was handed over is still a new call to the next owner.

--- a/core/frame.go
+++ b/core/frame.go
@@ -14,6 +14,8 @@
 	DeadlineMS   int64       `json:"deadline_ms"`
 	ConfigNumber uint64      `json:"config_number"`
 	Avoid        []string    `json:"avoid,omitempty"`
+	// Admitted tells that an owner that has left had queued the call.
+	Admitted bool `json:"admitted,omitempty"`
 	// Resume continues a generation that another owner started.
 	Resume *ResumePoint `json:"resume,omitempty"`
 }
@@ -31,6 +33,8 @@
 	Event   *Event       `json:"event,omitempty"`
 	Load    *PoolLoad    `json:"load,omitempty"`
 	Error   *FrameError  `json:"error,omitempty"`
+	// Admitted tells that the owner had queued the call that it now hands back because it is leaving.
+	Admitted bool `json:"admitted,omitempty"`
 }
 
 // FrameError carries an Error between instances.
--- a/core/policy.go
+++ b/core/policy.go
@@ -18,6 +18,9 @@
 	Deadline time.Time
 	// Avoid lists endpoints that already failed this call.
 	Avoid []EndpointID
+	// Admitted tells that an owner that has left had queued the call: it waits until its deadline and is not refused for
+	// overload, because a planned stop ends no request.
+	Admitted bool
 }
 
 // Avoids reports whether an endpoint already failed this call.
--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -43,6 +43,7 @@
 	calls   map[core.RequestID]*call
 	running map[core.RequestID]*call
 	pool    int // endpoints, accepting or not
+	open    bool
 
 	names []core.TeamName
 	held  []core.EndpointID
@@ -109,20 +110,30 @@
 	if q.calls[c.ID] == nil {
 		return acts
 	}
+	if c.Admitted {
+		return acts
+	}
 	if limit := q.limitOf(now, r, c); limit > 0 && wait > limit {
 		q.drop(now, r, c)
 		return append(acts, refusal(c.ID, core.KindOverloaded, overload(r, wait, limit), wait-limit))
 	}
 	if r.waiting > r.limit() {
-		acts = append(acts, q.shed(now, r))
+		acts = append(acts, q.shed(now, r, c))
 	}
 	return acts
 }
 
-// shed refuses the newest call of the team with the longest queue, so that a large team cannot fill the queue for the others.
-func (q *Queue) shed(now time.Time, r *rank) core.Action {
+// shed refuses the newest call of the team with the longest queue, so that a large team cannot fill the queue for the
+// others. When all calls of that team were admitted elsewhere, the arriving call is refused.
+func (q *Queue) shed(now time.Time, r *rank, arriving *call) core.Action {
 	name, n := r.longest(q.fair.Weight)
-	c := r.teams[name][n-1]
+	c := arriving
+	for _, o := range slices.Backward(r.teams[name]) {
+		if !o.Admitted {
+			c = o
+			break
+		}
+	}
 	wait := r.wait(now, n-1)
 	q.drop(now, r, c)
 	return refusal(c.ID, core.KindOverloaded, fmt.Sprintf("the queue of rank %q holds its limit of %d calls and this team has the most waiting", r.rule.Name, r.limit()), wait)
@@ -198,6 +209,12 @@
 func (q *Queue) SetRunners(now time.Time, runners []core.RunnerInfo) []core.Action {
 	q.pool = len(runners)
 	q.admit.SetRunners(runners)
+	if open := q.admit.Capacity() > 0; open != q.open {
+		q.open = open
+		for _, r := range q.order {
+			r.setOpen(now, open)
+		}
+	}
 	return q.dispatch(now, nil)
 }
 
@@ -251,8 +268,12 @@
 	return out
 }
 
-// limitOf returns the longest wait of a call: its deadline or the rank's first-token target, whichever is earlier.
+// limitOf returns the longest wait of a call, its deadline or the rank's first-token target, whichever is earlier;
+// 0 means that only the deadline ends the wait.
 func (q *Queue) limitOf(now time.Time, r *rank, c *call) time.Duration {
+	if c.Admitted {
+		return 0
+	}
 	limit := r.patience(now)
 	if !c.Deadline.IsZero() {
 		if d := c.Deadline.Sub(c.arrived); limit == 0 || d < limit {
@@ -294,6 +315,7 @@
 	r := q.ranks[name]
 	if r == nil {
 		r = newRank(core.RankRule{Name: name})
+		r.open = q.open
 		q.ranks[name] = r
 		q.order = append(q.order, r)
 		q.sort()
--- a/core/queue/queue_test.go
+++ b/core/queue/queue_test.go
@@ -48,6 +48,26 @@
 	return core.Call{ID: core.RequestID(id), Service: "s", Team: core.TeamName(team), Rank: core.RankName(rank), PromptTokens: 40, MaxTokens: 100}
 }
 
+// admitted returns a call of team a that an owner that has left had queued.
+func admitted(id, rank string) core.Call {
+	c := newCall(id, "a", rank)
+	c.Admitted = true
+	return c
+}
+
+// slowStarts lets calls of the high rank start so slowly that the expected wait of one more exceeds the rank's target.
+func slowStarts(q *Queue) time.Time {
+	now := t0
+	q.Offer(now, newCall("0", "a", "high"))
+	for i := range 4 {
+		q.Offer(now, newCall(fmt.Sprint(i+1), "a", "high"))
+		now = now.Add(900 * time.Millisecond)
+		q.Finish(now, core.RequestID(fmt.Sprint(i)), true)
+	}
+	q.Offer(now, newCall("5", "a", "high"))
+	return now
+}
+
 // text writes actions as "start 1" and "refuse 2 overloaded not_run".
 func text(acts []core.Action) []string {
 	out := []string{}
@@ -167,6 +187,53 @@
 			q.SetRunners(t0, rs)
 			return q.Offer(t0, newCall("1", "a", "low"))
 		}, []string{}},
+		{"time without an accepting endpoint does not count as slow starts", func(q *Queue) []core.Action {
+			q.SetRunners(t0, []core.RunnerInfo{{ID: "e0"}}) // not reported yet
+			for i := range 4 {
+				q.Offer(t0, newCall(fmt.Sprint(i), "a", "high"))
+			}
+			later := t0.Add(3 * time.Second)
+			q.SetRunners(later, runners(1, 10_000))
+			for i := range 2 {
+				q.Finish(later, core.RequestID(fmt.Sprint(i)), true)
+			}
+			return q.Offer(later, newCall("new", "a", "high"))
+		}, []string{}},
+		{"a call that another owner had queued is not refused for its expected wait", func(q *Queue) []core.Action {
+			return q.Offer(slowStarts(q), admitted("handed over", "high"))
+		}, []string{}},
+		{"a new call is refused for the same expected wait", func(q *Queue) []core.Action {
+			return q.Offer(slowStarts(q), newCall("new", "a", "high"))
+		}, []string{"refuse new overloaded not_run"}},
+		{"a call that another owner had queued waits beyond the target", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("1", "a", "high"))
+			q.Offer(t0, admitted("handed over", "high"))
+			return q.Tick(t0.Add(time.Minute))
+		}, []string{}},
+		{"a call that another owner had queued ends at its deadline", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("1", "a", "high"))
+			c := admitted("handed over", "high")
+			c.Deadline = second
+			q.Offer(t0, c)
+			return q.Tick(second)
+		}, []string{"refuse handed over deadline not_run"}},
+		{"a full queue takes calls that another owner had queued and sheds none of them", func(q *Queue) []core.Action {
+			for i := range 5 { // one runs, four wait
+				q.Offer(t0, newCall(fmt.Sprint(i), "a", "low"))
+			}
+			var acts []core.Action
+			for i := range 10 {
+				acts = append(acts, q.Offer(t0, admitted(fmt.Sprint("h", i), "low"))...)
+			}
+			return append(acts, q.Offer(t0, newCall("new", "b", "low"))...)
+		}, []string{"refuse 4 overloaded not_run"}},
+		{"an arriving call is refused when all others were queued elsewhere", func(q *Queue) []core.Action {
+			q.Offer(t0, newCall("1", "a", "low"))
+			for i := range 5 {
+				q.Offer(t0, admitted(fmt.Sprint("h", i), "low"))
+			}
+			return q.Offer(t0, newCall("new", "b", "low"))
+		}, []string{"refuse new overloaded not_run"}},
 		{"a returning endpoint gets what waits", func(q *Queue) []core.Action {
 			rs := runners(1, 10_000)
 			rs[0].Accepting = false
--- a/core/queue/rank.go
+++ b/core/queue/rank.go
@@ -22,6 +22,8 @@
 	first   peak
 	// running counts calls of the rank at endpoints.
 	running int
+	// open tells that an endpoint accepts calls.
+	open bool
 }
 
 func newRank(rule core.RankRule) *rank {
@@ -45,10 +47,15 @@
 		return -1
 	})
 	r.teams[c.Team] = slices.Insert(q, i, c)
-	if r.waiting == 0 {
-		r.rate.resume(now)
-	}
 	r.waiting++
+	r.rate.run(now, r.open)
+}
+
+// setOpen notes whether any endpoint accepts calls. An owner that has just opened its pool has no endpoint before the
+// first reports; that time must not count as slow starts, or calls are refused for a wait that they will not have.
+func (r *rank) setOpen(now time.Time, open bool) {
+	r.open = open
+	r.rate.run(now, open && r.waiting > 0)
 }
 
 // pop removes a waiting call.
@@ -60,9 +67,7 @@
 		r.teams[c.Team] = q
 	}
 	r.waiting--
-	if r.waiting == 0 {
-		r.rate.pause(now)
-	}
+	r.rate.run(now, r.open && r.waiting > 0)
 }
 
 // patience returns how long a call may wait so that its first token still meets the target; 0 means no limit.
--- a/core/queue/rate.go
+++ b/core/queue/rate.go
@@ -15,7 +15,8 @@
 // maxWait stands for waits that are too long to estimate.
 const maxWait = time.Hour
 
-// rate measures how fast calls of a rank start while some wait; time without waiting calls says nothing about it.
+// rate measures how fast calls of a rank start while some wait and an endpoint accepts calls; other times say nothing
+// about it.
 type rate struct {
 	starts  float64
 	seconds float64
@@ -23,11 +24,13 @@
 	active  bool
 }
 
-func (r *rate) resume(now time.Time) { r.at, r.active = now, true }
-
-func (r *rate) pause(now time.Time) {
+// run lets the time count, or not, from now on.
+func (r *rate) run(now time.Time, active bool) {
+	if active == r.active {
+		return
+	}
 	r.advance(now)
-	r.active = false
+	r.at, r.active = now, active
 }
 
 func (r *rate) advance(now time.Time) {
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -87,6 +87,7 @@
 	req.Pool = p.pool
 	req.Resume = p.at
 	req.Avoid = p.avoid
+	req.Admitted = p.admitted
 	if p.at != nil {
 		req.Resume = &core.ResumePoint{Endpoint: p.at.Endpoint, Generation: p.at.Generation, From: p.next}
 	}
@@ -143,6 +144,9 @@
 		}
 		p.at = f.Started
 		return nil
+	case f.Admitted:
+		p.admitted = true
+		return nil
 	case f.Event != nil:
 		return e.deliver(p, f.Event)
 	}
--- a/io/entry/progress.go
+++ b/io/entry/progress.go
@@ -21,6 +21,8 @@
 	maybeRun bool
 	// tried are the owners that did not take the call.
 	tried map[core.InstanceID]bool
+	// admitted tells that an owner that has left had queued the call.
+	admitted bool
 	// badPools are pools without a usable endpoint.
 	badPools []core.PoolID
 }
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -48,6 +48,7 @@
 	c := core.Call{
 		ID: req.RequestID, Service: req.Service, Team: req.Team, Rank: req.Rank,
 		PromptTokens: prefix.Tokens(req.Prompt), MaxTokens: req.MaxTokens, Prefixes: prefix.Hashes(req.Prompt),
+		Admitted: req.Admitted,
 	}
 	if req.DeadlineMS > 0 {
 		c.Deadline = h.Clock.Now().Add(ms(req.DeadlineMS))
@@ -77,6 +78,9 @@
 			continue
 		}
 		if err != nil {
+			if errors.Is(err, pool.ErrDrained) {
+				_ = j.send(&core.Frame{Admitted: true}) // without it the next owner may refuse the call for overload
+			}
 			return refusedAfter(run, err)
 		}
 		stream, err := j.generate(ctx, runner)
--- a/io/pool/call.go
+++ b/io/pool/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"snipeshed/core"
@@ -119,10 +120,15 @@
 	defer p.mu.Unlock()
 	for id := range p.waiting {
 		acts := p.policy.Cancel(p.Clock.Now(), id)
-		p.apply(append(acts, core.Action{Kind: core.ActionRefuse, ID: id, Err: Leaving()}))
+		e := Leaving()
+		e.Cause = ErrDrained
+		p.apply(append(acts, core.Action{Kind: core.ActionRefuse, ID: id, Err: e}))
 	}
 }
 
+// ErrDrained is the cause of the refusal of a call that waited in the queue when its pool was drained.
+var ErrDrained = errors.New("the queue is handed over")
+
 // Leaving returns the error of an instance that is shutting down.
 func Leaving() *core.Error {
 	return &core.Error{
