Tell a call that waits at its engine from a silent connection

Cause: an engine sends a generation's first line when it begins it. Until then the owner did not know the generation's id, could not ask for its status, and gave the call up after 5 s, although the engine only had no room.

Ruled out: a longer limit, which would find a connection that goes silent before the first line later still.

Change: the engine names the generation in the header Generation-Id of its answer to a generate request. The first line still confirms the request; until it does, an error doesn't say that the call was run, and headers that name another request's generation are not followed. An engine without the header is handled as before.

--- a/core/frame.go
+++ b/core/frame.go
@@ -25,6 +25,8 @@
 	Endpoint   EndpointID   `json:"endpoint"`
 	Generation GenerationID `json:"generation_id"`
 	From       Tokens       `json:"from"`
+	// Waiting tells that the engine has accepted the generation but is not known to have begun it.
+	Waiting bool `json:"waiting,omitempty"`
 }
 
 // Frame is one line of a pool owner's answer to an entry; exactly one field is set.
--- a/core/runner.go
+++ b/core/runner.go
@@ -28,6 +28,8 @@
 	Tokens       Tokens       `json:"tokens,omitempty"`
 	// Leaving is set on the first event when the answer's headers say that the engine leaves.
 	Leaving bool `json:"-"`
+	// Accepted is set on the event that stands for the answer's headers: the engine has the call but may not have begun it.
+	Accepted bool `json:"-"`
 }
 
 // Stream delivers the events of one generation.
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return newStream(resp.Body, saysLeaving(resp)), nil
+	return newStream(resp.Body, saysLeaving(resp), core.GenerationID(resp.Header.Get(generationHeader))), nil
 }
 
 func (e *Engine) unary(ctx context.Context, method, path string, in, out any) error {
@@ -149,6 +149,10 @@
 	return errors.As(err, &op) && op.Op == "dial"
 }
 
+// generationHeader names the generation before its first line, which an engine without room sends much later. Without it
+// a call that waits at the engine could not be told from one whose connection is silent.
+const generationHeader = "Generation-Id"
+
 // errorBodyLimit bounds how much of an error answer goes into a message.
 const errorBodyLimit = 512
 
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -18,15 +18,22 @@
 	r       *bufio.Reader
 	long    []byte
 	leaving bool
+	// accepted is the generation that the headers name, until Next has told it.
+	accepted core.GenerationID
 }
 
-func newStream(body io.ReadCloser, leaving bool) *stream {
-	return &stream{body: body, leaving: leaving, r: bufio.NewReaderSize(body, bufferBytes)}
+func newStream(body io.ReadCloser, leaving bool, accepted core.GenerationID) *stream {
+	return &stream{body: body, leaving: leaving, accepted: accepted, r: bufio.NewReaderSize(body, bufferBytes)}
 }
 
 // Next returns the next event, or io.EOF after the last.
 func (s *stream) Next() (core.Event, error) {
 	var ev core.Event
+	if s.accepted != "" {
+		ev = core.Event{GenerationID: s.accepted, Accepted: true, Leaving: s.leaving}
+		s.accepted = ""
+		return ev, nil
+	}
 	for {
 		line, err := s.line()
 		if err != nil {
--- a/io/entry/progress.go
+++ b/io/entry/progress.go
@@ -10,11 +10,13 @@
 
 // progress is how far a call has come, across owners and attempts.
 type progress struct {
-	g     *generation
-	sink  sink
-	pool  core.PoolID
-	at    *core.ResumePoint
-	next  core.Tokens
+	g    *generation
+	sink sink
+	pool core.PoolID
+	at   *core.ResumePoint
+	next core.Tokens
+	// begun tells that the engine has begun the generation at hand.
+	begun bool
 	done  bool
 	avoid []string
 	// maybeRun tells that an earlier attempt may have run, so that a later refusal does not prove the opposite.
@@ -29,7 +31,7 @@
 
 // run says whether the call was run, as far as it is provable.
 func (p *progress) run() core.Run {
-	if p.at != nil {
+	if p.begun {
 		return core.RunYes
 	}
 	return core.RunUnknown
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -23,6 +23,8 @@
 	silence    time.Duration
 	giveUp     time.Duration
 	counters   Counters
+	// confirmed tells that a line of the stream has named the generation together with the request.
+	confirmed bool
 
 	mu     sync.Mutex
 	stream core.Stream
@@ -64,7 +66,7 @@
 // New follows a generation whose stream is open; generation is empty when the stream's first line will tell it.
 func New(runner core.Runner, stream core.Stream, request core.RequestID, generation core.GenerationID, from core.Tokens, opts ...Option) *Follow {
 	f := &Follow{
-		runner: runner, stream: stream, request: request, generation: generation, next: from,
+		runner: runner, stream: stream, request: request, generation: generation, confirmed: generation != "", next: from,
 		silence: defaultSilence, giveUp: defaultGiveUp, counters: noCounters{},
 	}
 	for _, o := range opts {
@@ -125,15 +127,19 @@
 	if ev.GenerationID != "" || ev.RequestID != "" {
 		if ev.RequestID != "" && ev.RequestID != f.request {
 			f.counters.Count("crossed_answers")
+			if !f.confirmed {
+				f.generation = "" // the headers named another request's generation
+			}
 			return false, errCrossed
 		}
 		if f.generation != "" && ev.GenerationID != f.generation {
 			f.counters.Count("crossed_answers")
 			return false, errCrossed
 		}
+		f.confirmed = !ev.Accepted
 		first := f.generation == ""
 		f.generation = ev.GenerationID
-		return first, nil
+		return first || ev.CachedTokens > 0, nil
 	}
 	if ev.Preempted || ev.Done {
 		return true, f.checkEnd(ev)
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -36,6 +36,11 @@
 	return step{ev: core.Event{GenerationID: g, RequestID: r}}
 }
 
+// accepted stands for the headers of an answer whose engine has not begun the generation.
+func accepted(g core.GenerationID) step {
+	return step{ev: core.Event{GenerationID: g, Accepted: true}}
+}
+
 type connection struct {
 	steps  []step
 	closed chan struct{}
@@ -157,6 +162,23 @@
 			first:  []step{head(generation, request), token(0), {ev: core.Event{Index: 1}, wait: time.Minute}, done(2)},
 			engine: engine{status: core.GenerationStatus{Tokens: 1}}, tokens: 2,
 		},
+		{
+			name:   "a call that waits at the engine for a minute is not given up",
+			first:  []step{accepted(generation), {ev: head(generation, request).ev, wait: time.Minute}, token(0), done(1)},
+			tokens: 1,
+		},
+		{
+			name:   "a connection that is silent before the first line is left when the engine is ahead",
+			first:  []step{accepted(generation), {stall: true}},
+			engine: engine{status: core.GenerationStatus{Tokens: 1}, resumes: [][]step{{head(generation, request), token(0), done(1)}}},
+			tokens: 1, froms: []core.Tokens{0}, count: "silent_connections", longest: 2 * time.Second,
+		},
+		{
+			name:   "headers that name another request's generation are not followed",
+			first:  []step{accepted("g2"), head("g2", "r2"), token(0)},
+			engine: engine{resumes: [][]step{{token(0), done(1)}}},
+			count:  "crossed_answers", kind: core.KindStreamBroken,
+		},
 		{
 			name:   "a lost generation ends with the number of tokens",
 			first:  []step{head(generation, request), token(0)},
@@ -199,6 +221,21 @@
 	}
 }
 
+// Guards against a cached prefix that the owner never hears of because the headers had already named the generation.
+func TestCachedTokensAfterHeaders(t *testing.T) {
+	is := is.New(t)
+	first := head(generation, request)
+	first.ev.CachedTokens = 16
+	f := follow.New(&engine{}, &connection{steps: []step{accepted(generation), first}, closed: make(chan struct{})}, request, "", 0)
+	defer f.Close()
+	ev, err := f.Next(t.Context())
+	is.NoErr(err)
+	is.True(ev.Accepted)
+	ev, err = f.Next(t.Context())
+	is.NoErr(err)
+	is.Equal(ev.CachedTokens, core.Tokens(16))
+}
+
 // read returns how many tokens came, in order, before the end or an error.
 func read(f *follow.Follow) (int, error) {
 	n := 0
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -203,7 +203,7 @@
 func (j *job) forward(ev core.Event, ep core.EndpointID, f *follow.Follow) error {
 	if ev.GenerationID != "" {
 		j.pool.Answered(ep, ev.Leaving)
-		return j.send(&core.Frame{Started: &core.ResumePoint{Endpoint: ep, Generation: ev.GenerationID, From: f.Received()}})
+		return j.send(&core.Frame{Started: &core.ResumePoint{Endpoint: ep, Generation: ev.GenerationID, From: f.Received(), Waiting: ev.Accepted}})
 	}
 	return j.send(&core.Frame{Event: &ev})
 }
--- a/io/pool/call.go
+++ b/io/pool/call.go
@@ -69,6 +69,7 @@
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
 	switch {
+	case ev.Accepted:
 	case ev.GenerationID != "":
 		p.policy.Cached(now, id, ev.CachedTokens)
 	case ev.Preempted:
--- a/stand/runner/runner.go
+++ b/stand/runner/runner.go
@@ -200,6 +200,7 @@
 		host.Refuse(w, status, "%s", msg)
 		return
 	}
+	w.Header().Set("Generation-Id", string(g.id))
 	r.stream(w, hr, g, cursor{})
 }
 
