--- a/stand/cmds/scale.go
+++ b/stand/cmds/scale.go
@@ -19,6 +19,7 @@
 		OnUsageError: usageError,
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "largest", Usage: "instances of the largest fleet to measure", Value: 350, Validator: notNegativeInt},
+			&cli.IntSliceFlag{Name: "instances", Usage: "measure only the fleets of these sizes, such as 64,350"},
 			&cli.DurationFlag{Name: "window", Usage: "time for which each idle fleet is observed", Value: 2 * time.Second, Validator: notNegativeDuration},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
@@ -26,7 +27,13 @@
 				return fmt.Errorf("unexpected argument %q; see %s --help", c.Args().First(), c.FullName())
 			}
 			s := scale.New(c.Root().Writer, c.Duration("window"))
-			cases := slices.DeleteFunc(scale.Cases(), func(x scale.Case) bool { return x.Instances > c.Int("largest") })
+			sizes := c.IntSlice("instances")
+			cases := slices.DeleteFunc(scale.Cases(), func(x scale.Case) bool {
+				return x.Instances > c.Int("largest") || len(sizes) > 0 && !slices.Contains(sizes, x.Instances)
+			})
+			if len(cases) == 0 {
+				return fmt.Errorf("no fleet has one of the sizes %v and at most %d instances", sizes, c.Int("largest"))
+			}
 			for _, x := range cases {
 				if err := s.Run(ctx, x); err != nil {
 					return err
--- a/stand/scale/fleet.go
+++ b/stand/scale/fleet.go
@@ -54,6 +54,8 @@
 	calls    atomic.Int64
 	silent   atomic.Bool
 	removed  bool
+
+	relaysPerDomain int
 }
 
 // bytes returns what the instance sent and received at its end of every connection.
@@ -122,6 +124,8 @@
 		state:    state.New(),
 		roster:   roster.New(cfg),
 		platform: link.New(cfg),
+
+		relaysPerDomain: int(cfg.GetRelaysPerDomain()),
 	}
 	n.members = member.New(n.peer, time.Duration(cfg.GetSuspectMs())*time.Millisecond)
 	n.store = store.New(shared, cfg, n.platform)
--- a/stand/scale/scale.go
+++ b/stand/scale/scale.go
@@ -143,6 +143,7 @@
 type sample struct {
 	at             time.Time
 	sent, received []int64
+	relays         []bool
 	calls          int64
 	cpu            time.Duration
 	counts         objs.Counts
@@ -160,6 +161,7 @@
 	for _, n := range f.instances {
 		sent, received := n.bytes()
 		x.sent, x.received = append(x.sent, sent), append(x.received, received)
+		x.relays = append(x.relays, n.members.IsRelay(x.at, n.relaysPerDomain))
 	}
 	var use syscall.Rusage
 	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &use); err != nil {
@@ -190,17 +192,26 @@
 	runtime.ReadMemStats(&m)
 	seconds := b.at.Sub(a.at).Seconds()
 	per := seconds * float64(c.Instances)
-	var sent, received, most int64
+	var sent, received, most, relayed, relayMost int64
+	relays := 0
 	for i := range b.sent {
 		out, in := b.sent[i]-a.sent[i], b.received[i]-a.received[i]
-		sent, received, most = sent+out, received+in, max(most, out+in)
+		sent, received = sent+out, received+in
+		if a.relays[i] || b.relays[i] {
+			relays++
+			relayed, relayMost = relayed+out+in, max(relayMost, out+in)
+		} else {
+			most = max(most, out+in)
+		}
 	}
 	reads := b.counts.Gets + b.counts.Lists + b.counts.Watches - a.counts.Gets - a.counts.Lists - a.counts.Watches
 	writes := b.counts.Puts + b.counts.Deletes - a.counts.Puts - a.counts.Deletes
 	s.print(
 		c, what,
 		"sent_bytes_per_s", float64(sent)/per, "received_bytes_per_s", float64(received)/per,
-		"both_bytes_per_s", float64(sent+received)/per, "both_bytes_per_s_max", float64(most)/seconds,
+		"both_bytes_per_s", float64(sent+received)/per, "both_bytes_per_s_max", float64(max(most, relayMost))/seconds,
+		"relays", relays, "relay_bytes_per_s", float64(relayed)/seconds/float64(max(relays, 1)),
+		"relay_bytes_per_s_max", float64(relayMost)/seconds, "others_bytes_per_s_max", float64(most)/seconds,
 		"messages_per_s", float64(4*(b.calls-a.calls))/per,
 		"cpu_percent_of_core", 100*(b.cpu-a.cpu).Seconds()/per,
 		"memory_mib", float64(m.Sys-m.HeapReleased)/float64(c.Instances)/(1<<20),
