Do not ping connections that carry only digests

Cause: the HTTP/2 server of the peers' listener pinged every connection that was idle for 1 s, also the twelve or so on which an instance and its partners exchange digests every six seconds.

Change: connections of digests begin with the byte "d"; link.PeerServer gives them to a second http.Server without pings. Connections of calls keep the pings of both ends. A longer ping interval for all would have been a smaller change, but an owner that streams tokens to an entry that fell silent has no other way to find out, and the bound of 2 s would not have held for it. An exchange has a timeout of 2 s of its own.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -51,7 +51,7 @@
 	oper    *oper.Oper
 
 	listeners [listenerCount]net.Listener
-	servers   [listenerCount]*http.Server
+	servers   [listenerCount]server
 	leaving   atomic.Bool
 	// changed wakes ownPools after a new configuration.
 	changed chan struct{}
@@ -61,6 +61,13 @@
 	cancel context.CancelFunc
 }
 
+// server is what Daemon needs of *http.Server and *link.Server.
+type server interface {
+	Serve(ln net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
 // Listeners of an instance.
 const (
 	clientListener = iota
@@ -234,7 +241,7 @@
 	clients.Handle("/", d.entry)
 	d.addHealth(clients)
 
-	d.servers = [listenerCount]*http.Server{l.Server(clients), l.Server(peers), l.Server(operators)}
+	d.servers = [listenerCount]server{l.Server(clients), l.PeerServer(peers), l.Server(operators)}
 }
 
 // ClientAddress returns the address of the clients' listener.
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -32,6 +32,23 @@
 	return &http.Client{Transport: t}
 }
 
+// DigestClient returns a client for the PeerServer of one other instance that neither pings nor is pinged. Each call
+// needs a timeout, which alone finds a silent connection.
+func (l *Link) DigestClient() *http.Client {
+	t := l.transport()
+	t.Protocols = new(http.Protocols)
+	t.Protocols.SetUnencryptedHTTP2(true)
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &marked{Conn: c}, nil
+	}
+	return &http.Client{Transport: t}
+}
+
 // EndpointClient returns a client that speaks HTTP/1.1, as endpoints are only known to speak that.
 func (l *Link) EndpointClient() *http.Client {
 	t := l.transport()
--- a/io/relay/bytes_test.go
+++ b/io/relay/bytes_test.go
@@ -71,7 +71,7 @@
 		n.roster = roster.New(n.cfg)
 		n.Relay = New(shared, n.cfg, member.New(n.peer, ms(n.cfg.GetSuspectMs())), state.New(), s, n.roster)
 		n.server = link.New(n.cfg)
-		srv := n.server.Server(n.Handler())
+		srv := n.server.PeerServer(n.Handler())
 		go func() { _ = srv.Serve(n.server.Listener(n.listener)) }()
 		n.close = func() {
 			n.Close()
@@ -95,8 +95,9 @@
 	return platform
 }
 
-// Guards against control traffic of a steady fleet above 2 KB per second and instance, both directions and
-// both ends of each connection, with the platform, at the default settings.
+// Guards against control traffic of a steady fleet that leaves too little of the 2 KB per second and instance for
+// tickets and polls, both directions and both ends of each connection, with the platform, at the default settings. With
+// pings of the server the mean was 802 bytes per second.
 func TestSteadyBytes(t *testing.T) {
 	is := is.New(t)
 	nodes := startTCP(t, startPlatform(t), 9)
@@ -112,9 +113,11 @@
 		perSecond := (n.bytes() - before[i]) / seconds
 		sum += perSecond
 		t.Logf("instance=%s bytes_per_s=%d", n.peer.ID, perSecond)
-		is.True(perSecond < 2000)
+		is.True(perSecond < 1000)
 	}
-	t.Logf("mean_bytes_per_s=%d", sum/int64(len(nodes)))
+	mean := sum / int64(len(nodes))
+	t.Logf("mean_bytes_per_s=%d", mean)
+	is.True(mean < 600)
 }
 
 // Guards against exchanges without news that send more than the digests, or that open a connection each time.
@@ -148,7 +151,7 @@
 	h := nodes[1].Handler()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
-	srv := link.New(nodes[1].cfg).Server(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+	srv := link.New(nodes[1].cfg).PeerServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		if once.CompareAndSwap(false, true) {
 			select {
 			case <-hang:
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"snipeshed/core"
@@ -21,12 +20,9 @@
 
 // dial returns a client with its own connection pool, so that a silent connection can be dropped by itself.
 func (r *Relay) dial(address string) (wire.Peer, func()) {
-	c := r.link.PeerClient()
-	if t, ok := c.Transport.(*http.Transport); ok {
-		// A ping and its answer each second on every idle connection would cost more
-		// than the exchanges; the timeout of an exchange detects a silent connection.
-		t.HTTP2.SendPingTimeout = 0
-	}
+	// A ping and its answer each second on every idle connection would cost more
+	// than the exchanges; the timeout of an exchange detects a silent connection.
+	c := r.link.DigestClient()
 	return wire.NewPeerProtobufClient("http://"+address, c), c.CloseIdleConnections
 }
 
--- a/stand/scale/fleet.go
+++ b/stand/scale/fleet.go
@@ -50,7 +50,7 @@
 	roster   *roster.Roster
 	platform *link.Link
 	accepted *link.Link
-	server   *http.Server
+	server   *link.Server
 	calls    atomic.Int64
 	silent   atomic.Bool
 	removed  bool
@@ -132,7 +132,7 @@
 	n.Relay = relay.New(shared, cfg, n.members, n.state, n.store, n.roster)
 	h := n.Handler()
 	n.accepted = link.New(cfg)
-	n.server = n.accepted.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	n.server = n.accepted.PeerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.calls.Add(1)
 		if n.silent.Load() {
 			<-r.Context().Done()
@@ -140,7 +140,7 @@
 		}
 		h.ServeHTTP(w, r)
 	}))
-	n.server.ErrorLog = stdlog.New(io.Discard, "", 0)           // connections to removed instances break
+	n.server.SetErrorLog(stdlog.New(io.Discard, "", 0))         // connections to removed instances break
 	go func() { _ = n.server.Serve(n.accepted.Listener(ln)) }() // ends when the instance is closed
 	return n
 }
