Index the endpoints of each service

Cause: each call of an application service, and each of its retries, went through all configured endpoints.

Change: an index of endpoints by service, sorted by id, is built at the first call under a configuration. Configurations never change once made, so the next one has another address and gets an index of its own.

--- a/io/action/action.go
+++ b/io/action/action.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"snipeshed/conf"
@@ -28,6 +29,7 @@
 
 	transport http.RoundTripper
 	pick      picker
+	index     atomic.Pointer[index]
 
 	// ctx ends background work when Close stops waiting for it.
 	ctx    context.Context
--- a/io/action/pick.go
+++ b/io/action/pick.go
@@ -20,15 +20,39 @@
 	turn int
 }
 
+// index holds the endpoints of each service in one configuration, in the order of their ids.
+type index struct {
+	cfg      *core.Config
+	services map[core.ServiceName][]endpoint
+}
+
+func newIndex(cfg *core.Config) *index {
+	x := &index{cfg: cfg, services: map[core.ServiceName][]endpoint{}}
+	for id, e := range cfg.Endpoints {
+		if s := core.ServiceName(e.GetService()); s != "" {
+			x.services[s] = append(x.services[s], endpoint{id: id, address: e.GetAddress()})
+		}
+	}
+	for _, list := range x.services {
+		slices.SortFunc(list, func(x, y endpoint) int { return strings.Compare(string(x.id), string(y.id)) })
+	}
+	return x
+}
+
 // candidates returns the usable endpoints of a service without those already tried.
 func (a *Action) candidates(service core.ServiceName, tried map[core.EndpointID]bool) []endpoint {
+	// A configuration never changes once made, so its address identifies it.
+	x := a.index.Load()
+	if cfg := a.config.Config(); x == nil || x.cfg != cfg {
+		x = newIndex(cfg)
+		a.index.Store(x)
+	}
 	var list []endpoint
-	for id, e := range a.config.Config().Endpoints {
-		if e.GetService() == string(service) && !tried[id] && a.usable(id, e.GetAddress()) {
-			list = append(list, endpoint{id: id, address: e.GetAddress()})
+	for _, e := range x.services[service] {
+		if !tried[e.id] && a.usable(e.id, e.address) {
+			list = append(list, e)
 		}
 	}
-	slices.SortFunc(list, func(x, y endpoint) int { return strings.Compare(string(x.id), string(y.id)) })
 	return list
 }
 
