Let a relay tell one peer of a new ticket

Cause: relays of all failure domains hear of a ticket at the same moment, and each then told three peers, which pulled the ticket of 1 kB from it.

Change: a relay with nothing but the number of a ticket to tell tells one peer of its own domain. Leaving instances and changes of the list go to three as before, and so do tickets at instances that are no relays.

--- a/io/relay/push.go
+++ b/io/relay/push.go
@@ -13,6 +13,9 @@
 const (
 	pushInside  = 2
 	pushOutside = 1
+	// relayPushInside is for relays that have only the number of a ticket to tell: those of all failure domains hear
+	// of it at the same moment, and each target then pulls the ticket.
+	relayPushInside = 1
 )
 
 // pushNews tells a few peers everything new as soon as it is learned.
@@ -27,13 +30,17 @@
 		case <-r.news:
 		}
 		for d := r.takeNews(); d != nil; d = r.takeNews() {
-			for _, p := range r.targets() {
+			inside, outside := pushInside, pushOutside
+			if len(d.GetWords()) == 0 && len(d.GetInstances()) == 0 && r.isRelay() {
+				inside, outside = relayPushInside, 0
+			}
+			for _, p := range r.targets(inside, outside) {
 				r.spawn(func() {
 					if r.push(r.ctx, p, d) == nil {
 						return
 					}
 					// Another target takes the place of one that did not answer.
-					for _, q := range r.targets() {
+					for _, q := range r.targets(pushInside, pushOutside) {
 						if q != p && r.inside(q) == r.inside(p) {
 							_ = r.push(r.ctx, q, d)
 							return
@@ -65,8 +72,12 @@
 	return d
 }
 
+func (r *Relay) isRelay() bool {
+	return r.members.IsRelay(r.Clock.Now(), int(r.cfg.GetRelaysPerDomain()))
+}
+
 // targets returns random partners to push to; they are connected already.
-func (r *Relay) targets() []core.Peer {
+func (r *Relay) targets(inside, outside int) []core.Peer {
 	now := r.Clock.Now()
 	r.mu.Lock()
 	peers := slices.Clone(r.partners)
@@ -75,7 +86,6 @@
 	peers = slices.DeleteFunc(peers, func(p core.Peer) bool { return !slices.Contains(alive, p) })
 	shuffle(peers)
 	shuffle(alive)
-	inside, outside := pushInside, pushOutside
 	var targets []core.Peer
 	for _, p := range append(peers, alive...) {
 		left := &outside
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -184,7 +184,7 @@
 	r.members.Hear(r.Clock.Now(), r.members.Self().ID, r.run, true)
 	d := &wire.Delta{Digest: r.digest(), Words: []*wire.Word{{Id: string(r.members.Self().ID), Run: r.run, Leaving: true}}}
 	var told sync.WaitGroup
-	for _, p := range r.targets() {
+	for _, p := range r.targets(pushInside, pushOutside) {
 		told.Go(func() { _ = r.push(ctx, p, d) })
 	}
 	told.Wait()
--- a/io/relay/world_test.go
+++ b/io/relay/world_test.go
@@ -48,7 +48,10 @@
 	peer  core.Peer
 	state *state.State
 	cfg   *conf.Settings
-	asked int // calls of peers, under w.mu
+	// asked counts calls of peers, and strangers those of peers of which this is neither partner nor parent, under w.mu.
+	asked, strangers int
+	// handed counts tickets handed to peers that asked, under w.mu.
+	handed int
 }
 
 var errSilentPeer = errors.New("silent")
@@ -175,6 +178,14 @@
 	return &wireTo{from: n, address: address}, func() {}
 }
 
+// isNear reports whether an address is that of a partner or of the parent.
+func (n *node) isNear(address string) bool {
+	parent, _ := n.parent(time.Now())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return parent.Address == address || slices.ContainsFunc(n.partners, func(p core.Peer) bool { return p.Address == address })
+}
+
 // wireTo calls a peer as a connection would, with its own copies of the messages.
 type wireTo struct {
 	from    *node
@@ -184,6 +195,7 @@
 func (l *wireTo) server(ctx context.Context) (*server, error) {
 	time.Sleep(time.Millisecond)
 	w := l.from.w
+	known := l.from.isNear(l.address)
 	w.mu.Lock()
 	i := slices.IndexFunc(w.nodes, func(n *node) bool { return n.peer.Address == l.address })
 	if i < 0 {
@@ -193,6 +205,9 @@
 	n := w.nodes[i]
 	w.calls++
 	n.asked++
+	if !known {
+		n.strangers++
+	}
 	r, fails := n.Relay, w.peerErr
 	w.mu.Unlock()
 	err := fails(l.from, n)
@@ -210,6 +225,10 @@
 	}
 	out, err := s.Exchange(ctx, proto.CloneOf(d))
 	l.count(out.GetTickets())
+	w := l.from.w
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nodes[slices.IndexFunc(w.nodes, func(n *node) bool { return n.peer.Address == l.address })].handed += len(out.GetTickets())
 	return proto.CloneOf(out), err
 }
 
