--- a/stand/scale/fleet.go
+++ b/stand/scale/fleet.go
@@ -50,10 +50,12 @@
 	roster   *roster.Roster
 	platform *link.Link
 	accepted *link.Link
-	server   *http.Server
+	server   *link.Server
 	calls    atomic.Int64
 	silent   atomic.Bool
 	removed  bool
+
+	relaysPerDomain int
 }
 
 // bytes returns what the instance sent and received at its end of every connection.
@@ -122,13 +124,15 @@
 		state:    state.New(),
 		roster:   roster.New(cfg),
 		platform: link.New(cfg),
+
+		relaysPerDomain: int(cfg.GetRelaysPerDomain()),
 	}
 	n.members = member.New(n.peer, time.Duration(cfg.GetSuspectMs())*time.Millisecond)
 	n.store = store.New(shared, cfg, n.platform)
 	n.Relay = relay.New(shared, cfg, n.members, n.state, n.store, n.roster)
 	h := n.Handler()
 	n.accepted = link.New(cfg)
-	n.server = n.accepted.Server(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	n.server = n.accepted.PeerServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		n.calls.Add(1)
 		if n.silent.Load() {
 			<-r.Context().Done()
@@ -136,7 +140,7 @@
 		}
 		h.ServeHTTP(w, r)
 	}))
-	n.server.ErrorLog = stdlog.New(io.Discard, "", 0)           // connections to removed instances break
+	n.server.SetErrorLog(stdlog.New(io.Discard, "", 0))         // connections to removed instances break
 	go func() { _ = n.server.Serve(n.accepted.Listener(ln)) }() // ends when the instance is closed
 	return n
 }
