Pause a claim's holder between its write and the send

Cause: the pause in TestProcesses falls after the send, and elsewhere a slow store stood for it, so a holder stopped exactly between the two was not shown. Change: stand/objs can hold back the answers to writes that took effect (HoldAnswers, also as an admin call). TestHolderPausedBeforeSend stops the holder as a process while the answer is held, releases it, and resumes the holder before or after the claim's deadline, with and without another caller. Not covered: a pause between the last check of the deadline and the write to the socket, which nothing in the tests can provoke.

--- /dev/null
+++ b/proof/pause_test.go
@@ -0,0 +1,117 @@
+package proof
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+	"snipeshed/core/claim"
+	"snipeshed/stand/fleet"
+	"snipeshed/stand/objs"
+)
+
+func (p *processes) admin(path string) {
+	p.t.Helper()
+	resp, err := http.Post("http://"+p.platform+"/admin/"+path, "", nil)
+	if err != nil || resp.StatusCode != http.StatusNoContent {
+		p.t.Fatalf("admin call %s: %v", path, err)
+	}
+	resp.Body.Close()
+}
+
+// record returns the stored record of a key, as the platform has it.
+func (p *processes) record(key string) claim.Record {
+	p.t.Helper()
+	sum := sha256.Sum256([]byte(key))
+	var rec claim.Record
+	getJSON(p.t, fmt.Sprintf("http://%s/v1/objects/actions/%s/fukuoka/%s", p.platform, fleet.AppService, hex.EncodeToString(sum[:])), &rec)
+	return rec
+}
+
+// stopped reports whether the kernel has stopped a process; SIGSTOP is delivered some time after kill returns.
+func stopped(pid int) bool {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	return err == nil && bytes.Contains(b, []byte(") T "))
+}
+
+// TestHolderPausedBeforeSend guards against a second run, and against not_run told for a run, when the holder of a claim
+// is paused after the claim's write took effect and before it learns of that, so certainly before it sends.
+func TestHolderPausedBeforeSend(t *testing.T) {
+	p := startProcesses(t, 0)
+	holder, other := p.ins[1], p.ins[0]
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for _, tt := range []struct {
+		name    string
+		timeout time.Duration
+		lapse   bool // whether the deadline passes during the pause
+		asked   bool // whether another client asks with the same key during the pause
+	}{
+		{name: "resumed before the deadline, another asks", timeout: 20 * time.Second, asked: true},
+		{name: "resumed before the deadline, nobody asks", timeout: 20 * time.Second},
+		{name: "resumed after the deadline, another asks", timeout: time.Second, lapse: true, asked: true},
+		{name: "resumed after the deadline, nobody asks", timeout: time.Second, lapse: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			key := strings.ReplaceAll(tt.name, " ", "-")
+			var before, now objs.Counts
+			getJSON(t, "http://"+p.platform+"/admin/counts", &before)
+			p.admin("hold_answers?prefix=actions/")
+			first := make(chan answer, 1)
+			go func() { first <- act(c, holder.client, key, tt.timeout) }()
+			is.NoErr(fleet.Wait(startLimit, "claim written and its answer held back", func() bool {
+				getJSON(t, "http://"+p.platform+"/admin/counts", &now)
+				return now.HeldAnswers > before.HeldAnswers
+			}))
+			is.NoErr(holder.Process.Signal(syscall.SIGSTOP))
+			defer func() { _ = holder.Process.Signal(syscall.SIGCONT) }() // for the scenarios after a failed one
+			is.NoErr(fleet.Wait(startLimit, "holder stopped", func() bool { return stopped(holder.Process.Pid) }))
+			p.admin("release_answers")
+			ask := func(want core.Kind) {
+				a := act(c, other.client, key, tt.timeout)
+				t.Logf("asked during the pause: %s", a)
+				is.True(a.err != nil)
+				is.Equal(a.err.Kind, want)
+				is.Equal(a.err.Run, core.RunUnknown)
+			}
+			if tt.asked && !tt.lapse {
+				ask(core.KindInProgress)
+			}
+			if tt.lapse {
+				deadline := p.record(key).Deadline
+				is.NoErr(fleet.Wait(startLimit, "deadline of the claim", func() bool { return time.Now().UnixMilli() > deadline }))
+				if tt.asked {
+					ask(core.KindOutcomeUnknown)
+				}
+			}
+			is.Equal(p.runs(key), int64(0))
+			is.Equal(p.record(key).State, claim.StateClaimed)
+			is.NoErr(holder.Process.Signal(syscall.SIGCONT))
+			a := <-first
+			t.Logf("holder's client: %s", a)
+			want, runs := claim.StateDone, int64(1)
+			if tt.lapse {
+				want, runs = claim.StateNotRun, 0
+			}
+			is.NoErr(fleet.Wait(startLimit, "outcome recorded", func() bool { return p.record(key).State == want }))
+			is.Equal(p.runs(key), runs)
+			is.Equal(a.status == http.StatusOK, !tt.lapse)
+			is.True(!tt.lapse || a.err != nil && (a.err.Run == core.RunNot || a.err.Run == core.RunUnknown))
+			// A retry elsewhere gets the recorded result, or is the one run of an action that was not run.
+			last := act(c, other.client, key, 5*time.Second)
+			is.Equal(last.status, http.StatusOK)
+			is.Equal(last.header.Get("Snipeshed-Replayed") == "true", !tt.lapse)
+			is.Equal(p.runs(key), int64(1))
+		})
+	}
+}
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -100,74 +100,97 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// TestProcesses guards against faults that only show between processes: a killed instance, and one that is paused while
-// it owns a pool or holds the claim of a protected action.
-func TestProcesses(t *testing.T) {
+// processes is a fleet of 3 instances, 3 model runners, 1 application runner and the platform, each a process.
+type processes struct {
+	*procs
+	platform, application string
+	ins                   []*proc
+}
+
+// command runs a command of snipeshed and returns its output.
+func (p *processes) command(args ...string) string {
+	out, err := exec.Command(filepath.Join(p.dir, "snipeshed"), args...).CombinedOutput()
+	if err != nil {
+		p.t.Errorf("snipeshed %v: %v: %s", args, err, out)
+	}
+	return string(out)
+}
+
+// runs returns how often the application ran a key.
+func (p *processes) runs(key string) int64 {
+	var counts apprun.Counts
+	getJSON(p.t, "http://"+p.application+"/admin/counts", &counts)
+	return counts.Runs[key]
+}
+
+// startProcesses starts the fleet and applies its ticket through the command line.
+func startProcesses(t *testing.T, delay time.Duration) *processes {
+	t.Helper()
 	is := is.New(t)
-	p := &procs{t: t, dir: t.TempDir()}
+	p := &processes{procs: &procs{t: t, dir: t.TempDir()}}
 	build := exec.Command("go", "build", "-o", p.dir+"/", "snipeshed/cmd/snipeshed", "snipeshed/cmd/standin")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v: %s", err, out)
 	}
-	_, platform := p.run("standin", true, "platform", "--list-lag", "200ms")
+	_, p.platform = p.run("standin", true, "platform", "--list-lag", "200ms")
 	var runners []string
 	for range 3 {
 		_, addr := p.run("standin", true, "runner", "--load-time", "0s")
 		runners = append(runners, addr)
 	}
-	_, application := p.run("standin", true, "app", "--delay", "1500ms")
+	_, p.application = p.run("standin", true, "app", "--delay", delay.String())
 
 	ports := freePorts(t, 9)
-	var ins []*proc
 	for i := range 3 {
 		in := &proc{client: ports[3*i], peer: ports[3*i+1], operator: ports[3*i+2]}
 		file := filepath.Join(p.dir, fmt.Sprintf("instance-%d.json", i))
 		settings := fmt.Sprintf(`{"instance": "instance-%d", "failure_domain": %q, "platform_url": "http://%s",
-			"client_address": %q, "peer_address": %q, "operator_address": %q}`, i, fleet.Domains[i], platform, in.client, in.peer, in.operator)
+			"client_address": %q, "peer_address": %q, "operator_address": %q}`, i, fleet.Domains[i], p.platform, in.client, in.peer, in.operator)
 		is.NoErr(os.WriteFile(file, []byte(settings), 0o600))
 		in.Cmd, _ = p.run("snipeshed", false, "serve", "--settings", file)
 		body, err := json.Marshal(objs.Instance{
 			ID: fmt.Sprintf("instance-%d", i), Address: in.peer, FailureDomain: fleet.Domains[i], Kind: member.KindInstance, State: member.StateLive,
 		})
 		is.NoErr(err)
-		resp, err := http.Post("http://"+platform+"/admin/instances", "application/json", bytes.NewReader(body))
+		resp, err := http.Post("http://"+p.platform+"/admin/instances", "application/json", bytes.NewReader(body))
 		is.NoErr(err)
 		resp.Body.Close()
-		ins = append(ins, in)
+		p.ins = append(p.ins, in)
 	}
-	for _, in := range ins {
+	for _, in := range p.ins {
 		is.NoErr(fleet.Wait(startLimit, "instance ready", in.ready))
 	}
 
 	// A ticket through the command line, read back at each instance.
-	ticket, err := protojson.Marshal(fleet.NewTicket(runners, []string{application}))
+	ticket, err := protojson.Marshal(fleet.NewTicket(runners, []string{p.application}))
 	is.NoErr(err)
 	file := filepath.Join(p.dir, "ticket.json")
 	is.NoErr(os.WriteFile(file, ticket, 0o600))
-	command := func(args ...string) string {
-		out, err := exec.Command(filepath.Join(p.dir, "snipeshed"), args...).CombinedOutput()
-		if err != nil {
-			t.Errorf("snipeshed %v: %v: %s", args, err, out)
-		}
-		return string(out)
-	}
 	is.NoErr(fleet.Wait(startLimit, "every instance knows the others", func() bool {
-		for _, in := range ins {
-			if s := command("status", "--address", in.operator); !strings.Contains(s, "instance-0") || !strings.Contains(s, "instance-1") || !strings.Contains(s, "instance-2") {
+		for _, in := range p.ins {
+			if s := p.command("status", "--address", in.operator); !strings.Contains(s, "instance-0") || !strings.Contains(s, "instance-1") || !strings.Contains(s, "instance-2") {
 				return false
 			}
 		}
 		return true
 	}))
 	applied := time.Now()
-	out := command("ticket", "apply", "--wait", "--wait-timeout", "10s", "--address", ins[1].operator, file)
+	out := p.command("ticket", "apply", "--wait", "--wait-timeout", "10s", "--address", p.ins[1].operator, file)
 	is.True(strings.Contains(out, "in force at all 3 instances"))
 	t.Logf("ticket in force at all instances %s after the command began", time.Since(applied))
-	for _, in := range ins {
-		shown := command("ticket", "show", "--address", in.operator)
+	for _, in := range p.ins {
+		shown := p.command("ticket", "show", "--address", in.operator)
 		is.True(strings.Contains(shown, "kumamoto"))
 	}
+	return p
+}
 
+// TestProcesses guards against faults that only show between processes: a killed instance, and one that is paused while
+// it owns a pool or holds the claim of a protected action.
+func TestProcesses(t *testing.T) {
+	is := is.New(t)
+	p := startProcesses(t, 1500*time.Millisecond)
+	ins := p.ins
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	is.NoErr(fleet.Wait(startLimit, "first answers", func() bool {
 		for _, in := range ins {
@@ -205,10 +228,9 @@
 	is.True(longest <= detect+resumeSlack)
 
 	last := act(c, ins[0].client, "paused-holder", 2*time.Second)
-	var counts apprun.Counts
-	getJSON(t, "http://"+application+"/admin/counts", &counts)
-	t.Logf("paused holder: %s; second client: %s; third: %s; runs %v", paused, after, last, counts.Runs)
-	is.Equal(counts.Runs["paused-holder"], int64(1))
+	runs := p.runs("paused-holder")
+	t.Logf("paused holder: %s; second client: %s; third: %s; runs %d", paused, after, last, runs)
+	is.Equal(runs, int64(1))
 	for _, a := range []answer{after, last} {
 		is.True(!a.notRun())
 	}
--- a/stand/objs/admin.go
+++ b/stand/objs/admin.go
@@ -27,6 +27,8 @@
 	delay   time.Duration
 	losses  int
 	prefix  string
+	hold    string        // prefix of the held keys
+	release chan struct{} // closed by ReleaseAnswers; nil while no answer is held back
 }
 
 // lose reports whether the answer to a write that took effect is lost.
@@ -38,6 +40,14 @@
 	return true
 }
 
+// held returns the channel that an answer to a write of key must await, or nil.
+func (f *faults) held(key string) <-chan struct{} {
+	if f.release == nil || !strings.HasPrefix(key, f.hold) {
+		return nil
+	}
+	return f.release
+}
+
 // SetOutage begins or ends an outage of object API and instance list.
 func (o *Objs) SetOutage(mode Outage) {
 	o.mu.Lock()
@@ -61,6 +71,24 @@
 	o.faults.losses, o.faults.prefix = n, prefix
 }
 
+// HoldAnswers holds back the answers to writes of keys with the prefix that take effect, until ReleaseAnswers.
+func (o *Objs) HoldAnswers(prefix string) {
+	o.ReleaseAnswers()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.faults.hold, o.faults.release = prefix, make(chan struct{})
+}
+
+// ReleaseAnswers sends the answers that HoldAnswers held back and holds no more.
+func (o *Objs) ReleaseAnswers() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.faults.release != nil {
+		close(o.faults.release)
+		o.faults.release = nil
+	}
+}
+
 // Counts returns the calls so far.
 func (o *Objs) Counts() Counts {
 	o.mu.Lock()
@@ -137,4 +165,12 @@
 			w.WriteHeader(http.StatusNoContent)
 		}
 	})
+	mux.HandleFunc("POST /admin/hold_answers", func(w http.ResponseWriter, r *http.Request) {
+		o.HoldAnswers(r.URL.Query().Get("prefix"))
+		w.WriteHeader(http.StatusNoContent)
+	})
+	mux.HandleFunc("POST /admin/release_answers", func(w http.ResponseWriter, _ *http.Request) {
+		o.ReleaseAnswers()
+		w.WriteHeader(http.StatusNoContent)
+	})
 }
--- a/stand/objs/objs.go
+++ b/stand/objs/objs.go
@@ -39,6 +39,7 @@
 	Limited       int64 `json:"limited"`
 	Refused       int64 `json:"refused"`
 	LostAnswers   int64 `json:"lost_answers"`
+	HeldAnswers   int64 `json:"held_answers"`
 	InstanceLists int64 `json:"instance_lists"`
 	OpenWatches   int64 `json:"open_watches"`
 	// Revision is the number of writes that took effect.
@@ -193,7 +194,20 @@
 	if lost {
 		o.counts.LostAnswers++
 	}
+	var held <-chan struct{}
+	if ok && !lost {
+		held = o.faults.held(key)
+	}
+	if held != nil {
+		o.counts.HeldAnswers++
+	}
 	o.mu.Unlock()
+	if held != nil {
+		select {
+		case <-held:
+		case <-r.Context().Done():
+		}
+	}
 	switch {
 	case lost:
 		host.Cut()
--- a/stand/objs/objs_test.go
+++ b/stand/objs/objs_test.go
@@ -208,6 +208,20 @@
 			c.True(exists)
 			c.Equal(c.create("actions/2").status, 200)
 		}},
+		{"held answer", "a write whose answer is held back without effect, and one that stays held", nil, func(c *caller) {
+			c.Equal(c.do("POST", "/admin/hold_answers?prefix=actions/", "").status, 204)
+			c.Equal(c.create("tickets/1").status, 200)
+			done := make(chan answer)
+			go func() { done <- c.create("actions/1") }()
+			synctest.Wait()
+			_, exists := c.Get("actions/1")
+			c.True(exists)
+			c.Equal(c.create("actions/1").status, 412) // without effect, so not held
+			c.Equal(c.Counts().HeldAnswers, int64(1))
+			c.Equal(c.do("POST", "/admin/release_answers", "").status, 204)
+			c.Equal((<-done).status, 200)
+			c.Equal(c.create("actions/2").status, 200)
+		}},
 		{"slow", "a caller that takes its timeout for a write without effect", nil, func(c *caller) {
 			c.Slow(3 * time.Second)
 			ctx, cancel := context.WithTimeout(c.ctx, time.Second)
