Find silent connections to applications within 3 s

Cause: nothing looked at the connection to an application once a call was sent, so a call on a connection that went silent waited for its deadline. TestSilentApplication, before the change: no answer within its 30 s, for the idempotent and for the protected call. Change: the client for applications lets the kernel probe each connection every second and reads the kernel's state of it (TCP_INFO); a read fails with ErrSilent once the other end has acknowledged nothing for 2.4 s although data or two probes await it. Ruled out by runs: TCP_USER_TIMEOUT (2.4 s) ended a live connection whose application had not taken its request after 2.7 s; the time since the last acknowledgement alone ended the same connection after 5.8 s. Ruled out by argument: a health probe over a new connection, HTTP/2 pings, a limit on the application's silence (docs/actions.md). Remains: proxies that acknowledge for a dead far side; full windows.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -165,7 +165,7 @@
 	d.action = action.New(d.Shared, d.store, d.relay,
 		action.WithInstance(self.ID), action.WithSettings(cfg), action.WithRetryBudget(retries),
 		action.WithRetention(d.members, ms(cfg.GetActionRetentionMs())),
-		action.WithClient(link.New(cfg).EndpointClient()),
+		action.WithClient(link.New(cfg).ApplicationClient()),
 		action.WithEndpointUsable(func(_ core.EndpointID, address string) bool { return !d.members.EndpointLeaving(address) }))
 	calls := peer.New(link.New(cfg).PeerClient(), cfg.GetMaxBodyBytes())
 	d.entry = entry.New(entry.Parts{
--- a/io/action/fake_test.go
+++ b/io/action/fake_test.go
@@ -19,6 +19,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/claim"
+	"snipeshed/io/link"
 	"snipeshed/io/reply"
 	"snipeshed/wire"
 )
@@ -33,6 +34,7 @@
 	refused           // certainly no effect
 	slow              // waits, then works unless the caller has given up; the effect comes either way
 	mute              // the endpoint's transport fails without calling its hooks
+	silent            // the endpoint gets the call, then its connection is dead
 	paused            // works, and the caller is paused for fault.wait before it learns of it
 )
 
@@ -217,6 +219,8 @@
 	switch f.effect {
 	case lostBefore:
 		return nil, errLost
+	case silent:
+		return nil, fmt.Errorf("transport connection broken: %w", link.ErrSilent)
 	case lostAfter:
 		run()
 		return nil, errLost
--- a/io/action/plain.go
+++ b/io/action/plain.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"snipeshed/core"
+	"snipeshed/io/link"
 	"snipeshed/io/reply"
 )
 
@@ -57,6 +58,9 @@
 			run = core.RunUnknown
 		}
 		a.Log.WithField("request_id", c.id).WithField("endpoint", ep.id).WithField("sent", sent).WithError(err).Warn("call_failed")
+		if errors.Is(err, link.ErrSilent) && len(a.candidates(c.service, tried)) == 0 {
+			delete(tried, ep.id) // a dead connection says nothing of the endpoint, and there is no other
+		}
 		if ctx.Err() != nil || (sent && !idempotent(c.method)) ||
 			n+1 == maxAttempts || len(a.candidates(c.service, tried)) == 0 ||
 			!a.budget.Retry(c.team, ep.id) || !sleep(ctx, rand.N(firstPause<<n)+1) {
--- a/io/action/plain_test.go
+++ b/io/action/plain_test.go
@@ -31,6 +31,7 @@
 		budget Budget
 		want   string
 		sends  int
+		single bool // whether the service has one endpoint instead of three
 	}{
 		{name: "no fault", method: "GET", want: ran, sends: 1},
 		{name: "idempotent, answer lost, another endpoint answers", method: "GET", ends: []fault{{effect: lostAfter}}, want: ran, sends: 2},
@@ -40,13 +41,22 @@
 		{name: "not idempotent, connection refused once", method: "PATCH", ends: []fault{{effect: refused}}, want: ran, sends: 1},
 		{name: "refused, then lost", method: "POST", ends: []fault{{effect: refused}, {effect: lostBefore}}, want: unknown, sends: 1},
 		{name: "every connection refused", method: "POST", ends: many(3, fault{effect: refused}), want: "no_endpoint/not_run", sends: 0},
+		{name: "idempotent, connection silent, only endpoint", method: "GET", ends: []fault{{effect: silent}}, want: ran, sends: 2, single: true},
+		{name: "idempotent, every connection silent", method: "GET", ends: many(3, fault{effect: silent}), want: unknown, sends: 3, single: true},
+		{name: "idempotent, connection silent, budget spent", method: "GET", ends: []fault{{effect: silent}}, budget: strict{}, want: unknown, sends: 1, single: true},
+		{name: "not idempotent, connection silent", method: "POST", ends: []fault{{effect: silent}}, want: unknown, sends: 1, single: true},
+		{name: "only endpoint, answer lost", method: "GET", ends: []fault{{effect: lostAfter}}, want: unknown, sends: 1, single: true},
 		{name: "no answer before the deadline", method: "GET", ends: []fault{{effect: slow, wait: time.Minute}}, want: "deadline/unknown", sends: 1},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.NewRelaxed(t)
-				w := newWorld(1, "10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1")
+				addresses := []string{"10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"}
+				if tt.single {
+					addresses = addresses[:1]
+				}
+				w := newWorld(1, addresses...)
 				w.end.faults = tt.ends
 				if tt.budget != nil {
 					w.instances[0].budget = tt.budget
--- a/io/action/protected_test.go
+++ b/io/action/protected_test.go
@@ -125,6 +125,11 @@
 			steps: []step{{timeout: 2 * second, want: unknown}, {instance: 1, want: busy}, {wait: 3 * second, instance: 1, want: unknown}},
 			runs:  1, state: claim.StateClaimed, nputs: 3,
 		},
+		{
+			name: "connection silent after the call was sent", ends: []fault{{effect: silent}},
+			steps: []step{{want: unknown}, {instance: 1, want: busy}, {wait: 11 * second, instance: 1, want: unknown}},
+			runs:  0, state: claim.StateClaimed,
+		},
 		{
 			name: "answer lost before the action ran",
 			ends: []fault{{effect: lostBefore}}, steps: []step{{timeout: second, want: unknown}, {wait: 2 * second, instance: 1, want: unknown}},
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -49,6 +49,20 @@
 	return &http.Client{Transport: t}
 }
 
+// ApplicationClient returns a client that speaks HTTP/1.1 and whose calls fail with ErrSilent when their connection is dead.
+func (l *Link) ApplicationClient() *http.Client {
+	t := l.transport()
+	dial := t.DialContext
+	t.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return newProbedConn(c)
+	}
+	return &http.Client{Transport: t}
+}
+
 // idlePerEndpoint covers the calls that one application runs at once.
 const idlePerEndpoint = 64
 
--- /dev/null
+++ b/io/link/probe_linux_test.go
@@ -0,0 +1,88 @@
+package link_test
+
+import (
+	"errors"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/conf"
+	"snipeshed/io/link"
+	standlink "snipeshed/stand/link"
+)
+
+// Guards against a dead connection that is found late or never, and against a live one that is taken for dead because its
+// application is slow. The application here never accepts the connection, so only its kernel answers, as for a stopped one.
+func TestProbedConn(t *testing.T) {
+	t.Parallel()
+	const (
+		bound = 3 * time.Second
+		// live exceeds the pause between the fourth and the fifth probe of a full window, about 3.2 s.
+		live = 7 * time.Second
+		// fills exceeds the buffers of both ends, so that the window closes.
+		fills = 32 << 20
+	)
+	for _, tt := range []struct {
+		name  string
+		write int // bytes
+		dark  bool
+		after bool // whether the bytes are written after the connection became silent
+	}{
+		{name: "live and idle", write: 100},
+		{name: "live, request not taken whole", write: fills},
+		{name: "silent after the request", write: 100, dark: true},
+		{name: "silent before the request", write: 100, dark: true, after: true},
+		{name: "silent while the request is sent", write: fills, dark: true, after: true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			defer ln.Close()
+			l := standlink.New(ln.Addr().String())
+			is.NoErr(l.Start())
+			defer l.Close()
+			cfg := &conf.Settings{}
+			conf.SetDefaults(cfg)
+			address := ln.Addr().String()
+			if tt.dark {
+				address = l.Addr()
+			}
+			conn, err := link.New(cfg).ApplicationClient().Transport.(*http.Transport).DialContext(t.Context(), "tcp", address)
+			is.NoErr(err)
+			defer conn.Close()
+			write := func() { _, _ = conn.Write(make([]byte, tt.write)) } // a large one ends with the connection
+			if !tt.after {
+				go write()
+			}
+			if tt.dark {
+				far, err := ln.Accept() // the link has the connection then
+				is.NoErr(err)
+				defer far.Close()
+				is.NoErr(l.Blackhole())
+			}
+			began := time.Now()
+			if tt.after {
+				go write()
+			}
+			failed := make(chan error, 1)
+			go func() {
+				_, err := conn.Read(make([]byte, 1))
+				failed <- err
+			}()
+			select {
+			case err = <-failed:
+				t.Logf("%v after %s", err, time.Since(began))
+				is.True(tt.dark)
+				is.True(errors.Is(err, link.ErrSilent))
+				is.True(time.Since(began) <= bound)
+			case <-time.After(live):
+				is.True(!tt.dark)
+			}
+		})
+	}
+}
--- a/proof/pause_test.go
+++ b/proof/pause_test.go
@@ -115,3 +115,23 @@
 		})
 	}
 }
+
+// TestApplicationPaused guards against a slow application that is taken for a dead connection: while its process is stopped
+// for longer than a silent connection may stay unnoticed, its kernel still answers.
+func TestApplicationPaused(t *testing.T) {
+	is := is.New(t)
+	p := startProcesses(t, 0)
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	is.NoErr(p.app.Process.Signal(syscall.SIGSTOP))
+	is.NoErr(fleet.Wait(startLimit, "application stopped", func() bool { return stopped(p.app.Process.Pid) }))
+	got := make(chan answer, 1)
+	go func() { got <- act(c, p.ins[0].client, "paused-application", 20*time.Second) }()
+	select {
+	case a := <-got:
+		t.Errorf("answered while the application was stopped: %s", a)
+	case <-time.After(detect + resumeSlack + time.Second):
+	}
+	is.NoErr(p.app.Process.Signal(syscall.SIGCONT))
+	is.Equal((<-got).status, http.StatusOK)
+	is.Equal(p.runs("paused-application"), int64(1))
+}
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -104,6 +104,7 @@
 type processes struct {
 	*procs
 	platform, application string
+	app                   *exec.Cmd
 	ins                   []*proc
 }
 
@@ -138,7 +139,7 @@
 		_, addr := p.run("standin", true, "runner", "--load-time", "0s")
 		runners = append(runners, addr)
 	}
-	_, p.application = p.run("standin", true, "app", "--delay", delay.String())
+	p.app, p.application = p.run("standin", true, "app", "--delay", delay.String())
 
 	ports := freePorts(t, 9)
 	for i := range 3 {
--- /dev/null
+++ b/proof/silent_test.go
@@ -0,0 +1,90 @@
+package proof
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+	"snipeshed/stand/fleet"
+)
+
+// get makes an idempotent call of the application service.
+func (w *world) get(n *fleet.Node, timeout time.Duration) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ClientAddress()+"/services/"+fleet.AppService+"/free", nil)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+fleet.UrgentKey)
+	resp, err := w.client.Do(r)
+	if err != nil {
+		return answer{broken: err}
+	}
+	defer resp.Body.Close()
+	out := answer{status: resp.StatusCode, header: resp.Header}
+	out.readWhole(resp.Body)
+	return out
+}
+
+// TestSilentApplication guards against calls of application services that wait for their deadline on a dead connection,
+// against a second run of a protected action for that reason, and against taking a slow application for a dead connection.
+func TestSilentApplication(t *testing.T) {
+	t.Parallel()
+	const slow, timeout = 6 * time.Second, 30 * time.Second
+	for _, tt := range []struct {
+		name   string
+		key    string // of a protected action; without one the call is idempotent
+		silent bool
+		status int
+	}{
+		{name: "idempotent, connection silent", silent: true, status: http.StatusOK},
+		{name: "idempotent, application slow", status: http.StatusOK},
+		{name: "protected, connection silent", key: "silent", silent: true, status: http.StatusBadGateway},
+		{name: "protected, application slow", key: "slow", status: http.StatusOK},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := start(t)
+			app := w.Services[0]
+			app.Slow(slow)
+			got := make(chan answer, 1)
+			go func() {
+				if tt.key == "" {
+					got <- w.get(w.Nodes[0], timeout)
+					return
+				}
+				got <- w.act(w.Nodes[0], tt.key, timeout)
+			}()
+			is.NoErr(fleet.Wait(startLimit, "the application has the call", func() bool { return app.Counts().Open == 1 }))
+			app.Slow(0) // for the calls that follow
+			began := time.Now()
+			if tt.silent {
+				is.NoErr(w.ServiceLinks[0].Blackhole())
+			}
+			a := <-got
+			took := time.Since(began)
+			t.Logf("answered %s after the connection or application became silent: %s", took, a)
+			is.Equal(a.status, tt.status)
+			is.True(!tt.silent || took <= detect+resumeSlack)
+			if tt.key == "" {
+				is.Equal(app.Counts().Total+app.Counts().Open == 2, tt.silent) // a second call only when the connection is dead
+				return
+			}
+			if tt.silent {
+				is.Equal(a.err.Kind, core.KindOutcomeUnknown)
+				is.Equal(a.err.Run, core.RunUnknown)
+			}
+			is.NoErr(fleet.Wait(startLimit, "the application has run the call", func() bool { return app.Counts().Open == 0 }))
+			last := w.act(w.Nodes[1], tt.key, timeout)
+			t.Logf("retry: %s", last)
+			is.True(!last.notRun())
+			is.Equal(app.Runs(tt.key), int64(1))
+		})
+	}
+}
--- a/stand/apprun/apprun.go
+++ b/stand/apprun/apprun.go
@@ -36,6 +36,8 @@
 	Refused     int64 `json:"refused"`
 	StaleFence  int64 `json:"stale_fence"`
 	LostAnswers int64 `json:"lost_answers"`
+	// Open is the number of calls that have arrived whole and not yet run.
+	Open int64 `json:"open"`
 }
 
 // Answer is the body of an answer; it tells which call it belongs to.
@@ -84,11 +86,15 @@
 	}
 	s.mu.Lock()
 	delay := s.delay
+	s.counts.Open++
 	s.mu.Unlock()
-	if !host.Sleep(s.Context(), delay) {
+	awaited := host.Sleep(s.Context(), delay)
+	s.mu.Lock()
+	s.counts.Open--
+	if !awaited {
+		s.mu.Unlock()
 		return
 	}
-	s.mu.Lock()
 	s.counts.Runs[key]++
 	s.counts.Total++
 	n := s.counts.Runs[key]
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -32,6 +32,8 @@
 
 	// RunnerLinks lead to the runners, in their order, when the Fleet was made WithLinks.
 	RunnerLinks []*link.Link
+	// ServiceLinks lead to the application runners likewise.
+	ServiceLinks []*link.Link
 
 	logs     io.Writer
 	settings []func(*conf.Settings)
@@ -56,7 +58,7 @@
 	return func(f *Fleet) { f.platform = append(f.platform, opts...) }
 }
 
-// WithLinks puts a link in front of each runner, of each instance's peer listener and between each instance and the platform.
+// WithLinks puts a link in front of each model and application runner, of each instance's peer listener and between each instance and the platform.
 func WithLinks() Option { return func(f *Fleet) { f.linked = true } }
 
 // Domains are the failure domains over which instances and endpoints are spread.
@@ -121,11 +123,27 @@
 	if err := s.Start(); err != nil {
 		return nil, fmt.Errorf("start application runner: %w", err)
 	}
-	f.register(fmt.Sprintf("application-%d", len(f.Services)), s.Addr(), domain(len(f.Services)), member.KindEndpoint)
+	l, err := f.link(s.Addr())
+	if err != nil {
+		return nil, err
+	}
+	if l != nil {
+		f.ServiceLinks = append(f.ServiceLinks, l)
+	}
 	f.Services = append(f.Services, s)
+	n := len(f.Services) - 1
+	f.register(fmt.Sprintf("application-%d", n), f.serviceAddress(n), domain(n), member.KindEndpoint)
 	return s, nil
 }
 
+// serviceAddress is the address at which instances reach an application runner.
+func (f *Fleet) serviceAddress(i int) string {
+	if f.linked {
+		return f.ServiceLinks[i].Addr()
+	}
+	return f.Services[i].Addr()
+}
+
 func domain(i int) core.FailureDomain { return Domains[i%len(Domains)] }
 
 func (f *Fleet) register(id, address string, d core.FailureDomain, kind string) {
--- a/stand/fleet/ticket.go
+++ b/stand/fleet/ticket.go
@@ -23,8 +23,8 @@
 	for i := range f.Runners {
 		runners = append(runners, f.runnerAddress(i))
 	}
-	for _, s := range f.Services {
-		services = append(services, s.Addr())
+	for i := range f.Services {
+		services = append(services, f.serviceAddress(i))
 	}
 	return NewTicket(runners, services)
 }
--- /dev/null
+++ b/stand/link/drop_linux.go
@@ -0,0 +1,28 @@
+package link
+
+import (
+	"net"
+
+	"golang.org/x/sys/unix"
+)
+
+// dropPackets sets or removes a socket filter that accepts 0 bytes of every packet; a process may set one on its own sockets.
+func dropPackets(c *net.TCPConn, on bool) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		if !on {
+			failed = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_DETACH_FILTER, 0)
+			return
+		}
+		nothing := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K}
+		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &nothing})
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- /dev/null
+++ b/stand/link/drop_linux_test.go
@@ -0,0 +1,35 @@
+package link_test
+
+import (
+	"errors"
+	"net"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+
+	"snipeshed/stand/link"
+)
+
+// Guards against a black hole whose kernel still acknowledges, which no check of a connection could find.
+func TestBlackhole(t *testing.T) {
+	c := &caller{I: is.New(t), Link: link.New(echo(t))}
+	c.NoErr(c.Start())
+	defer c.Close()
+	conn := c.dial()
+	c.NoErr(c.ping(conn, time.Second))
+	c.NoErr(c.Blackhole())
+	c.True(errors.Is(c.ping(conn, silence), os.ErrDeadlineExceeded))
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	c.NoErr(err)
+	c.NoErr(raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		c.NoErr(err)
+		c.True(info.Unacked > 0)
+	}))
+	c.NoErr(c.ping(c.dial(), time.Second))
+	c.NoErr(c.Restore())
+	c.NoErr(c.await(conn, 5*time.Second)) // until the kernel sends again
+}
--- a/stand/link/link.go
+++ b/stand/link/link.go
@@ -82,6 +82,19 @@
 	}
 }
 
+// Blackhole makes all open connections silent like Stall, and their kernel sockets too: no packet that arrives is
+// acknowledged, as when the network drops the packets of a connection. Stall's kernel still acknowledges them. It needs Linux.
+func (l *Link) Blackhole() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.open {
+		if err := p.blackhole(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Partition makes open and new connections silent.
 func (l *Link) Partition() {
 	l.mu.Lock()
@@ -90,7 +103,7 @@
 	l.Stall()
 }
 
-// Restore ends stalls, a partition and refusal; what was held back is passed on.
+// Restore ends stalls, black holes, a partition and refusal; what was held back is passed on.
 func (l *Link) Restore() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/stand/link/pair.go
+++ b/stand/link/pair.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"fmt"
 	"net"
 	"sync"
 	"time"
@@ -15,6 +16,8 @@
 	server net.Conn
 	gate   chan struct{} // closed by restore; nil while bytes pass
 	ended  bool
+	// dropping is set while the sockets drop every packet.
+	dropping bool
 }
 
 func (p *pair) stall() {
@@ -25,9 +28,36 @@
 	}
 }
 
+// blackhole stalls the pair and lets its sockets drop every packet.
+func (p *pair) blackhole() error {
+	p.stall()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ended {
+		return nil
+	}
+	p.dropping = true
+	return p.drop(true)
+}
+
+func (p *pair) drop(on bool) error {
+	for _, c := range []net.Conn{p.client, p.server} {
+		if t, ok := c.(*net.TCPConn); ok {
+			if err := dropPackets(t, on); err != nil {
+				return fmt.Errorf("cannot change the packet filter of a connection: %w", err)
+			}
+		}
+	}
+	return nil
+}
+
 func (p *pair) restore() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.dropping && !p.ended {
+		p.dropping = false
+		_ = p.drop(false) // a connection that was closed meanwhile passes nothing anyway
+	}
 	if p.gate != nil {
 		close(p.gate)
 		p.gate = nil
