Count store calls whose callers gave up towards the breaker

Cause: a call that its caller's context ended counted as "the caller gave up", so a store that does not answer never opened the circuit breaker through callers with a deadline up to the store's timeout: short protected actions, lookups (same limit, started earlier) and the relays' reads of tickets. TestBreakerCountsAfterCallerGaveUp, before: after 6 calls of 20 ms to a store that does not answer it still counted as up 5 s later; its limit is 2 calls. Change: the call goes on without its caller until the store's own timeout and counts then. An answer within that time counts as one, so impatient clients do not open the breaker. A write that has no connection yet is ended instead, as its caller is told that it has no effect; a read takes its place. Close ends and awaits what goes on. Ruled out: counting a caller's timeout as a failure, since with a store that answers in 80 ms six callers of 20 ms would open the breaker (tested).

--- a/io/action/protected.go
+++ b/io/action/protected.go
@@ -146,8 +146,8 @@
 	return claim.Event{Kind: claim.EventRead, Version: o.Version, Record: rec}
 }
 
-// storeContext shortens a store call only to the time that is left. The store's own timeout must end the others,
-// because only that counts towards its circuit breaker: a caller that gives up says nothing of the object API.
+// storeContext shortens a store call to the time that is left. The call goes on without its caller, so that the store's
+// circuit breaker hears whether the object API answers.
 func (a *Action) storeContext(ctx context.Context, f *flight) (context.Context, context.CancelFunc) {
 	if left := f.deadline.Sub(a.Clock.Now()); left > 0 && left < ms(a.cfg.GetStoreTimeoutMs()) {
 		return context.WithTimeout(ctx, max(left, minStoreWait))
--- a/io/store/call.go
+++ b/io/store/call.go
@@ -19,7 +19,10 @@
 // maxAnswerBytes bounds the memory of one answer; a page of lists holds values of up to 1 MB each in base64.
 const maxAnswerBytes = 64 << 20
 
-var errDown = errors.New("the object API counts as down and is not called")
+var (
+	errDown   = errors.New("the object API counts as down and is not called")
+	errClosed = errors.New("the client of the object API is closed")
+)
 
 // call is one request to the object API.
 type call struct {
@@ -43,32 +46,81 @@
 }
 
 // do sends a call within the store timeout and returns the header and body of a 2xx answer.
+//
+// When ctx ends first, do returns and the call goes on: only whether the object API answers within its own timeout, and
+// not the patience of the caller, tells the breaker whether it is down.
 func (s *Store) do(ctx context.Context, c call) (http.Header, []byte, error) {
+	if ctx.Err() != nil {
+		return nil, nil, &core.StoreError{Op: c.op, Key: c.key, Effect: core.EffectNone, Cause: context.Cause(ctx)}
+	}
+	base, giveUp := context.WithCancelCause(s.ctx)
+	x := exchange{call: c, done: make(chan struct{})}
+	started := s.start(func() {
+		defer close(x.done)
+		defer giveUp(nil)
+		s.exchange(base, &x)
+	})
+	if !started {
+		giveUp(nil)
+		return nil, nil, &core.StoreError{Op: c.op, Key: c.key, Effect: core.EffectNone, Cause: errClosed}
+	}
+	select {
+	case <-x.done:
+		return x.header, x.body, x.err
+	case <-ctx.Done():
+	}
+	if !c.writes() {
+		return nil, nil, &core.StoreError{Op: c.op, Key: c.key, Effect: core.EffectNone, Cause: context.Cause(ctx)}
+	}
+	if x.connected.Load() {
+		return nil, nil, &core.StoreError{Op: c.op, Key: c.key, Effect: core.EffectUnknown, Cause: context.Cause(ctx)}
+	}
+	// A write without a connection is ended, so that its caller knows that it has no effect; a read takes its place.
+	giveUp(context.Cause(ctx))
+	<-x.done
+	s.start(func() { _, _, _ = s.List(s.ctx, c.key, "", 1) }) // only the breaker hears of it
+	return x.header, x.body, x.err
+}
+
+// exchange is a call in progress and, once done is closed, its outcome.
+type exchange struct {
+	call
+	connected atomic.Bool
+	done      chan struct{}
+
+	header http.Header
+	body   []byte
+	err    error
+}
+
+func (s *Store) exchange(ctx context.Context, x *exchange) {
 	limited, cancel := context.WithTimeout(ctx, s.timeout)
 	defer cancel()
-	resp, finish, err := s.send(ctx, limited, c)
+	resp, finish, err := s.send(ctx, limited, x.call, &x.connected)
 	if err != nil {
-		return nil, nil, err
+		x.err = err
+		return
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
-	if err != nil && !c.writes() {
-		return nil, nil, finish(fmt.Errorf("answer broke off: %w", err))
+	if err != nil && !x.writes() {
+		x.err = finish(fmt.Errorf("answer broke off: %w", err))
+		return
 	}
 	// The header of a 2xx answer to a write proves the write, whatever became of the body.
-	return resp.Header, body, finish(nil)
+	x.header, x.body, x.err = resp.Header, body, finish(nil)
 }
 
 // send sends a call and returns an answer with a 2xx status; finish must then be called with the error of
-// reading the body. Ctx is the caller's context and reqCtx the one of the request, derived from it.
-func (s *Store) send(ctx, reqCtx context.Context, c call) (*http.Response, func(error) error, error) {
+// reading the body. The end of ctx, unlike that of reqCtx, which is derived from it, says nothing of the object API.
+// Connected is set once the request has a connection.
+func (s *Store) send(ctx, reqCtx context.Context, c call, connected *atomic.Bool) (*http.Response, func(error) error, error) {
 	ok, probe := s.breaker.enter(s.Clock.Now())
 	if !ok {
 		s.counts.add(countRefused)
 		return nil, nil, &core.StoreError{Op: c.op, Key: c.key, Effect: core.EffectNone, Cause: errDown}
 	}
 	s.counts.add(c.op)
-	connected := &atomic.Bool{}
 	finish := func(err error) error { return s.finish(ctx, c, probe, connected.Load(), err) }
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(reqCtx, trace), c.method, s.base+c.path, bytes.NewReader(c.body))
--- /dev/null
+++ b/io/store/dial_linux_test.go
@@ -0,0 +1,43 @@
+package store_test
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sys/unix"
+
+	"snipeshed/core"
+)
+
+// Guards against a write that is sent after its caller was told that it had no effect, and against a store that cannot be
+// reached and still counts as up because every caller gives up before the connection is.
+func TestGivenUpWhileConnecting(t *testing.T) {
+	is := is.New(t)
+	var cfg net.ListenConfig
+	cfg.SetMultipathTCP(false) // whose sockets take no filter
+	ln, err := cfg.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer ln.Close()
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	is.NoErr(err)
+	drop := unix.SockFilter{Code: unix.BPF_RET | unix.BPF_K} // connections are not even refused
+	is.NoErr(raw.Control(func(fd uintptr) {
+		is.NoErr(unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop}))
+	}))
+	s := open(t, "http://"+ln.Addr().String())
+	for range 2 {
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+		_, err = s.Put(ctx, "a", nil, 0)
+		cancel()
+		is.True(err != nil && !core.MayHaveTakenEffect(err))
+	}
+	for began := time.Now(); s.Up(); time.Sleep(time.Millisecond) {
+		if time.Since(began) > 5*time.Second {
+			t.Fatal("the store counts as up")
+		}
+	}
+	is.Equal(s.Counts()["put"], int64(2))
+}
--- a/io/store/store.go
+++ b/io/store/store.go
@@ -1,8 +1,10 @@
 package store
 
 import (
+	"context"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"snipeshed/conf"
@@ -18,6 +20,13 @@
 	timeout time.Duration
 	breaker *breaker
 	counts  counts
+
+	// ctx ends the calls that go on without their callers when the Store is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	closed bool
+	wg     sync.WaitGroup
 }
 
 var _ core.Store = (*Store)(nil)
@@ -27,13 +36,15 @@
 	client := l.EndpointClient()
 	// A followed redirect would send a write twice.
 	client.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	return &Store{
+	s := &Store{
 		Shared:  shared,
 		base:    strings.TrimSuffix(cfg.GetPlatformUrl(), "/"),
 		client:  client,
 		timeout: time.Duration(cfg.GetStoreTimeoutMs()) * time.Millisecond,
 		breaker: newBreaker(int(cfg.GetBreakerFailures()), time.Duration(cfg.GetBreakerRetryMs())*time.Millisecond),
 	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
 }
 
 // Up reports whether a call would be sent; it is false while the circuit breaker refuses calls.
@@ -43,5 +54,23 @@
 // held back and under "failed" those that failed by a timeout, a connection error or a 5xx status.
 func (s *Store) Counts() map[string]int64 { return s.counts.all() }
 
-// Close closes idle connections.
-func (s *Store) Close() { s.client.CloseIdleConnections() }
+// Close ends all calls, waits for them and closes idle connections.
+func (s *Store) Close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	s.cancel()
+	s.wg.Wait()
+	s.client.CloseIdleConnections()
+}
+
+// start runs fn in the background unless the Store is closed.
+func (s *Store) start(fn func()) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.wg.Go(fn)
+	return true
+}
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -156,6 +156,56 @@
 	is.Equal([]int64{n["put"], n["list"], n["refused"], n["failed"]}, []int64{3, 2, 1, 3})
 }
 
+// Guards against a breaker that callers with short deadlines keep closed while the store does not answer, and against one
+// that they open although it does.
+func TestBreakerCountsAfterCallerGaveUp(t *testing.T) {
+	const patience = 20 * time.Millisecond
+	for name, c := range map[string]struct {
+		delay time.Duration // of the store's answers; its time limit is 150 ms
+		put   bool
+		down  bool
+	}{
+		"writes, no answer":          {delay: time.Minute, put: true, down: true},
+		"reads, no answer":           {delay: time.Minute, down: true},
+		"writes, answer after 80 ms": {delay: 80 * time.Millisecond, put: true},
+		"reads, answer after 80 ms":  {delay: 80 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var answered atomic.Int64
+			s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.ReadAll(r.Body)
+				select {
+				case <-time.After(c.delay):
+				case <-r.Context().Done():
+					return
+				}
+				w.Header().Set("ETag", `"1"`)
+				answered.Add(1)
+			})
+			for range 6 {
+				ctx, cancel := context.WithTimeout(t.Context(), patience)
+				var err error
+				if c.put {
+					_, err = s.Put(ctx, "a", nil, 0)
+				} else {
+					_, err = s.Get(ctx, "a")
+				}
+				cancel()
+				is.True(errors.Is(err, context.DeadlineExceeded))
+				is.Equal(core.MayHaveTakenEffect(err), c.put)
+			}
+			for began := time.Now(); s.Up() == c.down || (!c.down && answered.Load() < 6); {
+				if time.Since(began) > 5*time.Second {
+					t.Fatalf("up %t, %d calls answered", s.Up(), answered.Load())
+				}
+				time.Sleep(time.Millisecond)
+			}
+			is.True(c.down || s.Counts()["failed"] == 0)
+		})
+	}
+}
+
 // Guards against a client that reads the published protocol differently.
 func TestReads(t *testing.T) {
 	is := is.New(t)
--- a/io/store/watch.go
+++ b/io/store/watch.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"snipeshed/core"
@@ -34,7 +35,7 @@
 	silence := time.AfterFunc(s.timeout, func() { cancel(errSilent) })
 	defer silence.Stop()
 	query := url.Values{"prefix": {prefix}, "since": {strconv.FormatUint(uint64(since), 10)}}
-	resp, finish, err := s.send(ctx, watched, call{op: opWatch, key: prefix, method: http.MethodGet, path: "/v1/watch", query: query})
+	resp, finish, err := s.send(ctx, watched, call{op: opWatch, key: prefix, method: http.MethodGet, path: "/v1/watch", query: query}, new(atomic.Bool))
 	if err != nil {
 		return err
 	}
