Bound the time that a stop waits for records of actions

Cause: Close waited for every record until its limit, so an instance that stops while the object API is down waited up to stop_timeout_ms (900 s by default). Change: a stopping instance tries for action_stop_ms (new, 30 s) after Close began, or after the first failed store call for a later answer, and then leaves the record claimed, as a crash does. This holds only for actions whose client has its answer or is gone; clients that wait, and endpoints that have the call, are awaited as before. Close begins with one more try and returns an error when it leaves records behind. Ruled out: cutting store calls by a context, which would also keep an answer that comes long after the stop began from its first try to be recorded; a shorter limit, since the breaker pauses up to 24 s.

--- a/io/action/action.go
+++ b/io/action/action.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"snipeshed/conf"
@@ -35,8 +37,15 @@
 	mu     sync.Mutex
 	closed bool
 	wg     sync.WaitGroup
+	// stopping is closed at stopped, when Close begins.
+	stopping  chan struct{}
+	stopped   time.Time
+	abandoned atomic.Int64
 }
 
+// errAbandoned is returned by Close when it leaves outcomes unrecorded.
+var errAbandoned = errors.New("the object API did not take the outcomes of all protected actions; those left stay of unknown outcome")
+
 // New returns an Action.
 func New(shared core.Shared, store core.Store, config core.ConfigSource, opts ...Option) *Action {
 	a := &Action{Shared: shared, store: store, config: config, budget: noBudget{}, client: http.DefaultClient}
@@ -52,6 +61,7 @@
 	}
 	a.transport = transport(a.client.Transport)
 	a.pick.open = map[core.EndpointID]int{}
+	a.stopping = make(chan struct{})
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	var ctx context.Context
 	ctx, a.sweeping = context.WithCancel(a.ctx)
@@ -77,10 +87,13 @@
 	a.servePlain(w, r, c)
 }
 
-// Close stops accepting protected calls and waits until every record is written or ctx ends.
+// Close stops accepting protected calls and waits until every record is written or given up, or ctx ends.
 func (a *Action) Close(ctx context.Context) error {
 	a.mu.Lock()
-	a.closed = true
+	if !a.closed {
+		a.closed, a.stopped = true, a.Clock.Now()
+		close(a.stopping)
+	}
 	a.mu.Unlock()
 	a.sweeping()
 	finished := make(chan struct{})
@@ -96,9 +109,21 @@
 	}
 	a.cancel()
 	<-finished
+	if err == nil && a.abandoned.Load() > 0 {
+		err = errAbandoned
+	}
 	return err
 }
 
+// countAbandoned counts a record that was given up because of Close.
+func (a *Action) countAbandoned() {
+	select {
+	case <-a.stopping:
+		a.abandoned.Add(1)
+	default:
+	}
+}
+
 // start runs fn in the background unless the Action is closed.
 func (a *Action) start(fn func()) bool {
 	a.mu.Lock()
--- a/io/action/protected.go
+++ b/io/action/protected.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"snipeshed/core"
@@ -36,6 +37,8 @@
 	// full is the whole body when it is too large to be recorded.
 	full []byte
 	tell chan *claim.Reply
+	// alone is set once no client waits any more.
+	alone atomic.Bool
 }
 
 func (a *Action) serveProtected(w http.ResponseWriter, r *http.Request, c *call) {
@@ -52,6 +55,7 @@
 		call: c, object: objectKey(c.service, c.team, c.key), tried: map[core.EndpointID]bool{},
 		tell: make(chan *claim.Reply, 1),
 	}
+	defer f.alone.Store(true)
 	// The attempt outlives its client: a client that hangs up must find the outcome when it asks again.
 	if !a.start(func() { a.drive(f, m) }) {
 		reply.Error(w, c.id, leaving())
@@ -87,16 +91,23 @@
 	ctx, cancel := context.WithDeadline(a.ctx, f.deadline.Add(recordLimit))
 	defer cancel()
 	waitedFor := f.deadline
+	// failing is the time of the first failed store call since the last transmission.
+	var failing time.Time
 	step := m.Start()
 	for {
 		if step.Tell != nil {
 			f.tell <- step.Tell
+			f.alone.Store(true)
 			waitedFor = time.Time{}
 		}
 		if step.Kind == claim.StepDone {
 			return
 		}
-		if step.Failures > 0 && !a.pause(ctx, step.Failures, waitedFor) {
+		if step.Failures > 0 && failing.IsZero() {
+			failing = a.Clock.Now()
+		}
+		if step.Failures > 0 && !a.pause(ctx, step.Failures, waitedFor, a.giveUp(f, failing)) {
+			a.countAbandoned()
 			a.Log.WithField("object", f.object).WithField("request_id", f.id).Error("action_record_abandoned")
 			return
 		}
@@ -107,6 +118,7 @@
 			e := a.put(ctx, f, step)
 			step = m.Next(a.Clock.Now(), e)
 		default:
+			failing = time.Time{}
 			step = a.transmit(ctx, f, m, step.IfVersion)
 		}
 	}
@@ -155,14 +167,46 @@
 	return context.WithCancel(ctx)
 }
 
-// pause waits a random time that grows with the number of failures, and less while a client waits for the deadline. It
-// returns false once ctx has ended.
-func (a *Action) pause(ctx context.Context, failures int, deadline time.Time) bool {
+// giveUp returns the time after which a record that the store does not take is left as it is, so that a stop does not last
+// as long as an outage of the store. Nothing wrong is told then: the client has its answer, and without a record later ones
+// are told that the outcome is unknown.
+func (a *Action) giveUp(f *flight, failing time.Time) time.Duration {
+	a.mu.Lock()
+	stopped := a.stopped
+	a.mu.Unlock()
+	if stopped.IsZero() || !f.alone.Load() {
+		return recordLimit
+	}
+	if failing.After(stopped) {
+		stopped = failing
+	}
+	return stopped.Add(ms(a.cfg.GetActionStopMs())).Sub(a.Clock.Now())
+}
+
+// pause waits a random time that grows with the number of failures, and less while a client waits for the deadline, at the
+// beginning of Close and when only left remains. It returns false once nothing is left or ctx has ended.
+func (a *Action) pause(ctx context.Context, failures int, deadline time.Time, left time.Duration) bool {
+	if left <= 0 {
+		return false
+	}
 	limit := min(firstPause<<min(failures-1, maxPauseDoublings), maxBackgroundPause)
-	if left := deadline.Sub(a.Clock.Now()); left > 0 {
-		limit = min(limit, maxPause, left)
+	if wait := deadline.Sub(a.Clock.Now()); wait > 0 {
+		limit = min(limit, maxPause, wait)
+	}
+	t := time.NewTimer(min(rand.N(limit)+1, left))
+	defer t.Stop()
+	stopping := a.stopping
+	select {
+	case <-stopping:
+		stopping = nil // only its beginning ends a pause
+	default:
+	}
+	select {
+	case <-t.C:
+	case <-stopping:
+	case <-ctx.Done():
 	}
-	return sleep(ctx, rand.N(limit)+1)
+	return ctx.Err() == nil
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/proof/action_test.go
+++ b/proof/action_test.go
@@ -155,6 +155,43 @@
 	}
 }
 
+// TestStopDuringStoreOutage guards against an instance that does not stop while the store is down, and against a second run
+// or not_run told for the action whose outcome it could not record.
+func TestStopDuringStoreOutage(t *testing.T) {
+	t.Parallel()
+	const storeTimeout, stopLimit = 500 * time.Millisecond, 2 * time.Second
+	for _, mode := range []objs.Outage{objs.OutageRefuse, objs.OutageHang} {
+		t.Run(string(mode), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			w := start(t, fleet.WithSettings(func(s *conf.Settings) {
+				s.StoreTimeoutMs, s.ActionStopMs = storeTimeout.Milliseconds(), new(stopLimit.Milliseconds())
+			}))
+			app, key := w.Services[0], "key-"+newMark()
+			app.Slow(time.Second)
+			first := make(chan answer, 1)
+			go func() { first <- w.act(w.Nodes[0], key, 5*time.Second) }()
+			is.NoErr(fleet.Wait(startLimit, "the application has the call", func() bool { return app.Counts().Open == 1 }))
+			w.Platform.SetOutage(mode)
+			is.Equal((<-first).status, http.StatusOK)
+			began := time.Now()
+			is.NoErr(w.Nodes[0].Stop())
+			took := time.Since(began)
+			t.Logf("stopped after %s", took)
+			is.True(took <= stopLimit+storeTimeout+3*time.Second) // with leave_delay_ms (0.3 s) and up to 2 s for the end of connections
+			w.Platform.SetOutage(objs.OutageNone)
+			var last answer
+			is.NoErr(fleet.Wait(ticketBound, "store used again", func() bool {
+				last = w.act(w.Nodes[1], key, 5*time.Second)
+				return last.err == nil || last.err.Kind != core.KindStoreDown
+			}))
+			t.Logf("retry: %s", last)
+			is.True(!last.notRun())
+			is.Equal(app.Runs(key), int64(1))
+		})
+	}
+}
+
 // TestSameKeyEverywhere guards against two holders of one key, while answers of store and application are lost at random.
 func TestSameKeyEverywhere(t *testing.T) {
 	t.Parallel()
