--- a/io/action/fake_test.go
+++ b/io/action/fake_test.go
@@ -19,6 +19,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/claim"
+	"snipeshed/io/link"
 	"snipeshed/io/reply"
 	"snipeshed/wire"
 )
@@ -33,6 +34,7 @@
 	refused           // certainly no effect
 	slow              // waits, then works unless the caller has given up; the effect comes either way
 	mute              // the endpoint's transport fails without calling its hooks
+	silent            // the endpoint gets the call, then its connection is dead
 	paused            // works, and the caller is paused for fault.wait before it learns of it
 )
 
@@ -217,6 +219,8 @@
 	switch f.effect {
 	case lostBefore:
 		return nil, errLost
+	case silent:
+		return nil, fmt.Errorf("transport connection broken: %w", link.ErrSilent)
 	case lostAfter:
 		run()
 		return nil, errLost
@@ -308,7 +312,11 @@
 
 // call returns "kind/run" of an error or the status, with the body and " replayed".
 func (w *world) call(instance int, method, path, key, body string, timeout time.Duration) string {
-	r := httptest.NewRequest(method, "/services/swaps"+path, strings.NewReader(body))
+	return w.callWith(context.Background(), instance, method, path, key, body, timeout)
+}
+
+func (w *world) callWith(ctx context.Context, instance int, method, path, key, body string, timeout time.Duration) string {
+	r := httptest.NewRequestWithContext(ctx, method, "/services/swaps"+path, strings.NewReader(body))
 	r.Header.Set("Snipeshed-Timeout-Ms", jsonNumber(timeout.Milliseconds()))
 	if key != "" {
 		r.Header.Set(headerKey, key)
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -22,21 +22,24 @@
 	"snipeshed/stand/objs"
 )
 
-func open(t *testing.T, url string) *store.Store {
+func open(t *testing.T, url string, change ...func(*conf.Settings)) *store.Store {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	cfg := &conf.Settings{PlatformUrl: url, StoreTimeoutMs: 150, BreakerFailures: 2, BreakerRetryMs: 100, DialTimeoutMs: 100}
+	for _, fn := range change {
+		fn(cfg)
+	}
 	s := store.New(core.NewShared(logrus.NewEntry(log)), cfg, link.New(cfg))
 	t.Cleanup(s.Close)
 	return s
 }
 
-func serve(t *testing.T, h http.HandlerFunc) *store.Store {
+func serve(t *testing.T, h http.HandlerFunc, change ...func(*conf.Settings)) *store.Store {
 	t.Helper()
 	srv := httptest.NewServer(h)
 	t.Cleanup(srv.Close)
-	return open(t, srv.URL)
+	return open(t, srv.URL, change...)
 }
 
 func status(code int) http.HandlerFunc {
@@ -156,6 +159,67 @@
 	is.Equal([]int64{n["put"], n["list"], n["refused"], n["failed"]}, []int64{3, 2, 1, 3})
 }
 
+// Guards against a breaker that callers with short deadlines keep closed while the store does not answer, and against one
+// that they open although it does.
+func TestBreakerCountsAfterCallerGaveUp(t *testing.T) {
+	const patience = 20 * time.Millisecond
+	for name, c := range map[string]struct {
+		delay time.Duration // of the store's answers
+		put   bool
+		down  bool
+	}{
+		"writes, no answer":          {delay: time.Minute, put: true, down: true},
+		"reads, no answer":           {delay: time.Minute, down: true},
+		"writes, answer after 80 ms": {delay: 80 * time.Millisecond, put: true},
+		"reads, answer after 80 ms":  {delay: 80 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var answered, writes atomic.Int64
+			unknown := int64(0)
+			s := serve(t, func(w http.ResponseWriter, r *http.Request) {
+				if _, err := io.ReadAll(r.Body); err == nil && r.Method == http.MethodPut {
+					writes.Add(1)
+				}
+				select {
+				case <-time.After(c.delay):
+				case <-r.Context().Done():
+					return
+				}
+				w.Header().Set("ETag", `"1"`)
+				answered.Add(1)
+			}, func(cfg *conf.Settings) {
+				if !c.down {
+					cfg.StoreTimeoutMs, cfg.DialTimeoutMs = 5000, 5000 // a busy machine answers later than asked to
+				}
+			})
+			for range 6 {
+				ctx, cancel := context.WithTimeout(t.Context(), patience)
+				var err error
+				if c.put {
+					_, err = s.Put(ctx, "a", nil, 0)
+				} else {
+					_, err = s.Get(ctx, "a")
+				}
+				cancel()
+				is.True(errors.Is(err, context.DeadlineExceeded))
+				if core.MayHaveTakenEffect(err) {
+					unknown++
+				}
+			}
+			for began := time.Now(); s.Up() == c.down || (!c.down && answered.Load() < 6); {
+				if time.Since(began) > 5*time.Second {
+					t.Fatalf("up %t, %d calls answered", s.Up(), answered.Load())
+				}
+				time.Sleep(time.Millisecond)
+			}
+			is.True(c.down || s.Counts()["failed"] == 0)
+			// On a busy machine a caller can give up before its write has a connection; it then has no effect.
+			is.True(writes.Load() <= unknown)
+		})
+	}
+}
+
 // Guards against a client that reads the published protocol differently.
 func TestReads(t *testing.T) {
 	is := is.New(t)
