Wait for every ticket that peers name before serving after a restart

Cause: an instance that restarts while the store is down took the highest state of the peers that answered. It served with a lower ticket than it had in force before when only it had the ticket (its pushes name the number, the peers could not pull it), and when a peer was lost between naming its ticket and handing it over.

Ruled out (docs/membership.md): a number that all instances pass on, because one lost instance would keep all others from starting; an acknowledgement by half of the members before a ticket is in force, because of traffic and of cuts; no start without the store.

Before: both scenarios of TestRestartInOutage failed at the check "not ready or ticket 1"; models/restart.pml with the old rule (-DFAULT_LOWER) is violated after 14,289 states. After: peers remember the ticket that an instance named while they lack it and say so in answers; the start waits until every number named is reached. The model holds (2,521,638 states), its 4 faults are found.

Conclusion: the address goes back only when the store is unreachable and all instances that were told of the ticket restarted or do not answer, or when the instance stopped before its first push arrived. The digest grows by no byte unless a ticket is on its way.

--- a/io/relay/apply.go
+++ b/io/relay/apply.go
@@ -76,6 +76,7 @@
 	if d.GetFrom() == "" {
 		return // an operator's question, not an instance
 	}
+	r.noteAhead(d)
 	if r.members.Hear(r.Clock.Now(), core.InstanceID(d.GetFrom()), d.GetRun(), d.GetLeaving()) {
 		r.passOn(&wire.Word{Id: d.GetFrom(), Run: d.GetRun(), Leaving: d.GetLeaving()})
 	}
--- a/io/relay/gossip.go
+++ b/io/relay/gossip.go
@@ -202,7 +202,7 @@
 // answer returns what the sender of a digest lacks.
 func (r *Relay) answer(d *wire.Digest) *wire.Delta {
 	now := r.Clock.Now()
-	out := &wire.Delta{Digest: r.digest()}
+	out := &wire.Delta{Digest: r.digestFor(d)}
 	if d.GetTicket() < out.GetDigest().GetTicket() {
 		if ts, ok := r.state.Since(core.TicketNumber(d.GetTicket()), maxTickets); ok {
 			out.Tickets = cut(ts)
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -77,6 +77,7 @@
 	pushed     core.TicketNumber
 	listed     uint64
 	snapped    core.TicketNumber
+	ahead      ahead
 
 	stop    context.CancelFunc
 	ctx     context.Context
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -23,7 +23,7 @@
 	s.r.hear(d.GetDigest())
 	s.r.takeDelta(d)
 	s.r.pullFrom(d.GetDigest())
-	return s.r.digest(), nil
+	return s.r.digestFor(d.GetDigest()), nil
 }
 
 // State returns the whole configuration.
--- a/io/relay/start.go
+++ b/io/relay/start.go
@@ -17,7 +17,7 @@
 func (r *Relay) catchUpAtStart() bool {
 	began := r.Clock.Now()
 	for {
-		asked := r.Clock.Now()
+		asked, named := r.Clock.Now(), r.named()
 		var stored bool
 		var g sync.WaitGroup
 		g.Go(func() { stored = r.loadStore() })
@@ -28,14 +28,18 @@
 			return false
 		}
 		// A store contact of a peer since the start, with a state that is no newer than this one, is as good as an own one.
-		if stored || r.vouch.storeAge(r.Clock.Now()) <= r.Clock.Now().Sub(began) {
+		vouched := stored || r.vouch.storeAge(r.Clock.Now()) <= r.Clock.Now().Sub(began)
+		if vouched && r.state.Number() >= named {
 			return true
 		}
 		// While none of the few peers has a state, the whole fleet starts. If all instances then asked all others,
 		// 128 of them on one machine would keep each other from starting.
-		if r.vouch.heardSince(asked) && r.askEveryone() {
+		if !vouched && r.vouch.heardSince(asked) && r.askEveryone() {
 			return true
 		}
+		if n := r.named(); r.state.Number() < n {
+			r.Log.WithField("have", r.state.Number()).WithField("named", n).Warn("start waits for a ticket that is known to be in force")
+		}
 		if !r.sleep(r.ctx, jittered(ms(r.cfg.GetGossipIntervalMs()))) {
 			return false
 		}
@@ -74,9 +78,12 @@
 	g.Wait()
 }
 
-// askEveryone exchanges with every known peer and reports whether half of the members answered with a state of their own.
+// askEveryone exchanges with every known peer and reports whether half of the members answered with a state of their own
+// and the state has reached every ticket that any of them named.
 //
-// All peers are asked before that is decided, so that the state is no older than that of any peer that answers.
+// All peers are asked before that is decided, so that the state is no older than that of any peer that answers. A peer
+// may be lost after naming its ticket, or name one that only this instance had in force before it started again; that
+// ticket must then come from another peer or from the store.
 func (r *Relay) askEveryone() bool {
 	defer r.closeUnused(r.Clock.Now().Add(longestAge)) // no partner has been chosen yet
 	began := r.Clock.Now()
@@ -85,7 +92,7 @@
 		// Answers name further peers, which are asked in the next round.
 		peers := slices.DeleteFunc(r.startPeers(), func(p core.Peer) bool { return asked[p.Address] })
 		if len(peers) == 0 || r.ctx.Err() != nil {
-			return r.vouch.reached(began, r.members.Others())
+			return r.vouch.reached(began, r.members.Others()) && r.state.Number() >= r.named()
 		}
 		for _, p := range peers {
 			asked[p.Address] = true
--- a/models/check.sh
+++ b/models/check.sh
@@ -35,6 +35,7 @@
 action holds
 ticket holds
 ticket holds -DSPREAD
+restart holds
 action violated -DFAULT_TAKEOVER
 action violated -DFAULT_RESEND
 action violated -DFAULT_EARLY
@@ -47,6 +48,10 @@
 ticket violated -DFAULT_TAIL
 ticket violated -DSPREAD -DFAULT_STALE
 ticket violated -DSPREAD -DFAULT_ORDER
+restart violated -DFAULT_LOWER
+restart violated -DFAULT_FORGET
+restart violated -DFAULT_FEW
+restart violated -DFAULT_CONTACT
 RUNS
   echo "models: a check did not end as expected" >&2
   exit 1
