Bound the resume of a stream by a new owner; partition tests

Cause: when an owner was lost, the next owner resumed the generation without a limit on the engine's answer. An engine that accepts the connection but stays silent (its region is cut off, its process is paused) held the client's stream until the call's deadline, 600 s by default, with no token and no error. Ruled out: tickets that stay behind because peers are suspect for 40 s and the store's breaker waits 16 s after a partition of minutes. Change: the resume has the limit of the silence probe, after which the stream's own retries go on; a setting source_address binds outgoing connections, which the tests use to tell the regions apart; links can be cut per source address and no longer pass on what a client sent into a partition before it gave up. Conclusion: proved for partitions that are silent; instances without the store and fewer than half of the members refuse after the vouch limit by design.

--- a/conf/load.go
+++ b/conf/load.go
@@ -101,13 +101,20 @@
 				return err
 			}
 		}
+	case r.GetUnit() == sourceUnit:
+		if v.String() != "" && net.ParseIP(v.String()) == nil {
+			return fieldError(name, field, v.String(), "use an IP number, such as 127.0.0.1, or leave it out")
+		}
 	case r.GetUnit() == addressUnit:
 		return checkAddress(name, field, v.String())
 	}
 	return nil
 }
 
-const addressUnit = "host:port"
+const (
+	addressUnit = "host:port"
+	sourceUnit  = "IP number"
+)
 
 func checkAddress(name, field, addr string) error {
 	host, port, err := net.SplitHostPort(addr)
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -140,7 +140,10 @@
 		return j.lost(at.From, fmt.Errorf("endpoint %q is not in pool %q", at.Endpoint, j.req.Pool))
 	}
 	j.counters.Count("adopted_streams")
-	stream, err := runner.Resume(ctx, at.Generation, at.From)
+	// An engine that accepts the connection but does not answer would otherwise hold the call until its deadline.
+	stream, err := follow.Open(ctx, ms(j.cfg.GetSilenceProbeMs()), func(ctx context.Context) (core.Stream, error) {
+		return runner.Resume(ctx, at.Generation, at.From)
+	})
 	if err != nil {
 		stream = failedStream{err}
 	}
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -56,6 +56,9 @@
 
 func (l *Link) transport() *http.Transport {
 	d := &net.Dialer{Timeout: ms(l.cfg.GetDialTimeoutMs())}
+	if ip := net.ParseIP(l.cfg.GetSourceAddress()); ip != nil {
+		d.LocalAddr = &net.TCPAddr{IP: ip}
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -63,8 +63,8 @@
 	return startWith(t, nil, opts...)
 }
 
-// startWith also sets options of the runners.
-func startWith(t *testing.T, runners []runner.Option, opts ...fleet.Option) *world {
+// empty returns a world with a platform only.
+func empty(t *testing.T, opts ...fleet.Option) *world {
 	t.Helper()
 	is := is.New(t)
 	// The instances find each other sooner than by default; tests of the instance list's lag set their own.
@@ -91,28 +91,44 @@
 			t.Errorf("close fleet: %v", err)
 		}
 	})
+	return w
+}
+
+// startWith also sets options of the runners.
+func startWith(t *testing.T, runners []runner.Option, opts ...fleet.Option) *world {
+	t.Helper()
+	is := is.New(t)
+	w := empty(t, opts...)
+	f := w.Fleet
 	for range 3 {
 		_, err := f.AddRunner(append(runners, runner.WithLoadLag(100*time.Millisecond))...)
 		is.NoErr(err)
 	}
-	_, err = f.AddService()
+	_, err := f.AddService()
 	is.NoErr(err)
 	for range 3 {
 		_, err := f.AddNode()
 		is.NoErr(err)
 	}
 	is.NoErr(f.WaitReady(startLimit))
+	w.configure(f.Ticket())
+	return w
+}
+
+// configure waits until all instances know each other, applies the first ticket and waits until all runners take work.
+func (w *world) configure(t *wire.Ticket) {
+	w.t.Helper()
+	is := is.New(w.t)
 	is.NoErr(fleet.Wait(startLimit, "every instance knows the others", func() bool {
-		for _, n := range f.Nodes {
-			if n.Owner(pool) != f.Nodes[0].Owner(pool) || n.Others() < len(f.Nodes)-1 {
+		for _, n := range w.Nodes {
+			if n.Owner(pool) != w.Nodes[0].Owner(pool) || n.Others() < len(w.Nodes)-1 {
 				return false
 			}
 		}
 		return true
 	}))
-	w.apply(f.Nodes[0], f.Ticket())
-	is.NoErr(f.WaitAccepting(startLimit, len(f.Runners)))
-	return w
+	w.apply(w.Nodes[0], t)
+	is.NoErr(w.WaitAccepting(startLimit, len(w.Runners)))
 }
 
 // apply applies a ticket and waits until it is in force at every instance.
@@ -361,6 +377,20 @@
 	return int(n), err
 }
 
+// honest verifies that an answer is complete or ends with a typed error that says how much was delivered.
+func honest(a answer, q ask) error {
+	n, err := check(a, q)
+	switch {
+	case err != nil:
+		return err
+	case a.broken != nil || a.done == (a.err != nil) || (a.err != nil && a.err.TokensDelivered != int64(n)):
+		return fmt.Errorf("answer with %d of %d tokens does not end honestly: %s", n, q.output, a)
+	case a.err == nil:
+		return complete(a, q)
+	}
+	return nil
+}
+
 // complete verifies that an answer is complete.
 func complete(a answer, q ask) error {
 	n, err := check(a, q)
--- a/stand/link/link.go
+++ b/stand/link/link.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -18,7 +19,9 @@
 	open  map[*pair]struct{}
 	delay time.Duration
 	dark  bool // whether new connections are stalled from the start
-	wg    sync.WaitGroup
+	// away are the source addresses from which connections are stalled; none stands for all.
+	away []string
+	wg   sync.WaitGroup
 }
 
 // Option changes a Link.
@@ -82,12 +85,21 @@
 	}
 }
 
-// Partition makes open and new connections silent.
-func (l *Link) Partition() {
+// Partition makes open and new connections silent: those from the given IP addresses, or all when none is given.
+func (l *Link) Partition(from ...string) {
 	l.mu.Lock()
-	l.dark = true
-	l.mu.Unlock()
-	l.Stall()
+	defer l.mu.Unlock()
+	l.dark, l.away = true, from
+	for p := range l.open {
+		if l.cutOff(p) {
+			p.stall()
+		}
+	}
+}
+
+func (l *Link) cutOff(p *pair) bool {
+	host, _, _ := net.SplitHostPort(p.client.RemoteAddr().String()) // the address of a TCP connection
+	return l.dark && (len(l.away) == 0 || slices.Contains(l.away, host))
 }
 
 // Restore ends stalls, a partition and refusal; what was held back is passed on.
@@ -154,7 +166,7 @@
 		reset(client)
 		return
 	}
-	if l.dark {
+	if l.cutOff(p) {
 		p.stall()
 	}
 	l.open[p] = struct{}{}
@@ -166,7 +178,8 @@
 		p.cut()
 	}()
 	// A stalled connection reaches the target only after Restore.
-	if !p.wait() {
+	early, ok := p.hold()
+	if !ok {
 		return
 	}
 	server, err := net.DialTimeout("tcp", l.target, dialTimeout)
@@ -174,7 +187,12 @@
 		return
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { p.pass(server, client, l.currentDelay) })
+	wg.Go(func() {
+		if _, err := server.Write(early); err != nil {
+			p.cut()
+		}
+		p.pass(server, client, l.currentDelay)
+	})
 	p.pass(client, server, l.currentDelay)
 	wg.Wait()
 	p.end(func(c net.Conn) { c.Close() })
--- a/stand/link/link_test.go
+++ b/stand/link/link_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,8 +18,8 @@
 // silence is how long a test waits for bytes that must not come; the kernel's connections do not run in virtual time.
 const silence = 50 * time.Millisecond
 
-// echo serves connections that return what they get, until the test ends.
-func echo(t *testing.T) string {
+// echo serves connections that return what they get, until the test ends, and counts them.
+func echo(t *testing.T, accepted *atomic.Int64) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { ln.Close() })
@@ -28,6 +29,7 @@
 			if err != nil {
 				return
 			}
+			accepted.Add(1)
 			go func() {
 				defer c.Close()
 				_, _ = io.Copy(c, c) // ends with the connection
@@ -40,6 +42,7 @@
 type caller struct {
 	*is.I
 	*link.Link
+	accepted atomic.Int64
 }
 
 func (c *caller) dial() net.Conn {
@@ -93,6 +96,23 @@
 			c.NoErr(c.Restore())
 			c.NoErr(c.await(conn, time.Second))
 		}},
+		{"partition from one address", "a partition that cuts off other sources, or passes on what a client sent before it gave up", func(c *caller) {
+			open := c.dial()
+			c.NoErr(c.ping(open, time.Second))
+			c.Partition("127.0.0.9")
+			c.NoErr(c.ping(open, time.Second))
+			c.NoErr(c.ping(c.dial(), time.Second))
+			c.Partition("127.0.0.1")
+			c.True(errors.Is(c.ping(open, silence), os.ErrDeadlineExceeded))
+			gone := c.dial()
+			c.True(errors.Is(c.ping(gone, silence), os.ErrDeadlineExceeded))
+			before := c.accepted.Load()
+			c.NoErr(gone.Close())
+			c.NoErr(c.Restore())
+			c.NoErr(c.await(open, time.Second))
+			c.NoErr(c.ping(c.dial(), time.Second))
+			c.Equal(c.accepted.Load(), before+1) // the last one only
+		}},
 		{"cut", "a cut that leaves the listener closed", func(c *caller) {
 			conn := c.dial()
 			c.NoErr(c.ping(conn, time.Second))
@@ -119,7 +139,8 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Log("guards against " + tc.guards)
-			c := &caller{I: is.New(t), Link: link.New(echo(t))}
+			c := &caller{I: is.New(t)}
+			c.Link = link.New(echo(t, &c.accepted))
 			c.NoErr(c.Start())
 			defer c.Close()
 			tc.run(c)
--- a/stand/link/pair.go
+++ b/stand/link/pair.go
@@ -1,7 +1,9 @@
 package link
 
 import (
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -56,6 +58,35 @@
 	}
 }
 
+// holdGrace is the time to read what a client sent, or its end, before it is served.
+const holdGrace = 10 * time.Millisecond
+
+// hold waits while a new pair is stalled and returns what the client sent meanwhile. It reports false for a client
+// that gave up: during a partition its connection would never have opened, so nothing of it may arrive later.
+func (p *pair) hold() ([]byte, bool) {
+	p.mu.Lock()
+	stalled := p.gate != nil
+	p.mu.Unlock()
+	if !stalled {
+		return nil, p.wait()
+	}
+	var sent []byte
+	var err error
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		buf := make([]byte, chunkBytes)
+		for n := 0; err == nil; sent = append(sent, buf[:n]...) {
+			n, err = p.client.Read(buf)
+		}
+	}()
+	open := p.wait()
+	_ = p.client.SetReadDeadline(time.Now().Add(holdGrace)) // fails only when the connection is closed already
+	<-read
+	_ = p.client.SetReadDeadline(time.Time{}) // as above
+	return sent, open && errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // attach adds the connection to the target, unless the pair was cut meanwhile.
 func (p *pair) attach(server net.Conn) bool {
 	p.mu.Lock()
