Space and bound resumes that get another generation; crossed answers end to end

Cause: a resumed stream that belongs to another generation was closed and resumed again at once. The limit on resumes covers calls that fail, and these succeeded. Ruled out: delivery of another request's tokens. Change: streams in a row that are not the generation's are resumed with backoff and given up after 5 s, as an engine that does not answer. The stand-in engine can swap answers in pairs. Conclusion: proved as far as the protocol tells answers apart. Token lines carry no id, so tokens of another generation after the own first line are found only by their index.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -24,6 +24,10 @@
 	giveUp     time.Duration
 	counters   Counters
 
+	// wrong is when the first of the streams in a row came that were not this generation's; backoff delays the next one.
+	wrong   time.Time
+	backoff time.Duration
+
 	mu     sync.Mutex
 	stream core.Stream
 	timer  *time.Timer
@@ -104,11 +108,15 @@
 		if err == nil {
 			keep, kerr := f.accept(ev)
 			if kerr == nil && keep {
+				f.wrong = time.Time{}
 				return ev, nil
 			}
 			if kerr == nil {
 				continue
 			}
+			if err = f.delay(ctx, kerr); err != nil {
+				return core.Event{}, err
+			}
 			err = kerr
 		}
 		if ctx.Err() != nil {
@@ -120,6 +128,25 @@
 	}
 }
 
+// delay spaces the resumes after streams that are not this generation's, and gives up when they go on: an engine that
+// answered each resume at once with another generation was asked 1,500 times a second until the call's deadline.
+func (f *Follow) delay(ctx context.Context, cause error) error {
+	if f.wrong.IsZero() {
+		f.wrong, f.backoff = time.Now(), firstBackoff
+		return nil
+	}
+	if time.Since(f.wrong) > f.giveUp {
+		return f.broken(cause)
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(f.backoff):
+	}
+	f.backoff = min(2*f.backoff, maxBackoff)
+	return nil
+}
+
 // check decides whether an event is the next one of this generation.
 func (f *Follow) check(ev core.Event) (bool, error) {
 	if ev.GenerationID != "" || ev.RequestID != "" {
--- a/stand/runner/runner.go
+++ b/stand/runner/runner.go
@@ -35,6 +35,7 @@
 	events  cacheLog
 	state   State
 	starts  map[core.RequestID]int
+	swaps   swaps
 }
 
 // State counts what a runner has done; it is exact and current.
@@ -200,7 +201,7 @@
 		host.Refuse(w, status, "%s", msg)
 		return
 	}
-	r.stream(w, hr, g, cursor{})
+	r.stream(w, hr, r.swapped(hr.Context(), g), cursor{})
 }
 
 // begin queues a generation, or returns the status and message of the refusal.
@@ -257,6 +258,7 @@
 	if g == nil {
 		return
 	}
+	g = r.swapped(hr.Context(), g)
 	r.mu.Lock()
 	tokens, done := g.tokens, g.done
 	r.state.Resumed++
