Bound what waits for slow clients; do not take their pause for a dead link

Cause: (1) an entry took up to 4 MiB of each stream from the owner ahead of a client that reads slowly, the default window of net/http. (2) While a client takes nothing, nobody reads the engine's connection; after 1 s the probe took it for dead, closed it and resumed when the client went on. A generation that had ended too long before could no longer be resumed. Change: a window of 256 KiB per stream towards the owner; the probe asks only while the reader waits for the engine. The stand-in engine writes at most 64 KiB at once, since its own buffers spoiled the measurement. A client's pause close to the write timeout can still lose its stream: the kernel tries again only after 3.2 s and more by then.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -32,7 +32,9 @@
 	stream core.Stream
 	timer  *time.Timer
 	closed bool
-	// heard is when the last event came.
+	// waiting tells that the reader waits for an event; while its client takes none, silence says nothing of the connection.
+	waiting bool
+	// heard is when the last event came, or when the reader began to wait for it.
 	heard time.Time
 	// failures counts probes without an answer since the last event.
 	failures int
@@ -103,6 +105,7 @@
 
 // Next returns the next event; after the one with Done there is none.
 func (f *Follow) Next(ctx context.Context) (core.Event, error) {
+	f.wait()
 	for {
 		ev, err := f.current().Next()
 		if err == nil {
@@ -242,6 +245,13 @@
 	return nil
 }
 
+// wait notes that the reader waits for an event.
+func (f *Follow) wait() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waiting, f.heard = true, time.Now()
+}
+
 // accept notes that an event came and decides whether it is the next one.
 //
 // The timer is only reset when it fires, which keeps the cost per token low.
@@ -250,7 +260,9 @@
 	defer f.mu.Unlock()
 	f.heard = time.Now()
 	f.failures = 0
-	return f.check(ev)
+	keep, err := f.check(ev)
+	f.waiting = !keep || err != nil
+	return keep, err
 }
 
 // probe asks the engine after a silence and closes the connection if it proves dead.
@@ -267,6 +279,11 @@
 		f.mu.Unlock()
 		return
 	}
+	if !f.waiting {
+		f.timer.Reset(f.silence)
+		f.mu.Unlock()
+		return
+	}
 	if quiet < f.silence || id == "" {
 		f.timer.Reset(max(f.silence-quiet, firstBackoff))
 		f.mu.Unlock()
@@ -285,7 +302,7 @@
 		return
 	}
 	f.timer.Reset(f.silence)
-	if f.heard != seen {
+	if f.heard != seen || !f.waiting {
 		return
 	}
 	switch {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -29,9 +29,15 @@
 	t.Protocols = new(http.Protocols)
 	t.Protocols.SetUnencryptedHTTP2(true)
 	t.HTTP2 = l.http2()
+	t.HTTP2.MaxReceiveBufferPerStream = streamBuffer
 	return &http.Client{Transport: t}
 }
 
+// streamBuffer bounds the bytes that wait here for a client that reads slowly; with the default of 4 MiB, a dozen such
+// streams took over 50 MB. It holds some thousand tokens, so that a short pause does not reach the engine. The limit of
+// a connection stays at its default of 1 GiB, so that slow streams do not hold up the others.
+const streamBuffer = 256 << 10
+
 // EndpointClient returns a client that speaks HTTP/1.1, as endpoints are only known to speak that.
 func (l *Link) EndpointClient() *http.Client {
 	t := l.transport()
--- /dev/null
+++ b/proof/slow_test.go
@@ -0,0 +1,101 @@
+package proof
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/conf"
+	"snipeshed/stand/batch"
+	"snipeshed/stand/fleet"
+	"snipeshed/stand/runner"
+)
+
+// TestSlowClients guards against clients that read slowly or stop reading and thereby delay other streams of the same
+// owner, fill an instance's memory or keep engines busy for good. It does not run in parallel, since it measures memory.
+func TestSlowClients(t *testing.T) {
+	is := is.New(t)
+	const (
+		stopped      = 12
+		writeTimeout = 6 * time.Second
+		// pause ends before the kernel's retransmissions are 3.2 s apart, which would end after the write timeout.
+		pause = 2500 * time.Millisecond
+		// heapPerStream bounds what all instances together keep for a stream whose client stopped reading.
+		heapPerStream = 2 << 20
+	)
+	w := startWith(t, []runner.Option{runner.WithSpeed(20), runner.WithKeep(100 * time.Millisecond), runner.WithBatch(batch.Config{KVCapacity: 1 << 20})}, fleet.WithoutLinks(),
+		fleet.WithSettings(func(s *conf.Settings) { s.WriteTimeoutMs = writeTimeout.Milliseconds() }))
+	_, entry := w.owner()
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		c, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+		if err == nil {
+			err = c.(*net.TCPConn).SetReadBuffer(256 << 10) // below the size of a segment on loopback, reading takes minutes
+		}
+		return c, err
+	}}}
+	defer client.CloseIdleConnections()
+	// At least 20 MB each, more than the kernel's buffers hold.
+	long := func(output int) ask { return ask{output: output, mark: newMark() + strings.Repeat("x", 4000)} }
+	canceled := func() (n int64) {
+		for _, r := range w.Runners {
+			n += r.State().Canceled
+		}
+		return n
+	}
+	heap := func() int64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapAlloc)
+	}
+
+	before := heap()
+	release := make(chan struct{})
+	var calls, reading sync.WaitGroup
+	for range stopped {
+		q := long(30_000)
+		reading.Add(1)
+		q.at, q.then = 20, func() { reading.Done(); <-release }
+		calls.Go(func() { chat(client, entry.ClientAddress(), &q) })
+	}
+	reading.Wait()
+
+	// One client pauses for less than the timeout, but until its generation can no longer be resumed; others read as usual meanwhile.
+	var paused answer
+	slow := long(3000)
+	var goesOn atomic.Bool
+	slow.at, slow.then = 20, func() {
+		time.Sleep(pause)
+		goesOn.Store(true)
+	}
+	calls.Go(func() { paused = chat(client, entry.ClientAddress(), &slow) })
+	began, longest, most := time.Now(), time.Duration(0), int64(0)
+	for canceled() < stopped && time.Since(began) < startLimit {
+		q := ask{output: 1000, mark: newMark()}
+		a := w.chat(entry, q)
+		is.NoErr(complete(a, q))
+		longest = max(longest, a.gap)
+		if !goesOn.Load() { // what it reads afterwards is kept by the test
+			most = max(most, heap()-before)
+		}
+	}
+	is.Equal(canceled(), int64(stopped))
+	t.Logf("%d clients stopped reading: longest gap of others %s, heap at most %d KiB for each, generations canceled after %s; paused client: %s",
+		stopped, longest, most/stopped/1024, time.Since(began), paused)
+	close(release)
+	calls.Wait()
+	is.NoErr(complete(paused, slow))
+	is.True(longest < resumeSlack)
+	is.True(most/stopped < heapPerStream)
+	is.NoErr(fleet.Wait(startLimit, "streams ended", func() bool {
+		return w.Runners[0].State().OpenStreams+w.Runners[1].State().OpenStreams+w.Runners[2].State().OpenStreams == 0
+	}))
+}
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -59,6 +59,9 @@
 // WithLinks puts a link in front of each runner, of each instance's peer listener and between each instance and the platform.
 func WithLinks() Option { return func(f *Fleet) { f.linked = true } }
 
+// WithoutLinks takes WithLinks back: links buffer up to 8 MiB of each connection.
+func WithoutLinks() Option { return func(f *Fleet) { f.linked = false } }
+
 // Domains are the failure domains over which instances and endpoints are spread.
 var Domains = [...]core.FailureDomain{"domain-a", "domain-b", "domain-c"}
 
--- a/stand/runner/generation.go
+++ b/stand/runner/generation.go
@@ -29,6 +29,9 @@
 	preempts int
 }
 
+// maxLines bounds the bytes that a reader that lags gets at once.
+const maxLines = 64 << 10
+
 // lines appends the NDJSON lines after the cursor to b, moves the cursor and reports whether the stream is at its end.
 func (g *generation) lines(b []byte, c *cursor) ([]byte, bool) {
 	if !g.started {
@@ -55,6 +58,9 @@
 		if c.next >= g.tokens {
 			break
 		}
+		if len(b) >= maxLines {
+			return b, false
+		}
 		b = append(b, `{"i":`...)
 		b = strconv.AppendInt(b, int64(c.next), 10)
 		b = append(b, `,"t":"`...)
--- a/stand/runner/runner.go
+++ b/stand/runner/runner.go
@@ -298,7 +298,7 @@
 		r.mu.Lock()
 		var done bool
 		buf, done = g.lines(buf[:0], &c)
-		changed := g.changed
+		changed, behind := g.changed, c.next < g.tokens
 		r.mu.Unlock()
 		if len(buf) > 0 {
 			if !r.waitThawed(ctx, ScopeStreams, number) || !r.waitThawed(ctx, ScopeAll, 0) {
@@ -311,6 +311,9 @@
 		if done {
 			return
 		}
+		if behind {
+			continue
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
