--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -26,11 +26,17 @@
 	// confirmed tells that a line of the stream has named the generation together with the request.
 	confirmed bool
 
+	// wrong is when the first of the streams in a row came that were not this generation's; backoff delays the next one.
+	wrong   time.Time
+	backoff time.Duration
+
 	mu     sync.Mutex
 	stream core.Stream
 	timer  *time.Timer
 	closed bool
-	// heard is when the last event came.
+	// waiting tells that the reader waits for an event; while its client takes none, silence says nothing of the connection.
+	waiting bool
+	// heard is when the last event came, or when the reader began to wait for it.
 	heard time.Time
 	// failures counts probes without an answer since the last event.
 	failures int
@@ -101,16 +107,21 @@
 
 // Next returns the next event; after the one with Done there is none.
 func (f *Follow) Next(ctx context.Context) (core.Event, error) {
+	f.wait()
 	for {
 		ev, err := f.current().Next()
 		if err == nil {
 			keep, kerr := f.accept(ev)
 			if kerr == nil && keep {
+				f.wrong = time.Time{}
 				return ev, nil
 			}
 			if kerr == nil {
 				continue
 			}
+			if err = f.delay(ctx, kerr); err != nil {
+				return core.Event{}, err
+			}
 			err = kerr
 		}
 		if ctx.Err() != nil {
@@ -122,6 +133,25 @@
 	}
 }
 
+// delay spaces the resumes after streams that are not this generation's, and gives up when they go on: an engine that
+// answered each resume at once with another generation was asked 1,500 times a second until the call's deadline.
+func (f *Follow) delay(ctx context.Context, cause error) error {
+	if f.wrong.IsZero() {
+		f.wrong, f.backoff = time.Now(), firstBackoff
+		return nil
+	}
+	if time.Since(f.wrong) > f.giveUp {
+		return f.broken(cause)
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(f.backoff):
+	}
+	f.backoff = min(2*f.backoff, maxBackoff)
+	return nil
+}
+
 // check decides whether an event is the next one of this generation.
 func (f *Follow) check(ev core.Event) (bool, error) {
 	if ev.GenerationID != "" || ev.RequestID != "" {
@@ -221,6 +251,13 @@
 	return nil
 }
 
+// wait notes that the reader waits for an event.
+func (f *Follow) wait() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.waiting, f.heard = true, time.Now()
+}
+
 // accept notes that an event came and decides whether it is the next one.
 //
 // The timer is only reset when it fires, which keeps the cost per token low.
@@ -229,7 +266,9 @@
 	defer f.mu.Unlock()
 	f.heard = time.Now()
 	f.failures = 0
-	return f.check(ev)
+	keep, err := f.check(ev)
+	f.waiting = !keep || err != nil
+	return keep, err
 }
 
 // probe asks the engine after a silence and closes the connection if it proves dead.
@@ -246,6 +285,11 @@
 		f.mu.Unlock()
 		return
 	}
+	if !f.waiting {
+		f.timer.Reset(f.silence)
+		f.mu.Unlock()
+		return
+	}
 	if quiet < f.silence || id == "" {
 		f.timer.Reset(max(f.silence-quiet, firstBackoff))
 		f.mu.Unlock()
@@ -264,7 +308,7 @@
 		return
 	}
 	f.timer.Reset(f.silence)
-	if f.heard != seen {
+	if f.heard != seen || !f.waiting {
 		return
 	}
 	switch {
--- a/stand/link/drop_linux_test.go
+++ b/stand/link/drop_linux_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -15,7 +16,7 @@
 
 // Guards against a black hole whose kernel still acknowledges, which no check of a connection could find.
 func TestBlackhole(t *testing.T) {
-	c := &caller{I: is.New(t), Link: link.New(echo(t))}
+	c := &caller{I: is.New(t), Link: link.New(echo(t, new(atomic.Int64)))}
 	c.NoErr(c.Start())
 	defer c.Close()
 	conn := c.dial()
--- a/stand/runner/runner.go
+++ b/stand/runner/runner.go
@@ -35,6 +35,7 @@
 	events  cacheLog
 	state   State
 	starts  map[core.RequestID]int
+	swaps   swaps
 }
 
 // State counts what a runner has done; it is exact and current.
@@ -200,6 +201,7 @@
 		host.Refuse(w, status, "%s", msg)
 		return
 	}
+	g = r.swapped(hr.Context(), g)
 	w.Header().Set("Generation-Id", string(g.id))
 	r.stream(w, hr, g, cursor{})
 }
@@ -258,6 +260,7 @@
 	if g == nil {
 		return
 	}
+	g = r.swapped(hr.Context(), g)
 	r.mu.Lock()
 	tokens, done := g.tokens, g.done
 	r.state.Resumed++
@@ -297,7 +300,7 @@
 		r.mu.Lock()
 		var done bool
 		buf, done = g.lines(buf[:0], &c)
-		changed := g.changed
+		changed, behind := g.changed, c.next < g.tokens
 		r.mu.Unlock()
 		if len(buf) > 0 {
 			if !r.waitThawed(ctx, ScopeStreams, number) || !r.waitThawed(ctx, ScopeAll, 0) {
@@ -310,6 +313,9 @@
 		if done {
 			return
 		}
+		if behind {
+			continue
+		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
