Limit running calls for each token gap target

Cause: an engine whose urgent streams stalled was closed for background calls too. At twice the capacity such an engine left a quarter of its memory idle.

Change: each target has its own limit, which counts the streams with targets at most as long and follows the gaps of that target's streams. TestReplay: 3 calls are refused instead of 1, background calls hold more memory of its two small engines.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -122,7 +122,7 @@
 	} else {
 		e.decoding++
 	}
-	e.count(r.gap, 1)
+	e.count(r.gap, 1, a.runningLimit)
 	r.shared = e.match(&c)
 	e.pin(r)
 	e.running = append(e.running, r)
@@ -136,8 +136,8 @@
 func (a *Admit) Token(now time.Time, id core.RequestID, n core.Tokens) {
 	if r := a.running[id]; r != nil && n > r.generated {
 		r.ep.pace.token(now, r, r.prompt, r.ep.decoding)
-		if !r.last.IsZero() {
-			r.ep.room.add(now, now.Sub(r.last), r.gap, r.ep.streams(r.gap), a.runningLimit)
+		if t := r.ep.target(r.gap); t != nil && !r.last.IsZero() {
+			t.room.add(now, now.Sub(r.last), r.gap, r.ep.streams(r.gap), a.runningLimit)
 		}
 		r.last = now
 		if r.generated == 0 {
@@ -197,7 +197,7 @@
 	e := r.ep
 	e.unpin(r)
 	e.pace.forget(r)
-	e.count(r.gap, -1)
+	e.count(r.gap, -1, a.runningLimit)
 	if r.generated > 0 {
 		e.decoding--
 	}
@@ -303,14 +303,16 @@
 	return lowest.info.ID, true
 }
 
-// noRoom reports whether as many calls run as an endpoint may run next to a new one. The endpoint's own limit counts
-// streams whose gap target is as tight as the new call's: urgent calls must not be refused because others took the
-// places. It does not hold for a prompt that would delay the streams of a full endpoint: that goes where it delays least.
+// noRoom reports whether as many calls run as an endpoint may run next to a new one. Each token gap target has a
+// limit of its own that counts streams with targets at most as long: urgent calls must not be refused because others
+// took the places, and background calls may run where only urgent streams stall. It does not hold for a prompt that
+// would delay the streams of a full endpoint: that goes where it delays least.
 func (a *Admit) noRoom(e *endpoint, gap time.Duration, prompt core.Tokens) bool {
 	if len(e.running) >= a.runningLimit {
 		return true
 	}
-	return e.streams(gap) >= e.room.calls && !e.exceeds(e.pace.gap(a.runningLimit, prompt))
+	t := e.target(gap)
+	return t != nil && e.streams(gap) >= t.room.calls && !e.exceeds(e.pace.gap(a.runningLimit, prompt))
 }
 
 // tooMuch reports whether an endpoint that computes prompts already has to finish them first.
@@ -353,7 +355,7 @@
 func (a *Admit) end(id core.EndpointID) *endpoint {
 	e := a.ends[id]
 	if e == nil {
-		e = newEndpoint(id, a.block, a.runningLimit)
+		e = newEndpoint(id, a.block)
 		a.ends[id] = e
 	}
 	return e
--- a/core/admit/endpoint.go
+++ b/core/admit/endpoint.go
@@ -21,10 +21,9 @@
 	// held is the memory of the running calls, with shared blocks counted once.
 	held core.Tokens
 	pace pace
-	room room
 	// decoding is the number of running calls with a first token.
 	decoding int
-	// targets counts the running calls by their token gap target.
+	// targets has the token gap targets of the running and of earlier calls.
 	targets []gapTarget
 	// prompts is the number of prompt tokens that the engine still has to compute.
 	prompts core.Tokens
@@ -38,11 +37,12 @@
 type gapTarget struct {
 	gap   time.Duration
 	calls int
+	room  room
 }
 
-func newEndpoint(id core.EndpointID, block core.Tokens, calls int) *endpoint {
+func newEndpoint(id core.EndpointID, block core.Tokens) *endpoint {
 	return &endpoint{
-		info: core.RunnerInfo{ID: id}, block: block, pinned: map[uint64]int{}, room: room{calls: calls},
+		info: core.RunnerInfo{ID: id}, block: block, pinned: map[uint64]int{},
 		newer: map[uint64]struct{}{}, older: map[uint64]struct{}{},
 	}
 }
@@ -146,18 +146,22 @@
 	return max(peak, later) + shared, peak + shared
 }
 
-// count adds n running calls with a token gap target.
-func (e *endpoint) count(gap time.Duration, n int) {
-	if gap == 0 {
-		return
-	}
-	i := slices.IndexFunc(e.targets, func(t gapTarget) bool { return t.gap == gap })
-	if i < 0 {
-		i = len(e.targets)
-		e.targets = append(e.targets, gapTarget{gap: gap})
+// target returns the entry of a token gap target, nil when there is none.
+func (e *endpoint) target(gap time.Duration) *gapTarget {
+	for i := range e.targets {
+		if e.targets[i].gap == gap {
+			return &e.targets[i]
+		}
 	}
-	if e.targets[i].calls += n; e.targets[i].calls == 0 {
-		e.targets = slices.Delete(e.targets, i, i+1)
+	return nil
+}
+
+// count adds n running calls with a token gap target; most is the limit of running calls.
+func (e *endpoint) count(gap time.Duration, n, most int) {
+	if t := e.target(gap); t != nil {
+		t.calls += n
+	} else if gap > 0 {
+		e.targets = append(e.targets, gapTarget{gap: gap, calls: n, room: room{calls: most}})
 	}
 }
 
@@ -181,7 +185,7 @@
 		return false
 	}
 	for _, t := range e.targets {
-		if gap == 0 || t.gap < gap {
+		if t.calls > 0 && (gap == 0 || t.gap < gap) {
 			gap = t.gap
 		}
 	}
@@ -201,7 +205,7 @@
 
 // exceeds reports whether a gap is above the target of any running call.
 func (e *endpoint) exceeds(gap time.Duration) bool {
-	return slices.ContainsFunc(e.targets, func(t gapTarget) bool { return gap > t.gap })
+	return slices.ContainsFunc(e.targets, func(t gapTarget) bool { return t.calls > 0 && gap > t.gap })
 }
 
 func (e *endpoint) limit(pct int64) core.Tokens {
--- a/core/admit/room.go
+++ b/core/admit/room.go
@@ -15,7 +15,7 @@
 	roomKeepNum, roomKeepDen = 7, 8
 )
 
-// room is an endpoint's limit of running calls; it follows the gaps between tokens beyond their targets.
+// room is an endpoint's limit of running calls with a token gap target; it follows the gaps beyond that target.
 //
 // Prompts that delay the streams of a full endpoint go where the fewest calls run. The limits there shrink and those
 // of the other endpoints grow, so that few streams share an engine with long prompts.
