--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -206,3 +206,27 @@
 	_, ok = a.Choose(&short, 0, nil, false)
 	is.True(!ok)
 }
+
+// Guards against preemptions: calls of lower ranks must not start below a peak that exceeds the memory, because calls
+// of unknown length may last until then.
+func TestLowerRankLeavesALaterPeakAlone(t *testing.T) {
+	is := is.New(t)
+	l := length.New(length.WithMinSamples(1))
+	short, long := core.Call{ID: "short", Service: "short", PromptTokens: 100}, core.Call{ID: "long", Service: "long", PromptTokens: 100}
+	for range 200 {
+		l.Observe(t0, &short, 4)
+		l.Observe(t0, &long, 1000)
+	}
+	a := New(l)
+	a.SetRunners(runners(1, 2000))
+	for _, id := range []core.RequestID{"1", "2"} {
+		c := long
+		c.ID = id
+		a.Start(c, "e0", 500)
+	}
+	_, ok := a.Choose(&short, 8, nil, false)
+	is.True(!ok)
+	a.Finish("2")
+	_, ok = a.Choose(&short, 8, nil, false)
+	is.True(ok)
+}
