--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -71,7 +71,7 @@
 			rs := runners(2, 1000)
 			a.SetRunners(rs)
 			tc.setup(a, rs)
-			ep, fits := a.Choose(t0, &tc.call, 0, tc.held)
+			ep, fits := a.Choose(&tc.call, 0, tc.held, false)
 			is.Equal(ep, tc.want)
 			is.Equal(fits, tc.fits)
 		})
@@ -85,7 +85,7 @@
 	a := New(length.New(), WithPromptLimit(300))
 	a.SetRunners(runners(1, 10_000))
 	fits := func(c core.Call) bool {
-		_, ok := a.Choose(t0, &c, 0, nil)
+		_, ok := a.Choose(&c, 0, nil, false)
 		return ok
 	}
 	is.True(fits(call("large", 2000)))
@@ -94,7 +94,7 @@
 	is.True(fits(call("3", 150, 1, 2, 3, 4, 5, 6))) // 96 tokens are cached
 	a.Cached("1", 96)
 	is.True(fits(call("2", 190)))
-	a.Token("1", 1)
+	a.Token(t0, "1", 1)
 	is.True(fits(call("large", 2000)))
 	a.Start(call("4", 300), "e0", 0)
 	a.Finish("4") // ended before its first token
@@ -141,7 +141,7 @@
 			"token": func(t *rapid.T) {
 				for id := range live {
 					live[id] += core.Tokens(rapid.IntRange(0, 300).Draw(t, "tokens"))
-					a.Token(id, live[id])
+					a.Token(t0, id, live[id])
 				}
 			},
 			"cached": func(t *rapid.T) {
@@ -180,3 +180,53 @@
 		})
 	})
 }
+
+// Guards against short calls that are refused for memory that longer calls need only after the short ones have ended.
+func TestShortCallEndsBeforeThePeak(t *testing.T) {
+	is := is.New(t)
+	l := length.New(length.WithMinSamples(1))
+	short, long := core.Call{ID: "short", Service: "short", PromptTokens: 100}, core.Call{ID: "long", Service: "long", PromptTokens: 100}
+	for range 200 {
+		l.Observe(t0, &short, 4)
+		l.Observe(t0, &long, 1000)
+	}
+	a := New(l)
+	a.SetRunners(runners(1, 2000))
+	for _, id := range []core.RequestID{"1", "2"} {
+		c := long
+		c.ID = id
+		a.Start(c, "e0", 500) // both are expected to end with 1,100 tokens of memory
+	}
+	is.True(a.Forecast("e0") > 2000)
+	_, ok := a.Choose(&short, 0, nil, false)
+	is.True(ok)
+	_, ok = a.Choose(&long, 0, nil, false)
+	is.True(!ok)
+	short.PromptTokens = 700 // does not fit into the memory that is free now
+	_, ok = a.Choose(&short, 0, nil, false)
+	is.True(!ok)
+}
+
+// Guards against preemptions: calls of lower ranks must not start below a peak that exceeds the memory, because calls
+// of unknown length may last until then.
+func TestLowerRankLeavesALaterPeakAlone(t *testing.T) {
+	is := is.New(t)
+	l := length.New(length.WithMinSamples(1))
+	short, long := core.Call{ID: "short", Service: "short", PromptTokens: 100}, core.Call{ID: "long", Service: "long", PromptTokens: 100}
+	for range 200 {
+		l.Observe(t0, &short, 4)
+		l.Observe(t0, &long, 1000)
+	}
+	a := New(l)
+	a.SetRunners(runners(1, 2000))
+	for _, id := range []core.RequestID{"1", "2"} {
+		c := long
+		c.ID = id
+		a.Start(c, "e0", 500)
+	}
+	_, ok := a.Choose(&short, 8, nil, false)
+	is.True(!ok)
+	a.Finish("2")
+	_, ok = a.Choose(&short, 8, nil, false)
+	is.True(ok)
+}
--- a/core/admit/endpoint.go
+++ b/core/admit/endpoint.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"snipeshed/core"
 )
@@ -19,6 +20,11 @@
 	sorted bool
 	// held is the memory of the running calls, with shared blocks counted once.
 	held core.Tokens
+	pace pace
+	// decoding is the number of running calls with a first token.
+	decoding int
+	// targets has the token gap targets of the running and of earlier calls.
+	targets []gapTarget
 	// prompts is the number of prompt tokens that the engine still has to compute.
 	prompts core.Tokens
 	// pinned counts for each block the running calls that share it.
@@ -33,35 +39,12 @@
 	foreignHeld core.Tokens
 }
 
-// report takes the endpoint's description and, from a new report, what other owners run there: a former owner that stops
-// as planned keeps its running streams to their end. The report lags, so it is compared with the most calls that were
-// running here at any time that it may describe.
-func (e *endpoint) report(info core.RunnerInfo) {
-	fresh := !info.Reported.IsZero() && !info.Reported.Equal(e.info.Reported)
-	e.info = info
-	if !fresh {
-		return
-	}
-	total := info.Load.Running + info.Load.Waiting
-	e.foreign = max(total-max(e.most, e.mostBefore), 0)
-	e.mostBefore, e.most = e.most, len(e.running)
-	e.foreignHeld = 0
-	if e.foreign > 0 {
-		e.foreignHeld = info.Load.KVUsed * core.Tokens(e.foreign) / core.Tokens(total)
-	}
-}
-
-// adopt takes one call from the other owners' ones, because it now is an own one.
-func (e *endpoint) adopt() {
-	if e.foreign > 0 {
-		e.foreignHeld -= e.foreignHeld / core.Tokens(e.foreign)
-		e.foreign--
-	}
+type gapTarget struct {
+	gap   time.Duration
+	calls int
+	room  room
 }
 
-// foreignGrowth multiplies the memory of other owners' calls in the forecast: on average a call is halfway.
-const foreignGrowth = 2
-
 func newEndpoint(id core.EndpointID, block core.Tokens) *endpoint {
 	return &endpoint{
 		info: core.RunnerInfo{ID: id}, block: block, pinned: map[uint64]int{},
@@ -137,28 +120,97 @@
 
 // forecast returns the peak over the upcoming completions of the memory held at that point, with an extra call if
 // there is one: when the i-th longest call completes, the i longest calls each have grown by its remaining length.
-func (e *endpoint) forecast(extra *core.Call, extraMore core.Tokens) core.Tokens {
+// During is the peak until the extra call completes; a later peak of longer calls does not depend on it.
+func (e *endpoint) forecast(extra *core.Call, extraMore core.Tokens) (peak, during core.Tokens) {
 	if !e.sorted {
 		slices.SortStableFunc(e.running, func(x, y *running) int { return cmp.Compare(y.more, x.more) })
 		e.sorted = true
 	}
-	var sum, peak, n core.Tokens
+	var sum, n core.Tokens
 	add := func(now, more core.Tokens) {
 		n++
 		sum += now
 		peak = max(peak, sum+n*more)
 	}
+	later := core.Tokens(0)
+	insert := func() {
+		later, peak = peak, 0
+		add(extra.PromptTokens-core.Tokens(e.match(extra))*e.block, extraMore)
+		extra = nil
+	}
 	for _, r := range e.running {
 		if extra != nil && extraMore >= r.more {
-			add(extra.PromptTokens-core.Tokens(e.match(extra))*e.block, extraMore)
-			extra = nil
+			insert()
 		}
 		add(e.private(r), r.more)
 	}
 	if extra != nil {
-		add(extra.PromptTokens-core.Tokens(e.match(extra))*e.block, extraMore)
+		insert()
 	}
-	return peak + e.sharedTokens() + foreignGrowth*e.foreignHeld
+	shared := e.sharedTokens() + foreignGrowth*e.foreignHeld
+	return max(peak, later) + shared, peak + shared
+}
+
+// target returns the entry of a token gap target, nil when there is none.
+func (e *endpoint) target(gap time.Duration) *gapTarget {
+	for i := range e.targets {
+		if e.targets[i].gap == gap {
+			return &e.targets[i]
+		}
+	}
+	return nil
+}
+
+// count adds n running calls with a token gap target; most is the limit of running calls.
+func (e *endpoint) count(gap time.Duration, n, most int) {
+	if t := e.target(gap); t != nil {
+		t.calls += n
+	} else if gap > 0 {
+		e.targets = append(e.targets, gapTarget{gap: gap, calls: n, room: room{calls: most}})
+	}
+}
+
+// streams returns the number of running calls with a token gap target that is at most as long as a given one.
+func (e *endpoint) streams(gap time.Duration) int {
+	if gap == 0 {
+		return len(e.running)
+	}
+	n := 0
+	for _, t := range e.targets {
+		if t.gap <= gap {
+			n += t.calls
+		}
+	}
+	return n
+}
+
+// crowded reports whether one more running call would keep the gaps of a stream, or its own, above their target.
+func (e *endpoint) crowded(gap time.Duration) bool {
+	if len(e.running) < minRunning {
+		return false
+	}
+	for _, t := range e.targets {
+		if t.calls > 0 && (gap == 0 || t.gap < gap) {
+			gap = t.gap
+		}
+	}
+	return gap > 0 && e.pace.gap(len(e.running)+1, 0) > gap
+}
+
+// stall returns the time by which computing prompt tokens in one step is expected to exceed the gap targets of the
+// running calls, summed over them.
+func (e *endpoint) stall(prompt core.Tokens) time.Duration {
+	gap := e.pace.gap(len(e.running), prompt)
+	var sum time.Duration
+	for _, t := range e.targets {
+		sum += max(gap-t.gap, 0) * time.Duration(t.calls)
+	}
+	return sum
+}
+
+// exceeds reports whether a gap is above the target of any running call.
+func (e *endpoint) exceeds(gap time.Duration) bool {
+	return slices.ContainsFunc(e.targets, func(t gapTarget) bool { return t.calls > 0 && gap > t.gap })
 }
 
 func (e *endpoint) limit(pct int64) core.Tokens {
--- a/core/admit/foreign_test.go
+++ b/core/admit/foreign_test.go
@@ -66,7 +66,7 @@
 			a := New(length.New(), WithRunningLimit(4))
 			tc.do(a)
 			c := short("new")
-			_, fits := a.Choose(t0, &c, 0, nil)
+			_, fits := a.Choose(&c, 0, nil, false)
 			is.Equal(a.ends["e0"].foreign, tc.foreign)
 			is.Equal(fits, tc.fits)
 		})
