Bound the wait for a generation's begin

Cause: since an owner knows a generation from the answer's headers, it waits without a limit for an engine that accepted the call and is stuck.

Ruled out: going back to 5 s, which failed calls at engines without room; and the load report, which shows a stuck engine's calls as waiting, too.

Change: a generation that has not begun 15 s after its engine accepted it is canceled there, and the call goes elsewhere within the retry budget.

--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -25,6 +25,8 @@
 	counters   Counters
 	// confirmed tells that a line of the stream has named the generation together with the request.
 	confirmed bool
+	// unbegun tells that the wait for the generation's begin was given up.
+	unbegun bool
 
 	// wrong is when the first of the streams in a row came that were not this generation's; backoff delays the next one.
 	wrong   time.Time
@@ -65,8 +67,11 @@
 	defaultGiveUp  = 5 * time.Second
 	// maxFailedProbes is the number of unanswered probes after which the engine counts as unreachable.
 	maxFailedProbes = 3
-	firstBackoff    = 20 * time.Millisecond
-	maxBackoff      = 500 * time.Millisecond
+	// beginLimit bounds the wait for the begin of a generation: an engine without room begins it when others end, a stuck
+	// engine never.
+	beginLimit   = 15 * time.Second
+	firstBackoff = 20 * time.Millisecond
+	maxBackoff   = 500 * time.Millisecond
 )
 
 // New follows a generation whose stream is open; generation is empty when the stream's first line will tell it.
@@ -195,6 +200,9 @@
 // resume opens the stream again from the next token.
 func (f *Follow) resume(ctx context.Context, cause error) error {
 	_ = f.current().Close() // it already failed
+	if f.givenUp() {
+		return f.cancelUnbegun(ctx)
+	}
 	if f.generation == "" {
 		return &core.Error{
 			Kind: core.KindStreamBroken, Message: "the engine's answer broke before its first line",
@@ -223,6 +231,22 @@
 	}
 }
 
+func (f *Follow) givenUp() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.unbegun
+}
+
+// cancelUnbegun ends a generation that its engine accepted but did not begin, so that the call can go elsewhere.
+func (f *Follow) cancelUnbegun(ctx context.Context) error {
+	cctx, cancel := context.WithTimeout(ctx, f.silence)
+	defer cancel()
+	return &core.Error{
+		Kind: core.KindStreamBroken, Message: fmt.Sprintf("the engine did not begin the generation within %s", beginLimit),
+		Remedy: "send the request again", Run: core.RunUnknown, Cause: f.runner.Cancel(cctx, f.Generation()),
+	}
+}
+
 func (f *Follow) broken(cause error) error {
 	return &core.Error{
 		Kind: core.KindStreamBroken, Message: fmt.Sprintf("the generation was lost after %d tokens", f.next),
@@ -319,6 +343,14 @@
 		}
 	case err == nil && st.Tokens <= f.next && !st.Done:
 		f.failures = 0
+		if f.confirmed || quiet < beginLimit {
+			return
+		}
+		f.unbegun = true
+	}
+	if f.unbegun {
+		f.counters.Count("unbegun_generations")
+		_ = s.Close()
 		return
 	}
 	f.counters.Count("silent_connections")
