Model the removal of old action records

Cause: models/action.pml did not have the retention of records. Change: with RETENTION a process lists an old record and removes it later on the condition of its version, beside two calls with late writes and a crash; a record is old when the calls and writes from before it have ended. The check runs it with two faults, and two deliberate faults: a removal without the condition and one of a record that is not old.

--- a/models/check.sh
+++ b/models/check.sh
@@ -35,12 +35,15 @@
 action holds
 ticket holds
 ticket holds -DSPREAD
+action holds -DRETENTION -DFAULTS=2
 action violated -DFAULT_TAKEOVER
 action violated -DFAULT_RESEND
 action violated -DFAULT_EARLY
 action violated -DFAULT_FORGET
 action violated -DFAULT_MISSING
 action violated -DFAULT_REWRITE
+action violated -DRETENTION -DFAULT_BLIND
+action violated -DRETENTION -DFAULT_YOUNG
 ticket violated -DFAULT_BLIND
 ticket violated -DFAULT_OWN
 ticket violated -DFAULT_UNCHECKED
