--- a/cmds/compare.go
+++ b/cmds/compare.go
@@ -51,6 +51,9 @@
 	}
 	for _, d := range resp.GetDifferences() {
 		fmt.Fprintf(w, "%s, set by ticket %d\n", d.GetItem(), d.GetSetBy())
+		if d.GetEarlierDeleted() {
+			fmt.Fprintln(w, "  the state at the lower number is not known: the ticket that set it is no longer kept")
+		}
 		for _, side := range []struct {
 			sign string
 			item *wire.Item
--- a/cmds/list.go
+++ b/cmds/list.go
@@ -50,6 +50,9 @@
 	if c.Bool("json") {
 		return writeJSON(c.Root().Writer, resp)
 	}
+	if first := resp.GetFirstKept(); first > 0 {
+		fmt.Fprintf(c.Root().Writer, "tickets %d to %d are no longer kept\n", after+1, first-1)
+	}
 	rows := [][]string{{"NUMBER", "ACCEPTED", "AUTHOR", "ITEMS", "COMMENT"}}
 	for _, t := range resp.GetTickets() {
 		rows = append(rows, []string{
--- a/io/oper/compare.go
+++ b/io/oper/compare.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -57,7 +58,7 @@
 	}
 	var sorted []*wire.Difference
 	for _, key := range slices.Sorted(maps.Keys(diffs)) {
-		if d := diffs[key]; !proto.Equal(d.GetBefore(), d.GetAfter()) {
+		if d := diffs[key]; d.GetEarlierDeleted() || !proto.Equal(d.GetBefore(), d.GetAfter()) {
 			sorted = append(sorted, d)
 		}
 	}
@@ -66,10 +67,16 @@
 
 // before fills in the items' states at ticket n by reading the log backwards until all are found.
 func (l *ledger) before(ctx context.Context, n core.TicketNumber, diffs map[string]*wire.Difference) error {
-	missing := maps.Clone(diffs)
+	missing, deleted := maps.Clone(diffs), false
 	for n > 0 && len(missing) > 0 {
 		start := n - min(n, listPage)
 		page, err := l.between(ctx, start, n)
+		var trimmed *trimmedError
+		if errors.As(err, &trimmed) {
+			page, err = l.page(ctx, start, int(n-start))
+			page = slices.DeleteFunc(page, func(t *wire.Ticket) bool { return t.GetNumber() > uint64(n) })
+			start, deleted = 0, true
+		}
 		if err != nil {
 			return err
 		}
@@ -83,6 +90,9 @@
 		}
 		n = start
 	}
+	for _, d := range missing {
+		d.EarlierDeleted = deleted
+	}
 	return nil
 }
 
--- a/io/oper/ledger.go
+++ b/io/oper/ledger.go
@@ -102,5 +102,5 @@
 }
 
 func (e *trimmedError) Error() string {
-	return fmt.Sprintf("ticket %d is not in the log; it may have been replaced by a snapshot", e.missing)
+	return fmt.Sprintf("ticket %d is no longer kept; tickets older than ticket_retention_ms are deleted", e.missing)
 }
--- a/io/oper/server_test.go
+++ b/io/oper/server_test.go
@@ -106,8 +106,16 @@
 		_, err = o.Compare(t.Context(), &wire.CompareRequest{From: 1, To: 6}) // not yet
 		refused(t, err, step{kind: core.KindNotFound, run: core.RunNot})
 	}
-	is.NoErr(st.Delete(t.Context(), state.TicketKey(2), 0))
-	_, err := loaded.Compare(t.Context(), &wire.CompareRequest{From: 1, To: 3})
+	for n := range core.TicketNumber(2) {
+		is.NoErr(st.Delete(t.Context(), state.TicketKey(n+1), 0))
+	}
+	list, err := loaded.List(t.Context(), &wire.ListRequest{})
+	is.NoErr(err)
+	is.Equal([]uint64{list.GetFirstKept(), list.GetTickets()[0].GetNumber()}, []uint64{3, 3})
+	_, err = loaded.Show(t.Context(), &wire.ShowRequest{Number: 2})
+	refused(t, err, step{kind: core.KindNotFound, run: core.RunNot, parts: []string{"no longer kept", "oldest kept one is 3"}})
+	is.Equal(compare(t, loaded, 4, 5), "rank/new ?5 rank/urgent *5") // new was not set by a kept ticket
+	_, err = loaded.Compare(t.Context(), &wire.CompareRequest{From: 1, To: 3})
 	refused(t, err, step{kind: core.KindNotFound, run: core.RunNot, parts: []string{"ticket 2"}})
 }
 
@@ -118,7 +126,9 @@
 	var parts []string
 	for _, d := range resp.GetDifferences() {
 		sign := "*"
-		if d.GetBefore() == nil {
+		if d.GetEarlierDeleted() {
+			sign = "?"
+		} else if d.GetBefore() == nil {
 			sign = "+"
 		} else if d.GetAfter() == nil {
 			sign = "-"
--- a/io/oper/show.go
+++ b/io/oper/show.go
@@ -26,11 +26,7 @@
 	}
 	object, err := o.store.Get(ctx, state.TicketKey(n))
 	if errors.Is(err, core.ErrNotFound) {
-		return nil, &core.Error{
-			Kind: core.KindNotFound, Run: core.RunNot,
-			Message: fmt.Sprintf("ticket %d is not in the log; the last one in force here is %d", n, o.state.Number()),
-			Remedy:  "list the tickets with snipeshed ticket list; old ones may have been replaced by a snapshot",
-		}
+		return nil, o.missing(ctx, n)
 	}
 	if err != nil {
 		return nil, unread(err)
@@ -42,6 +38,30 @@
 	return &wire.ShowResponse{Ticket: t}, nil
 }
 
+// missing says why a ticket is not in the log.
+func (o *Oper) missing(ctx context.Context, n core.TicketNumber) error {
+	if last := o.state.Number(); n > last {
+		return &core.Error{
+			Kind: core.KindNotFound, Run: core.RunNot,
+			Message: fmt.Sprintf("ticket %d is not in the log; the last one in force here is %d", n, last),
+			Remedy:  "list the tickets with snipeshed ticket list",
+		}
+	}
+	first, err := o.ledger.page(ctx, 0, 1)
+	if err != nil {
+		return unread(err)
+	}
+	e := &core.Error{
+		Kind: core.KindNotFound, Run: core.RunNot,
+		Message: fmt.Sprintf("ticket %d was accepted, but is no longer kept: tickets older than ticket_retention_ms are deleted", n),
+		Remedy:  "its effect is part of the configuration, which snipeshed ticket show prints",
+	}
+	if len(first) > 0 {
+		e.Message += fmt.Sprintf("; the oldest kept one is %d", first[0].GetNumber())
+	}
+	return e
+}
+
 // List returns up to limit tickets after a number, by default 20 and at most 100.
 func (o *Oper) List(ctx context.Context, req *wire.ListRequest) (*wire.ListResponse, error) {
 	limit, after := int(req.GetLimit()), core.TicketNumber(req.GetAfter())
@@ -59,6 +79,9 @@
 		if err != nil {
 			return nil, unread(err)
 		}
+		if len(resp.Tickets) == 0 && len(page) > 0 && page[0].GetNumber() > uint64(after)+1 {
+			resp.FirstKept = page[0].GetNumber()
+		}
 		resp.Tickets = append(resp.Tickets, page...)
 		if len(page) < asked {
 			break
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -131,6 +131,7 @@
 		r.spawn(r.pushNews)
 		r.spawn(r.pull)
 		r.spawn(r.playRole)
+		r.spawn(r.trim)
 	})
 }
 
--- a/io/relay/snap.go
+++ b/io/relay/snap.go
@@ -107,8 +107,7 @@
 		if n, _, _, ok := parseChunkKey(o.Key); !ok || n >= oldest {
 			continue
 		}
-		err := r.store.Delete(ctx, o.Key, o.Version)
-		if err != nil && !errors.Is(err, core.ErrVersion) && !errors.Is(err, core.ErrNotFound) {
+		if err := r.deleteObject(ctx, o); err != nil {
 			return err
 		}
 	}
@@ -126,14 +125,9 @@
 		return nil
 	}
 	best := complete[len(complete)-1]
-	whole := &wire.Snapshot{}
-	for _, value := range best.chunks {
-		part := &wire.Snapshot{}
-		if err := proto.Unmarshal(value, part); err != nil {
-			return fmt.Errorf("snapshot %d is malformed: %w", best.number, err)
-		}
-		whole.Number = part.GetNumber()
-		whole.Entries = append(whole.Entries, part.GetEntries()...)
+	whole, err := best.decode()
+	if err != nil {
+		return err
 	}
 	r.mu.Lock()
 	r.snapped = max(r.snapped, best.number)
@@ -182,3 +176,18 @@
 	}
 	return slices.DeleteFunc(all, func(s stored) bool { return len(s.chunks) != s.total })
 }
+
+func (s stored) decode() (*wire.Snapshot, error) {
+	whole := &wire.Snapshot{Number: uint64(s.number)}
+	for _, value := range s.chunks {
+		part := &wire.Snapshot{}
+		if err := proto.Unmarshal(value, part); err != nil {
+			return nil, fmt.Errorf("snapshot %d is malformed: %w", s.number, err)
+		}
+		if part.GetNumber() != whole.GetNumber() {
+			return nil, fmt.Errorf("snapshot %d holds the number %d", s.number, part.GetNumber())
+		}
+		whole.Entries = append(whole.Entries, part.GetEntries()...)
+	}
+	return whole, nil
+}
--- /dev/null
+++ b/io/relay/trim_test.go
@@ -0,0 +1,254 @@
+package relay
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/core/state"
+	"snipeshed/wire"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+func (w *world) tickets() (kept []*wire.Ticket) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for n := uint64(1); n <= w.accepted; n++ {
+		key := state.TicketKey(core.TicketNumber(n))
+		if o, found := w.objects[key]; found {
+			if t, err := state.DecodeTicket(key, o.Value); err == nil {
+				kept = append(kept, t)
+			}
+		}
+	}
+	return kept
+}
+
+const (
+	trimTestRetention = time.Hour
+	trimTestEvery     = 10
+)
+
+// trimWorld has two instances that delete and one that is behind; none of them runs by itself.
+type trimWorld struct {
+	*world
+	behind *node
+}
+
+func newTrimWorld(t *testing.T) *trimWorld {
+	w := &trimWorld{world: newWorld(t)}
+	for range 3 {
+		w.add("zone-0", func(s *conf.Settings) {
+			s.SnapshotEvery, s.TicketRetentionMs = trimTestEvery, trimTestRetention.Milliseconds()
+		})
+	}
+	w.behind = w.nodes[2]
+	return w
+}
+
+// start reads the store into a new instance and returns what is wrong with the outcome.
+func (w *trimWorld) read(n *node) error {
+	if _, err := n.catchUp(context.Background()); err != nil {
+		return fmt.Errorf("instance does not come up: %w", err)
+	}
+	cfg := n.Config()
+	if uint64(cfg.Number) != w.accepted {
+		return fmt.Errorf("instance is at %d of %d and believes that it has all", cfg.Number, w.accepted)
+	}
+	if w.accepted > 0 && uint64(cfg.Teams["tallinn"].GetWeight()) != w.accepted {
+		return fmt.Errorf("instance at %d has the state of %d", cfg.Number, cfg.Teams["tallinn"].GetWeight())
+	}
+	return nil
+}
+
+// step runs one step of a history and returns what is wrong after it.
+func (w *trimWorld) step(op string) error {
+	ctx := context.Background()
+	switch op {
+	case "accept":
+		for range 7 {
+			w.accept()
+		}
+	case "wait":
+		time.Sleep(trimTestRetention * 2 / 3)
+	case "snapshot", "two snapshot":
+		for _, n := range w.nodes[:2] {
+			if op == "snapshot" && n != w.nodes[0] {
+				break
+			}
+			if _, err := n.catchUp(ctx); err == nil && n.state.Number() > 0 {
+				at := n.state.Number()
+				_ = n.writeSnapshot(ctx, at-at%trimTestEvery) // may fail in an outage
+			}
+		}
+	case "trim":
+		_, _ = w.nodes[0].trimLog(ctx)
+	case "two trim":
+		var both sync.WaitGroup
+		both.Go(func() { _, _ = w.nodes[0].trimLog(ctx) })
+		both.Go(func() { _, _ = w.nodes[1].trimLog(ctx) })
+		both.Wait()
+	case "lost answer", "dropped":
+		left := 3
+		w.deleteFault = func(key string) (bool, error) {
+			if left--; left != 0 {
+				return true, nil
+			}
+			return op == "lost answer", &core.StoreError{Op: "delete", Key: key, Effect: core.EffectUnknown, Cause: errCut}
+		}
+	case "outage":
+		w.platform(down)
+	case "back":
+		w.platform(up)
+	case "return":
+		w.platform(up)
+		return w.read(w.behind)
+	}
+	return nil
+}
+
+// check reports tickets that must not have been deleted, and starts an instance from the store alone.
+func (w *trimWorld) check() error {
+	kept := w.tickets()
+	for i, t := range kept {
+		if i > 0 && t.GetNumber() != kept[i-1].GetNumber()+1 {
+			return fmt.Errorf("the log has a hole before %d", t.GetNumber())
+		}
+	}
+	first := w.accepted + 1
+	if len(kept) > 0 {
+		first = kept[0].GetNumber()
+	}
+	objects, err := w.nodes[0].listSnapshots(context.Background())
+	if err != nil {
+		return err
+	}
+	covered := core.TicketNumber(1)
+	if complete := completeSnapshots(objects); len(complete) > 1 {
+		covered = complete[len(complete)-2].number
+	}
+	if first > uint64(covered) {
+		return fmt.Errorf("ticket %d was deleted, but snapshots cover only %d", first-1, covered)
+	}
+	n := &node{w: w.world, state: state.New(), peer: w.nodes[0].peer, cfg: w.nodes[0].cfg}
+	n.make()
+	return w.read(n)
+}
+
+// Guards against a log that loses a ticket which is not covered by two snapshots, and against an instance that starts or
+// returns and takes the state of a log with deleted tickets for complete; with two instances that delete, lost answers,
+// lost requests and outages.
+func TestTrimHistories(t *testing.T) {
+	deleted := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		ops := rapid.SliceOfN(rapid.SampledFrom([]string{
+			"accept", "accept", "wait", "wait", "snapshot", "two snapshot", "trim", "two trim", "two trim",
+			"lost answer", "dropped", "outage", "back", "return",
+		}), 20, 80).Draw(rt, "ops")
+		var failed error
+		synctest.Test(t, func(t *testing.T) {
+			w := newTrimWorld(t)
+			defer w.close()
+			for i, op := range ops {
+				if failed = w.step(op); failed != nil {
+					return
+				}
+				fails := w.storeErr
+				w.platform(up)
+				if failed = w.check(); failed != nil {
+					failed = fmt.Errorf("step %d, %s: %w", i, op, failed)
+					return
+				}
+				w.platform(fails)
+			}
+			deleted += int(w.accepted) - len(w.tickets())
+		})
+		if failed != nil {
+			rt.Fatal(failed)
+		}
+	})
+	t.Logf("deleted=%d", deleted)
+	is.New(t).True(deleted > 100)
+}
+
+// Guards against a fleet that deletes nothing, too fast, or young tickets, and against instances that were cut off
+// meanwhile and come back with a gap.
+func TestTrimOfFleet(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *world) {
+		is := is.New(t)
+		const retention = 2 * time.Minute
+		for range 4 {
+			w.add("zone-0", func(s *conf.Settings) { s.SnapshotEvery, s.TicketRetentionMs = 10, retention.Milliseconds() })
+		}
+		for _, n := range w.nodes {
+			n.Start()
+		}
+		for _, n := range w.nodes {
+			<-n.Ready()
+		}
+		lost := w.nodes[3]
+		w.platform(func(n *node) error {
+			if n == lost {
+				return errCut
+			}
+			return nil
+		})
+		w.cut(func(a, b *node) error {
+			if a == lost || b == lost {
+				return errCut
+			}
+			return nil
+		})
+		deletions, youngest := map[int64]int{}, time.Hour
+		w.deleteFault = func(key string) (bool, error) {
+			if strings.HasPrefix(key, state.TicketPrefix) {
+				deletions[time.Now().Unix()]++
+				if t, err := state.DecodeTicket(key, w.objects[key].Value); err == nil {
+					youngest = min(youngest, time.Since(time.UnixMilli(t.GetAcceptedUnixMs())))
+				}
+			}
+			return true, nil
+		}
+		for range 100 {
+			w.accept()
+			time.Sleep(2 * time.Second)
+		}
+		time.Sleep(retention)
+		w.mu.Lock()
+		most := 0
+		for _, n := range deletions {
+			most = max(most, n)
+		}
+		w.mu.Unlock()
+		is.True(youngest >= retention)
+		is.True(most > 0 && most <= 3) // two a second, seen through whole seconds
+		kept := w.tickets()
+		t.Logf("first_kept=%d", kept[0].GetNumber())
+		is.True(kept[0].GetNumber() > 50)
+		is.True(kept[0].GetNumber() <= 90)
+		is.Equal(lost.state.Number(), core.TicketNumber(0))
+		w.cut(linked)
+		w.platform(up)
+		time.Sleep(10 * time.Second)
+		is.Equal(w.minNumber(), core.TicketNumber(100))
+		is.Equal(lost.Config().Teams["tallinn"].GetWeight(), int64(100))
+	})
+}
--- a/io/relay/world_test.go
+++ b/io/relay/world_test.go
@@ -40,6 +40,9 @@
 	calls    int // between instances
 	sent     int // tickets sent between instances
 	puts     int
+	accepted uint64 // tickets so far, deleted ones included
+	// deleteFault returns whether a deletion takes effect and the error that its caller gets.
+	deleteFault func(key string) (bool, error)
 }
 
 type node struct {
@@ -156,13 +159,10 @@
 func (w *world) accept() *wire.Ticket {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	number := uint64(1)
-	for k := range w.objects {
-		if strings.HasPrefix(k, state.TicketPrefix) {
-			number++
-		}
-	}
+	w.accepted++
+	number := w.accepted
 	t := ticket(number)
+	t.AcceptedUnixMs = time.Now().UnixMilli()
 	b, _ := state.EncodeTicket(t)
 	w.revision++
 	key := state.TicketKey(core.TicketNumber(number))
@@ -266,14 +266,24 @@
 	return n.w.revision, nil
 }
 
-func (n *node) Delete(ctx context.Context, key string, _ core.Version) error {
+func (n *node) Delete(ctx context.Context, key string, ifVersion core.Version) error {
 	if err := n.reach(ctx); err != nil {
 		return err
 	}
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
-	delete(n.w.objects, key)
-	return nil
+	o, found := n.w.objects[key]
+	if !found || o.Version != ifVersion {
+		return core.ErrVersion
+	}
+	effect, err := true, error(nil)
+	if n.w.deleteFault != nil {
+		effect, err = n.w.deleteFault(key)
+	}
+	if effect {
+		delete(n.w.objects, key)
+	}
+	return err
 }
 
 func (n *node) List(ctx context.Context, prefix, after string, limit int) ([]core.Object, core.Version, error) {
