--- a/cmds/cmds_test.go
+++ b/cmds/cmds_test.go
@@ -98,7 +98,7 @@
 		want []string
 		fail bool
 	}{
-		{"apply and wait", "ticket apply --wait FILE", urgent, []string{"ticket 1 accepted, id ", "ticket 1 in force at one (a) after 0.0 s", "in force at other (b) after 0.5 s", "at all 2 instances"}, false},
+		{"apply and wait", "ticket apply --wait FILE", urgent, []string{"ticket 1 accepted, id ", "ticket 1 in force at one (a) after 0.0 s", "in force at other (b) after 0.5 s", "at all 2 instances that one knows"}, false},
 		{"lost answer", "ticket apply FILE", batch, []string{"ticket 2 accepted, id b"}, false},
 		{"retry", "ticket apply FILE", batch, []string{"ticket 2 accepted, id b"}, false},
 		{"conflict", "ticket apply --base 0 FILE", raised, []string{"snipeshed: conflict: ticket 1 of piret changed rank/urgent after the base 0", "ticket show 1"}, true},
@@ -179,3 +179,17 @@
 		is.True(strings.Contains(tickets, hex.EncodeToString(sum[:])))
 	}
 }
+
+// Guards against lists and errors that hide that tickets were deleted.
+func TestDeletedTickets(t *testing.T) {
+	is, w := is.New(t), newWorld(t)
+	is.NoErr(w.state.Load(&wire.Snapshot{Number: 5})) // the log before it is gone
+	code, _, stderr := w.run(t, "ticket apply FILE", urgent)
+	is.Equal([]any{code, stderr}, []any{0, ""})
+	_, stdout, _ := w.run(t, "ticket list --after 2", "")
+	is.True(strings.Contains(stdout, "tickets 3 to 5 are no longer kept\n"))
+	_, stdout, _ = w.run(t, "ticket list --after 5", "")
+	is.True(!strings.Contains(stdout, "no longer kept"))
+	code, _, stderr = w.run(t, "ticket show 3", "")
+	is.True(code != 0 && strings.Contains(stderr, "ticket 3 was accepted, but is no longer kept") && strings.Contains(stderr, "the oldest kept one is 6"))
+}
--- a/cmds/wait.go
+++ b/cmds/wait.go
@@ -33,7 +33,7 @@
 			missing = append(missing, lagging(in))
 		}
 		if len(missing) == 0 {
-			fmt.Fprintf(w, "ticket %d in force at all %d instances\n", number, len(resp.GetInstances()))
+			fmt.Fprintf(w, "ticket %d in force at all %d instances that %s knows\n", number, len(resp.GetInstances()), resp.GetInstance())
 			return nil
 		}
 		if time.Since(begin) > limit || ctx.Err() != nil {
--- a/core/store.go
+++ b/core/store.go
@@ -29,7 +29,8 @@
 	Delete(ctx context.Context, key string, ifVersion Version) error
 	// List returns objects with the prefix in key order after a key, and the revision of the answer.
 	List(ctx context.Context, prefix, after string, limit int) ([]Object, Version, error)
-	// Watch calls fn for each change after the revision and with nil for each heartbeat, until ctx ends or the watch breaks.
+	// Watch calls fn for each change after the revision and with nil for each heartbeat, until ctx ends or the watch breaks;
+	// it returns ErrHistoryGone when the store no longer has the changes after the revision.
 	Watch(ctx context.Context, prefix string, since Version, fn func(*Change) error) error
 	// Up reports whether the object API counts as reachable.
 	Up() bool
@@ -41,6 +42,10 @@
 // ErrVersion means that a conditional update found another version.
 var ErrVersion = errors.New("object has another version")
 
+// ErrHistoryGone means that a watch cannot begin at a revision because the store no longer has the changes after it;
+// the reader has to list again.
+var ErrHistoryGone = errors.New("changes after this revision are no longer known")
+
 // Effect says whether a failed write may have taken effect.
 type Effect int
 
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -116,7 +116,11 @@
 		if err == nil {
 			err = r.follow(ctx, rev)
 		}
-		if ctx.Err() == nil {
+		switch {
+		case ctx.Err() != nil:
+		case errors.Is(err, core.ErrHistoryGone):
+			r.Log.WithError(err).Info("watch of tickets fell behind the history; the log is listed again")
+		default:
 			r.Log.WithError(err).Debug("watch of tickets ended")
 		}
 		r.sleep(ctx, jittered(ms(r.cfg.GetBreakerRetryMs())))
--- a/io/store/call.go
+++ b/io/store/call.go
@@ -152,7 +152,8 @@
 
 func (e *statusError) Is(target error) bool {
 	return (target == core.ErrNotFound && e.code == http.StatusNotFound) ||
-		(target == core.ErrVersion && e.code == http.StatusPreconditionFailed)
+		(target == core.ErrVersion && e.code == http.StatusPreconditionFailed) ||
+		(target == core.ErrHistoryGone && e.code == http.StatusGone)
 }
 
 func etag(v core.Version) string { return strconv.Quote(strconv.FormatUint(uint64(v), 10)) }
--- a/io/store/store_test.go
+++ b/io/store/store_test.go
@@ -247,3 +247,12 @@
 	is.NoErr(err)
 	is.Equal(instances[0].GetState(), "leaving")
 }
+
+// Guards against a watch whose answer that the history is gone cannot be told from an outage.
+func TestHistoryGone(t *testing.T) {
+	is := is.New(t)
+	for code, gone := range map[int]bool{410: true, 404: false, 503: false} {
+		err := serve(t, status(code)).Watch(t.Context(), "tickets/", 1, func(*core.Change) error { return nil })
+		is.Equal(errors.Is(err, core.ErrHistoryGone), gone)
+	}
+}
