--- a/models/action.pml
+++ b/models/action.pml
@@ -9,8 +9,10 @@
  * of a call and the delay of a write, so a record is old only when every call that began and every write that was issued
  * before it was written has ended. Later ones may be under way.
  *
- * FAULT_TAKEOVER, FAULT_RESEND, FAULT_EARLY, FAULT_FORGET, FAULT_MISSING and FAULT_REWRITE each put one fault in;
- * with RETENTION, FAULT_BLIND removes whatever is there, and FAULT_YOUNG also records that are not old.
+ * With LIVE no deadline passes and nobody crashes: once the faults are used up, every call must get an answer in the end.
+ *
+ * FAULT_TAKEOVER, FAULT_RESEND, FAULT_EARLY, FAULT_FORGET, FAULT_MISSING, FAULT_REWRITE and FAULT_RETRY (with LIVE) each
+ * put one fault in; with RETENTION, FAULT_BLIND removes whatever is there, and FAULT_YOUNG also records that are not old.
  */
 #ifndef CALLS
 #define CALLS 2
@@ -174,6 +176,10 @@
 		fi
 	}
 	crash();
+#ifdef FAULT_RETRY
+	/* Claims again without reading back, so that its own claim, whose answer was lost, refuses it for ever. */
+	goto claiming;
+#endif
 	atomic { get(); goto claim_outcome };
 
 held:
@@ -262,6 +268,9 @@
 	atomic { get(); goto close_outcome };
 
 gone:
+#ifdef LIVE
+	assert(told);
+#endif
 #ifdef RETENTION
 	atomic { busy[id] = false; ended++ }
 #else
@@ -336,11 +345,16 @@
 		run Sweep();
 #endif
 		do
+#ifdef LIVE
+		:: i < CALLS -> run Call(i, true); i++
+#else
 		:: i < CALLS -> run Call(i, false); i++
+#endif
 		:: else -> break
 		od
 	}
 	ended == CALLS;
+#ifndef LIVE
 	/* Nothing was sent and no holder crashed: whatever was lost or is still late, a retry must run the action. */
 	if
 	:: !sent && !crashed ->
@@ -354,4 +368,9 @@
 #endif
 	:: else
 	fi
+#endif
 }
+
+#ifdef LIVE
+ltl answered { <> (ended == CALLS) }
+#endif
