--- a/io/relay/trim_test.go
+++ b/io/relay/trim_test.go
@@ -218,6 +218,7 @@
 			return nil
 		})
 		deletions, youngest := map[int64]int{}, time.Hour
+		w.mu.Lock()
 		w.deleteFault = func(key string) (bool, error) {
 			if strings.HasPrefix(key, state.TicketPrefix) {
 				deletions[time.Now().Unix()]++
@@ -227,6 +228,7 @@
 			}
 			return true, nil
 		}
+		w.mu.Unlock()
 		for range 100 {
 			w.accept()
 			time.Sleep(2 * time.Second)
