Pause an entry's process while its clients' streams run; update the proofs

Cause: only owners had been paused, as processes. Test: TestEntryPaused stops the process of an entry for 5 s with SIGSTOP, one that does not own the pool and one that does, with 16 streams; engines keep an ended generation for 2 s. The start of the processes is shared with TestProcesses, which checks the same as before. The 8 streams whose generation still ran are complete. Of the 8 others, 0 to 8 end as stream_broken with the right count, depending on how much the kernel's buffers held. Tests wait for streams that fail early, too: a race run of TestSlowClients on the busy machine had hung until the 10 min limit. List lags and accepted but unread requests stay open.

--- a/proof/cross_test.go
+++ b/proof/cross_test.go
@@ -61,11 +61,16 @@
 			answers, asks := make([]answer, 12), make([]ask, 12)
 			var running sync.WaitGroup // streams that have got tokens
 			for i := range asks {
-				asks[i] = ask{output: 150, mark: newMark(), whole: i%2 == 0, timeout: 20 * time.Second, at: 5, then: running.Done}
-				if !asks[i].whole {
-					running.Add(1)
+				running.Add(1)
+				reads := sync.OnceFunc(running.Done)
+				asks[i] = ask{output: 150, mark: newMark(), whole: i%2 == 0, timeout: 20 * time.Second, at: 5, then: reads}
+				if asks[i].whole {
+					reads()
 				}
-				calls.Go(func() { answers[i] = w.chat(w.Nodes[i%len(w.Nodes)], asks[i]) })
+				calls.Go(func() {
+					defer reads() // also when it failed early
+					answers[i] = w.chat(w.Nodes[i%len(w.Nodes)], asks[i])
+				})
 			}
 			if tt.running {
 				running.Wait()
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -100,25 +100,21 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// TestProcesses guards against faults that only show between processes: a killed instance, and one that is paused while
-// it owns a pool or holds the claim of a protected action.
-func TestProcesses(t *testing.T) {
-	is := is.New(t)
-	p := &procs{t: t, dir: t.TempDir()}
+// fleet builds the binaries and starts a platform, three model runners, an application and three instances that are ready.
+func (p *procs) fleet(runner ...string) (ins []*proc, runners []string, application string) {
+	t, is := p.t, is.New(p.t)
 	build := exec.Command("go", "build", "-o", p.dir+"/", "snipeshed/cmd/snipeshed", "snipeshed/cmd/standin")
 	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v: %s", err, out)
 	}
 	_, platform := p.run("standin", true, "platform", "--list-lag", "200ms")
-	var runners []string
 	for range 3 {
-		_, addr := p.run("standin", true, "runner", "--load-time", "0s")
+		_, addr := p.run("standin", true, append([]string{"runner", "--load-time", "0s"}, runner...)...)
 		runners = append(runners, addr)
 	}
-	_, application := p.run("standin", true, "app", "--delay", "1500ms")
+	_, application = p.run("standin", true, "app", "--delay", "1500ms")
 
 	ports := freePorts(t, 9)
-	var ins []*proc
 	for i := range 3 {
 		in := &proc{client: ports[3*i], peer: ports[3*i+1], operator: ports[3*i+2]}
 		file := filepath.Join(p.dir, fmt.Sprintf("instance-%d.json", i))
@@ -138,37 +134,34 @@
 	for _, in := range ins {
 		is.NoErr(fleet.Wait(startLimit, "instance ready", in.ready))
 	}
+	return ins, runners, application
+}
+
+// command runs the command line.
+func (p *procs) command(args ...string) string {
+	out, err := exec.Command(filepath.Join(p.dir, "snipeshed"), args...).CombinedOutput()
+	if err != nil {
+		p.t.Errorf("snipeshed %v: %v: %s", args, err, out)
+	}
+	return string(out)
+}
 
-	// A ticket through the command line, read back at each instance.
+// configure applies the first ticket through the command line, once all instances know each other, and waits until each answers.
+func (p *procs) configure(c *http.Client, ins []*proc, runners []string, application string) string {
+	is := is.New(p.t)
 	ticket, err := protojson.Marshal(fleet.NewTicket(runners, []string{application}))
 	is.NoErr(err)
 	file := filepath.Join(p.dir, "ticket.json")
 	is.NoErr(os.WriteFile(file, ticket, 0o600))
-	command := func(args ...string) string {
-		out, err := exec.Command(filepath.Join(p.dir, "snipeshed"), args...).CombinedOutput()
-		if err != nil {
-			t.Errorf("snipeshed %v: %v: %s", args, err, out)
-		}
-		return string(out)
-	}
 	is.NoErr(fleet.Wait(startLimit, "every instance knows the others", func() bool {
 		for _, in := range ins {
-			if s := command("status", "--address", in.operator); !strings.Contains(s, "instance-0") || !strings.Contains(s, "instance-1") || !strings.Contains(s, "instance-2") {
+			if s := p.command("status", "--address", in.operator); !strings.Contains(s, "instance-0") || !strings.Contains(s, "instance-1") || !strings.Contains(s, "instance-2") {
 				return false
 			}
 		}
 		return true
 	}))
-	applied := time.Now()
-	out := command("ticket", "apply", "--wait", "--wait-timeout", "10s", "--address", ins[1].operator, file)
-	is.True(strings.Contains(out, "in force at all 3 instances"))
-	t.Logf("ticket in force at all instances %s after the command began", time.Since(applied))
-	for _, in := range ins {
-		shown := command("ticket", "show", "--address", in.operator)
-		is.True(strings.Contains(shown, "kumamoto"))
-	}
-
-	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	out := p.command("ticket", "apply", "--wait", "--wait-timeout", "10s", "--address", ins[1].operator, file)
 	is.NoErr(fleet.Wait(startLimit, "first answers", func() bool {
 		for _, in := range ins {
 			q := ask{output: 3, mark: newMark()}
@@ -178,6 +171,68 @@
 		}
 		return true
 	}))
+	return out
+}
+
+// TestEntryPaused guards against streams that lose or repeat tokens, or end without an honest error, when the process
+// that is their entry is paused and goes on: an entry that owns the pool and one that does not.
+func TestEntryPaused(t *testing.T) {
+	is := is.New(t)
+	p := &procs{t: t, dir: t.TempDir()}
+	ins, runners, application := p.fleet("--keep", "2s")
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	p.configure(c, ins, runners, application)
+	const pause = 5 * time.Second
+	for _, entry := range []*proc{ins[0], ins[2]} { // by the hash, instance 2 owns the pool
+		var calls, reading sync.WaitGroup
+		asks, answers := make([]ask, 16), make([]answer, 16)
+		for i := range asks {
+			reading.Add(1)
+			// Half of the generations end during the pause and can no longer be resumed after it.
+			reads := sync.OnceFunc(reading.Done)
+			asks[i] = ask{output: 200 + i%2*800, mark: newMark(), at: 20, then: reads}
+			calls.Go(func() {
+				defer reads() // also when it failed early
+				answers[i] = chat(c, entry.client, &asks[i])
+			})
+		}
+		reading.Wait()
+		is.NoErr(entry.Process.Signal(syscall.SIGSTOP))
+		time.Sleep(pause)
+		is.NoErr(entry.Process.Signal(syscall.SIGCONT))
+		calls.Wait()
+		longest, kinds := time.Duration(0), map[string]int{}
+		for i, a := range answers {
+			if i%2 == 1 {
+				is.NoErr(complete(a, asks[i]))
+			}
+			is.NoErr(honest(a, asks[i]))
+			longest = max(longest, a.gap)
+			if a.err != nil {
+				kinds[string(a.err.Kind)]++
+			}
+		}
+		t.Logf("entry %s: %d streams, not complete %v, longest gap %s", entry.client, len(answers), kinds, longest)
+		is.True(longest >= pause-time.Second && longest <= pause+detect+resumeSlack)
+		is.NoErr(fleet.Wait(startLimit, "ready again", entry.ready))
+	}
+}
+
+// TestProcesses guards against faults that only show between processes: a killed instance, and one that is paused while
+// it owns a pool or holds the claim of a protected action.
+func TestProcesses(t *testing.T) {
+	is := is.New(t)
+	p := &procs{t: t, dir: t.TempDir()}
+	ins, runners, application := p.fleet()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+	// A ticket through the command line, read back at each instance.
+	out := p.configure(c, ins, runners, application)
+	is.True(strings.Contains(out, "in force at all 3 instances"))
+	for _, in := range ins {
+		shown := p.command("ticket", "show", "--address", in.operator)
+		is.True(strings.Contains(shown, "kumamoto"))
+	}
 
 	// Under load: one instance is killed, another is paused for longer than a silent connection may stay unnoticed.
 	// Clients keep to instance 0. By the hash, instance 2 owns the pool and instance 1 is the next owner.
