--- a/proof/pause_test.go
+++ b/proof/pause_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -135,3 +136,46 @@
 	is.Equal((<-got).status, http.StatusOK)
 	is.Equal(p.runs("paused-application"), int64(1))
 }
+
+// TestEntryPaused guards against streams that lose or repeat tokens, or end without an honest error, when the process
+// that is their entry is paused and goes on: an entry that owns the pool and one that does not.
+func TestEntryPaused(t *testing.T) {
+	is := is.New(t)
+	p := startProcesses(t, 0, "--keep", "2s")
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	p.awaitAnswers(c)
+	const pause = 5 * time.Second
+	for _, entry := range []*proc{p.ins[0], p.ins[2]} { // by the hash, instance 2 owns the pool
+		var calls, reading sync.WaitGroup
+		asks, answers := make([]ask, 16), make([]answer, 16)
+		for i := range asks {
+			reading.Add(1)
+			// Half of the generations end during the pause and can no longer be resumed after it.
+			reads := sync.OnceFunc(reading.Done)
+			asks[i] = ask{output: 200 + i%2*800, mark: newMark(), at: 20, then: reads}
+			calls.Go(func() {
+				defer reads() // also when it failed early
+				answers[i] = chat(c, entry.client, &asks[i])
+			})
+		}
+		reading.Wait()
+		is.NoErr(entry.Process.Signal(syscall.SIGSTOP))
+		time.Sleep(pause)
+		is.NoErr(entry.Process.Signal(syscall.SIGCONT))
+		calls.Wait()
+		longest, kinds := time.Duration(0), map[string]int{}
+		for i, a := range answers {
+			if i%2 == 1 {
+				is.NoErr(complete(a, asks[i]))
+			}
+			is.NoErr(honest(a, asks[i]))
+			longest = max(longest, a.gap)
+			if a.err != nil {
+				kinds[string(a.err.Kind)]++
+			}
+		}
+		t.Logf("entry %s: %d streams, not complete %v, longest gap %s", entry.client, len(answers), kinds, longest)
+		is.True(longest >= pause-time.Second && longest <= pause+detect+resumeSlack)
+		is.NoErr(fleet.Wait(startLimit, "ready again", entry.ready))
+	}
+}
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -124,8 +124,8 @@
 	return counts.Runs[key]
 }
 
-// startProcesses starts the fleet and applies its ticket through the command line.
-func startProcesses(t *testing.T, delay time.Duration) *processes {
+// startProcesses starts the fleet, its runners with further arguments, and applies its ticket through the command line.
+func startProcesses(t *testing.T, delay time.Duration, runnerArgs ...string) *processes {
 	t.Helper()
 	is := is.New(t)
 	p := &processes{procs: &procs{t: t, dir: t.TempDir()}}
@@ -136,7 +136,7 @@
 	_, p.platform = p.run("standin", true, "platform", "--list-lag", "200ms")
 	var runners []string
 	for range 3 {
-		_, addr := p.run("standin", true, "runner", "--load-time", "0s")
+		_, addr := p.run("standin", true, append([]string{"runner", "--load-time", "0s"}, runnerArgs...)...)
 		runners = append(runners, addr)
 	}
 	p.app, p.application = p.run("standin", true, "app", "--delay", delay.String())
@@ -186,15 +186,10 @@
 	return p
 }
 
-// TestProcesses guards against faults that only show between processes: a killed instance, and one that is paused while
-// it owns a pool or holds the claim of a protected action.
-func TestProcesses(t *testing.T) {
-	is := is.New(t)
-	p := startProcesses(t, 1500*time.Millisecond)
-	ins := p.ins
-	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	is.NoErr(fleet.Wait(startLimit, "first answers", func() bool {
-		for _, in := range ins {
+// awaitAnswers waits until each instance answers.
+func (p *processes) awaitAnswers(c *http.Client) {
+	is.New(p.t).NoErr(fleet.Wait(startLimit, "first answers", func() bool {
+		for _, in := range p.ins {
 			q := ask{output: 3, mark: newMark()}
 			if complete(chat(c, in.client, &q), q) != nil {
 				return false
@@ -202,6 +197,16 @@
 		}
 		return true
 	}))
+}
+
+// TestProcesses guards against faults that only show between processes: a killed instance, and one that is paused while
+// it owns a pool or holds the claim of a protected action.
+func TestProcesses(t *testing.T) {
+	is := is.New(t)
+	p := startProcesses(t, 1500*time.Millisecond)
+	ins := p.ins
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	p.awaitAnswers(c)
 
 	// Under load: one instance is killed, another is paused for longer than a silent connection may stay unnoticed.
 	// Clients keep to instance 0. By the hash, instance 2 owns the pool and instance 1 is the next owner.
