Test io/weight with the common store

Cause: weight_test.go had its own store of one object with faults.

Cases, bounds and counts of calls are unchanged. Two details of the store differ: a lost answer now also hides a conflict, and a call during an outage is refused at once and not after a millisecond.

Ran: go test -race -count=3 ./io/weight, golangci-lint on it.

--- a/io/weight/weight_test.go
+++ b/io/weight/weight_test.go
@@ -15,17 +15,13 @@
 
 	"snipeshed/core"
 	"snipeshed/io/weight"
+	"snipeshed/stand/mem"
 )
 
-// memStore holds one object; fail decides the fate of each write.
-type memStore struct {
-	core.Store
-	mu      sync.Mutex
-	object  core.Object
-	down    bool
+// objects is an object API whose calls take a millisecond; fail decides the fate of each write.
+type objects struct {
+	*mem.Mem
 	fail    func(put int) fate
-	puts    int
-	gets    int
 	pending func()
 }
 
@@ -39,53 +35,27 @@
 
 var errDown = errors.New("down")
 
-func (m *memStore) Get(context.Context, string) (core.Object, error) {
-	time.Sleep(time.Millisecond)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.gets++
-	switch {
-	case m.down:
-		return core.Object{}, &core.StoreError{Op: "get", Cause: errDown}
-	case m.object.Version == 0:
-		return core.Object{}, core.ErrNotFound
-	}
-	return m.object, nil
+func newObjects() *objects {
+	m := &objects{}
+	m.Mem = mem.New(mem.WithFaults(m.fault))
+	return m
 }
 
-func (m *memStore) Put(_ context.Context, key string, value []byte, version core.Version) (core.Version, error) {
-	time.Sleep(time.Millisecond)
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.puts++
-	if m.down {
-		return 0, &core.StoreError{Op: "put", Cause: errDown}
-	}
-	apply := func() bool {
-		if m.object.Version != version {
-			return false
-		}
-		m.object = core.Object{Key: key, Value: value, Version: version + 1}
-		return true
-	}
-	unknown := &core.StoreError{Op: "put", Effect: core.EffectUnknown, Cause: errDown}
-	f := ok
-	if m.fail != nil {
-		f = m.fail(m.puts)
+func (m *objects) fault(c mem.Call) mem.Fault {
+	f := mem.Fault{Delay: time.Millisecond}
+	if c.Op != mem.OpPut || m.fail == nil {
+		return f
 	}
-	switch {
-	case f == late:
-		m.pending = func() { m.mu.Lock(); defer m.mu.Unlock(); apply() }
-		return 0, unknown
-	case !apply():
-		return 0, &core.StoreError{Op: "put", Cause: core.ErrVersion}
-	case f == lost:
-		return 0, unknown
+	switch m.fail(c.Number) {
+	case lost:
+		f.Err = errDown
+	case late:
+		f.Later = func(effect func()) { m.pending = effect }
 	}
-	return m.object.Version, nil
+	return f
 }
 
-func (m *memStore) setDown(on bool) { m.mu.Lock(); defer m.mu.Unlock(); m.down = on }
+func (m *objects) puts() int { return m.Calls(mem.OpPut) }
 
 type counts struct {
 	mu sync.Mutex
@@ -97,7 +67,7 @@
 const lease = 10 * time.Second
 
 type world struct {
-	store *memStore
+	store *objects
 	n     *counts
 }
 
@@ -135,7 +105,7 @@
 			full(is, b)
 			is.NoErr(a.Release(ctx, first))
 			take(is, b)
-			is.Equal(w.store.puts, 4)
+			is.Equal(w.store.puts(), 4)
 		},
 		"many holders race": func(is *is.I, w *world, _, _ *weight.Weight) {
 			var wg sync.WaitGroup
@@ -163,7 +133,7 @@
 			is.NoErr(a.Release(ctx, l))
 			_, err = b.Acquire(ctx, "endpoint")
 			is.NoErr(err)
-			is.Equal(w.store.puts, 4)
+			is.Equal(w.store.puts(), 4)
 		},
 		"lost answer is read back": func(is *is.I, w *world, a, b *weight.Weight) {
 			w.store.fail = func(int) fate { return lost }
@@ -172,16 +142,16 @@
 			full(is, a)
 			is.NoErr(a.Release(ctx, l))
 			take(is, b)
-			is.Equal(w.store.puts, 4)
+			is.Equal(w.store.puts(), 4)
 		},
 		"lost answer and lost reading: the slot is found again": func(is *is.I, w *world, a, b *weight.Weight) {
-			w.store.fail = func(put int) fate { w.store.down = put == 1; return lost }
+			w.store.fail = func(put int) fate { w.store.SetDown(put == 1); return lost }
 			_, err := a.Acquire(ctx, "endpoint")
 			is.True(err != nil)
-			w.store.setDown(false)
+			w.store.SetDown(false)
 			w.store.fail = nil
 			take(is, a)
-			is.Equal(w.store.puts, 1)
+			is.Equal(w.store.puts(), 1)
 			take(is, b)
 			full(is, b)
 		},
@@ -234,7 +204,7 @@
 			l, err := a.Renew(ctx, l)
 			is.NoErr(err)
 			is.True(time.Until(l.Until) > lease-time.Second)
-			is.Equal(w.store.puts, 2)
+			is.Equal(w.store.puts(), 2)
 		},
 		"holder paused past its lease exceeds the limit by one and learns it": func(is *is.I, w *world, a, b *weight.Weight) {
 			l := take(is, a)
@@ -250,28 +220,28 @@
 		"store down: no slot, and a failed release goes with the next update": func(is *is.I, w *world, a, b *weight.Weight) {
 			l := take(is, a)
 			take(is, a)
-			w.store.setDown(true)
+			w.store.SetDown(true)
 			_, err := b.Acquire(ctx, "endpoint")
 			is.True(err != nil && !errors.Is(err, core.ErrNoSlot))
 			is.True(a.Release(ctx, l) != nil)
-			w.store.setDown(false)
+			w.store.SetDown(false)
 			take(is, a)
 			full(is, b)
 		},
 		"full answer is not read again at once": func(is *is.I, w *world, a, b *weight.Weight) {
 			take(is, a)
 			take(is, a)
-			gets := w.store.gets
+			gets := w.store.Calls(mem.OpGet)
 			for range 50 {
 				_, err := b.Acquire(ctx, "endpoint")
 				is.True(errors.Is(err, core.ErrNoSlot))
 			}
-			is.Equal(w.store.gets, gets+1)
+			is.Equal(w.store.Calls(mem.OpGet), gets+1)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				w := &world{store: &memStore{}, n: &counts{n: map[string]int{}}}
+				w := &world{store: newObjects(), n: &counts{n: map[string]int{}}}
 				run(is.New(t), w, w.instance("a"), w.instance("b"))
 			})
 		})
