Test io/action with the common store

Cause: fake_test.go had its own object API with faults.

Cases, seeds, bounds and counts of calls are unchanged, and each call draws from the rule as before. Three details differ: a conflict is wrapped in a StoreError as the real client does, a delay that outlasts the call names the context's error as its cause, and a store known to be down also refuses calls. The only test of the last asserts that none is made.

Ruled out: fewer faults reached by the random histories. Test names are identical before and after.

--- a/io/action/fake_test.go
+++ b/io/action/fake_test.go
@@ -6,11 +6,9 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httptrace"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -21,6 +19,7 @@
 	"snipeshed/core/claim"
 	"snipeshed/io/link"
 	"snipeshed/io/reply"
+	"snipeshed/stand/mem"
 	"snipeshed/wire"
 )
 
@@ -50,25 +49,24 @@
 
 var errLost = errors.New("connection lost")
 
-// memStore is a linearizable object API with faults: scripted per call, then by the rule.
-type memStore struct {
-	core.Store
-	mu      sync.Mutex
-	objects map[string]core.Object
-	last    core.Version
-	puts    []fault
-	gets    []fault
-	rule    func() fault
+// objects is an object API with faults: scripted per call, then by the rule.
+type objects struct {
+	*mem.Mem
+	mu   sync.Mutex
+	puts []fault
+	gets []fault
+	rule func() fault
 	// outage is when calls beyond the script end with outage.effect.
 	outage outage
-	nputs  int
-	ngets  int
-	down   bool
 }
 
-func (s *memStore) Up() bool { s.mu.Lock(); defer s.mu.Unlock(); return !s.down }
+func newObjects() *objects {
+	s := &objects{}
+	s.Mem = mem.New(mem.WithFaults(s.fault))
+	return s
+}
 
-func (s *memStore) next(list *[]fault) (f fault) {
+func (s *objects) next(list *[]fault) (f fault) {
 	now := time.Now()
 	switch {
 	case len(*list) > 0:
@@ -81,88 +79,42 @@
 	return f
 }
 
-func (s *memStore) write(key string, value []byte, v core.Version) (core.Version, error) {
+func (s *objects) fault(c mem.Call) mem.Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.objects[key].Version != v {
-		return 0, core.ErrVersion
+	switch c.Op {
+	case mem.OpPut:
+		return s.next(&s.puts).ofCall(true)
+	case mem.OpGet:
+		return s.next(&s.gets).ofCall(false)
 	}
-	s.last++
-	s.objects[key] = core.Object{Key: key, Value: value, Version: s.last}
-	return s.last, nil
+	return mem.Fault{}
 }
 
-func (s *memStore) Put(ctx context.Context, key string, value []byte, v core.Version) (core.Version, error) {
-	s.mu.Lock()
-	s.nputs++
-	f := s.next(&s.puts)
-	s.mu.Unlock()
-	lost := &core.StoreError{Op: "put", Key: key, Effect: core.EffectUnknown, Cause: errLost}
+// ofCall returns what the fault does to a call of the store; only writes pause their caller.
+func (f fault) ofCall(write bool) mem.Fault {
 	switch f.effect {
-	case lostAfter:
-		_, _ = s.write(key, value, v)
-		return 0, lost
+	case works:
+		return mem.Fault{}
 	case lostBefore:
-		return 0, lost
+		return mem.Fault{Drop: true, Err: errLost}
 	case late:
-		time.AfterFunc(f.wait, func() { _, _ = s.write(key, value, v) })
-		return 0, lost
+		return mem.Fault{Later: func(effect func()) { time.AfterFunc(f.wait, effect) }, Err: errLost}
 	case refused:
-		return 0, &core.StoreError{Op: "put", Key: key, Effect: core.EffectNone, Cause: errLost}
+		return mem.Fault{Refuse: true, Err: errLost}
 	case slow:
-		if !sleep(ctx, f.wait) {
-			_, _ = s.write(key, value, v)
-			return 0, lost
-		}
+		return mem.Fault{Delay: f.wait}
 	case paused:
-		n, err := s.write(key, value, v)
-		time.Sleep(f.wait)
-		return n, err
-	}
-	return s.write(key, value, v)
-}
-
-func (s *memStore) List(_ context.Context, prefix, after string, limit int) ([]core.Object, core.Version, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var list []core.Object
-	for _, key := range slices.Sorted(maps.Keys(s.objects)) {
-		if strings.HasPrefix(key, prefix) && key > after && len(list) < limit {
-			list = append(list, s.objects[key])
+		if write {
+			return mem.Fault{Pause: f.wait}
 		}
+		return mem.Fault{}
 	}
-	return list, s.last, nil
-}
-
-func (s *memStore) Delete(_ context.Context, key string, v core.Version) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.objects[key].Version != v {
-		return core.ErrVersion
-	}
-	delete(s.objects, key)
-	return nil
+	return mem.Fault{Err: errLost}
 }
 
-func (s *memStore) Get(ctx context.Context, key string) (core.Object, error) {
-	s.mu.Lock()
-	s.ngets++
-	f := s.next(&s.gets)
-	s.mu.Unlock()
-	if f.effect == slow && sleep(ctx, f.wait) {
-		f.effect = works
-	}
-	if f.effect != works && f.effect != paused {
-		return core.Object{}, &core.StoreError{Op: "get", Key: key, Cause: errLost}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	o, ok := s.objects[key]
-	if !ok {
-		return o, core.ErrNotFound
-	}
-	return o, nil
-}
+func (s *objects) nputs() int { return s.Calls(mem.OpPut) }
+func (s *objects) ngets() int { return s.Calls(mem.OpGet) }
 
 // runner is an application endpoint that ignores fencing numbers. It honours the hooks that tell a sender whether a
 // connection was made.
@@ -276,14 +228,14 @@
 
 // world is some instances with one store and one endpoint behind all addresses.
 type world struct {
-	store     *memStore
+	store     *objects
 	end       *runner
 	instances []*Action
 }
 
 func newWorld(instances int, addresses ...string) *world {
 	w := &world{
-		store: &memStore{objects: map[string]core.Object{}},
+		store: newObjects(),
 		end:   &runner{runs: map[string]int{}, sends: map[string]int{}, fencing: map[string]string{}},
 	}
 	for i := range instances {
@@ -304,9 +256,8 @@
 }
 
 func (w *world) record(key string) claim.Record {
-	w.store.mu.Lock()
-	defer w.store.mu.Unlock()
-	r, _ := claim.Parse(w.store.objects[objectKey("swaps", "tallinn", key)].Value)
+	o, _ := w.store.Object(objectKey("swaps", "tallinn", key))
+	r, _ := claim.Parse(o.Value)
 	return r
 }
 
--- a/io/action/history_test.go
+++ b/io/action/history_test.go
@@ -195,10 +195,10 @@
 	for i := range n {
 		is.Equal(w.call(i%2, "POST", "/confirm", fmt.Sprintf("k%d", i), "b", time.Minute), ran)
 	}
-	is.Equal(w.store.nputs, 2*n)
-	is.Equal(w.store.ngets, 0)
+	is.Equal(w.store.nputs(), 2*n)
+	is.Equal(w.store.ngets(), 0)
 	is.Equal(w.call(0, "POST", "/confirm", "k0", "b", time.Minute), replayed)
-	is.Equal(w.store.nputs, 2*n+1)
-	is.Equal(w.store.ngets, 1)
+	is.Equal(w.store.nputs(), 2*n+1)
+	is.Equal(w.store.ngets(), 1)
 	is.NoErr(w.close(time.Minute))
 }
--- a/io/action/plain_test.go
+++ b/io/action/plain_test.go
@@ -63,7 +63,7 @@
 				}
 				is.Equal(w.call(0, tt.method, "/notes", "k", "b", 10*time.Second), tt.want)
 				is.Equal(w.end.sends["k"], tt.sends)
-				is.Equal(w.store.nputs, 0)
+				is.Equal(w.store.nputs(), 0)
 				is.NoErr(w.close(time.Minute))
 			})
 		})
@@ -97,7 +97,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			w := newWorld(1, "10.0.0.1:1")
-			w.store.down = tt.down
+			w.store.SetDown(tt.down)
 			w.instances[0].usable = func(core.EndpointID, string) bool { return !tt.unusable }
 			r := httptest.NewRequest("POST", "/services/swaps/x", strings.NewReader(tt.body))
 			for name, values := range tt.header {
@@ -113,7 +113,7 @@
 			w.instances[0].Serve(rec, r, "r1", core.Credential{Team: core.TeamName(tt.team)}, core.ServiceName(tt.service), tt.path)
 			is.Equal(outcome(rec), tt.want)
 			is.Equal(len(w.end.sends), 0)
-			is.Equal(w.store.nputs, 0)
+			is.Equal(w.store.nputs(), 0)
 			is.NoErr(w.close(time.Minute))
 		})
 	}
@@ -157,7 +157,7 @@
 		w.WriteHeader(http.StatusTemporaryRedirect)
 	}))
 	defer srv.Close()
-	a := New(quiet(), &memStore{objects: map[string]core.Object{}}, testConfig(srv.Listener.Addr().String()))
+	a := New(quiet(), newObjects(), testConfig(srv.Listener.Addr().String()))
 	r := httptest.NewRequest("POST", "/services/swaps/notes", strings.NewReader("b"))
 	for name, value := range map[string]string{
 		"Authorization": "Bearer secret", "Fencing-Number": "99", "Connection": "X-Private", "X-Private": "1",
@@ -195,7 +195,7 @@
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n")
 		c.Close()
 	}()
-	a := New(quiet(), &memStore{objects: map[string]core.Object{}}, testConfig(l.Addr().String()))
+	a := New(quiet(), newObjects(), testConfig(l.Addr().String()))
 	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		a.Serve(w, r, "r1", core.Credential{Team: "tallinn"}, "swaps", "/notes")
 	}))
--- a/io/action/protected_test.go
+++ b/io/action/protected_test.go
@@ -210,7 +210,7 @@
 				is.True(w.end.sends["k"] == 0 || w.end.fencing["k"] != "") // for endpoints that check it
 				is.Equal(w.record("k").State, tt.state)
 				if tt.nputs != 0 {
-					is.Equal(w.store.nputs, tt.nputs)
+					is.Equal(w.store.nputs(), tt.nputs)
 				}
 			})
 		})
@@ -346,7 +346,7 @@
 func TestMalformedRecord(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(1, "10.0.0.1:1")
-	_, err := w.store.write(objectKey("swaps", "tallinn", "k"), []byte("{"), 0)
+	_, err := w.store.Put(t.Context(), objectKey("swaps", "tallinn", "k"), []byte("{"), 0)
 	is.NoErr(err)
 	is.Equal(w.call(0, "POST", "/confirm", "k", "b", time.Second), unknown)
 	is.Equal(w.end.sends["k"], 0)
--- a/io/action/retain_test.go
+++ b/io/action/retain_test.go
@@ -51,7 +51,7 @@
 					is.Equal(w.call(i%2, "POST", "/confirm", fmt.Sprintf("new%d", i), "b", time.Minute), ran)
 				}
 				time.Sleep(time.Hour)
-				is.Equal(len(w.store.objects), tt.left)
+				is.Equal(len(w.store.Objects("")), tt.left)
 				is.NoErr(w.close(time.Second))
 			})
 		})
@@ -73,8 +73,8 @@
 		first, err := w.instances[0].sweep(t.Context())
 		is.NoErr(err)
 		is.True(first > 0 && first < 60)
-		for key := range w.store.objects {
-			part := key[:strings.LastIndexByte(key, '/')+2]
+		for _, o := range w.store.Objects("") {
+			part := o.Key[:strings.LastIndexByte(o.Key, '/')+2]
 			is.Equal(spread{}.Owners(time.Now(), part, 1)[0].ID, core.InstanceID("2"))
 		}
 		again, err := w.instances[0].sweep(t.Context())
