Test io/oper with the common store

Cause: fake_test.go had its own object API with faults.

Deletions are now conditional as in the real store, so the two tests that trim the log name the version and fail if the ticket is missing.

Test names are identical.

--- a/io/oper/apply_test.go
+++ b/io/oper/apply_test.go
@@ -9,7 +9,6 @@
 	"github.com/matryer/is"
 
 	"snipeshed/core"
-	"snipeshed/core/state"
 	"snipeshed/io/oper"
 	"snipeshed/wire"
 )
@@ -118,7 +117,7 @@
 		a := ticket("a", 0, rank("urgent", 1))
 		_, err := first.Apply(t.Context(), a)
 		refused(t, err, step{kind: core.KindOutcomeUnknown, run: core.RunUnknown})
-		st.down = false
+		st.SetDown(false)
 		second, _ := start(st) // a restarted instance knows nothing of the first attempt
 		got, err := second.Apply(t.Context(), a)
 		is.NoErr(err)
@@ -159,7 +158,7 @@
 			_, err := o.Apply(t.Context(), ticket(id, uint64(i), rank(id, 1)))
 			is.NoErr(err)
 		}
-		is.NoErr(st.Delete(t.Context(), state.TicketKey(1), 0))
+		st.remove(t, 1)
 		behind, fresh := start(st)
 		_, err := behind.Apply(t.Context(), ticket("d", 0, rank("d", 1)))
 		refused(t, err, step{kind: core.KindStaleState, run: core.RunNot})
--- a/io/oper/fake_test.go
+++ b/io/oper/fake_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -19,6 +18,7 @@
 	"snipeshed/core"
 	"snipeshed/core/state"
 	"snipeshed/io/oper"
+	"snipeshed/stand/mem"
 	"snipeshed/wire"
 )
 
@@ -45,18 +45,20 @@
 
 // fake is an object API in memory with faults.
 type fake struct {
-	mu      sync.Mutex
-	objects map[string]core.Object
-	version core.Version
-	down    bool
-	puts    []fault // of the next writes
-	lists   []fault // of the next lists
-	onFail  func()  // runs once after the next failed write
-	rng     *rand.Rand
-	late    []func()
+	*mem.Mem
+	mu     sync.Mutex
+	puts   []fault // of the next writes
+	lists  []fault // of the next lists
+	onFail func()  // runs once after the next failed write
+	rng    *rand.Rand
+	late   []func()
 }
 
-func newFake() *fake { return &fake{objects: map[string]core.Object{}} }
+func newFake() *fake {
+	f := &fake{}
+	f.Mem = mem.New(mem.WithFaults(f.fault))
+	return f
+}
 
 // next applies late writes that are due and returns the fault of the next call.
 func (f *fake) next(write bool) fault {
@@ -65,8 +67,6 @@
 		f.late = f.late[1:]
 	}
 	switch {
-	case f.down:
-		return faultRefused
 	case f.rng != nil && f.rng.IntN(3) == 0:
 		return fault(f.rng.IntN(int(faultLate) + 1))
 	case write && len(f.puts) > 0:
@@ -77,119 +77,67 @@
 	return faultNone
 }
 
-// delay lets concurrent callers interleave.
-func (f *fake) delay() {
-	if f.rng != nil {
-		f.mu.Lock()
-		d := time.Duration(f.rng.IntN(50)) * time.Millisecond
-		f.mu.Unlock()
-		time.Sleep(d)
-	}
-}
-
-func (f *fake) Get(_ context.Context, key string) (core.Object, error) {
+func (f *fake) fault(c mem.Call) mem.Fault {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.next(false) != faultNone {
-		return core.Object{}, &core.StoreError{Op: "get", Key: key, Cause: errInjected}
-	}
-	if o, ok := f.objects[key]; ok {
-		return o, nil
-	}
-	return core.Object{}, core.ErrNotFound
-}
-
-func (f *fake) Put(_ context.Context, key string, value []byte, ifVersion core.Version) (core.Version, error) {
-	v, err := f.put(key, value, ifVersion)
-	if fn := f.onFail; err != nil && fn != nil {
-		f.onFail = nil
-		fn()
+	fault := f.next(c.Op == mem.OpPut)
+	if c.Op == mem.OpList && len(f.lists) > 0 {
+		fault, f.lists = f.lists[0], f.lists[1:]
 	}
-	return v, err
-}
-
-func (f *fake) put(key string, value []byte, ifVersion core.Version) (core.Version, error) {
-	f.delay()
-	defer f.delay()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	unknown := &core.StoreError{Op: "put", Key: key, Effect: core.EffectUnknown, Cause: errInjected}
-	switch f.next(true) {
+	switch fault {
 	case faultRefused:
-		return 0, &core.StoreError{Op: "put", Key: key, Cause: errInjected}
+		return mem.Fault{Refuse: true}
 	case faultDropped:
-		return 0, unknown
+		return mem.Fault{Drop: true}
 	case faultLate:
-		f.late = append(f.late, func() { _ = f.write(key, value, ifVersion) }, func() {})
-		return 0, unknown
+		return mem.Fault{Later: func(effect func()) { f.late = append(f.late, effect, func() {}) }}
 	case faultOutage:
-		f.down = true
-		fallthrough
+		f.SetDown(true)
+		return mem.Fault{Err: errInjected}
 	case faultLost:
-		_ = f.write(key, value, ifVersion)
-		return 0, unknown
+		return mem.Fault{Err: errInjected}
 	}
-	return f.version, f.write(key, value, ifVersion)
+	return mem.Fault{}
 }
 
-func (f *fake) write(key string, value []byte, ifVersion core.Version) error {
-	if f.objects[key].Version != ifVersion {
-		return &core.StoreError{Op: "put", Key: key, Cause: core.ErrVersion}
+// delay lets concurrent callers interleave.
+func (f *fake) delay() {
+	if f.rng != nil {
+		f.mu.Lock()
+		d := time.Duration(f.rng.IntN(50)) * time.Millisecond
+		f.mu.Unlock()
+		time.Sleep(d)
 	}
-	f.version++
-	f.objects[key] = core.Object{Key: key, Value: value, Version: f.version}
-	return nil
 }
 
-func (f *fake) Delete(_ context.Context, key string, _ core.Version) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.objects, key)
-	return nil
-}
-
-func (f *fake) List(_ context.Context, prefix, after string, limit int) ([]core.Object, core.Version, error) {
+func (f *fake) Put(ctx context.Context, key string, value []byte, ifVersion core.Version) (core.Version, error) {
 	f.delay()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	c := f.next(false)
-	if len(f.lists) > 0 {
-		c, f.lists = f.lists[0], f.lists[1:]
-	}
-	if c != faultNone {
-		return nil, 0, &core.StoreError{Op: "list", Key: prefix, Cause: errInjected}
-	}
-	return f.list(prefix, after, limit), f.version, nil
-}
-
-func (f *fake) list(prefix, after string, limit int) []core.Object {
-	var found []core.Object
-	for key, o := range f.objects {
-		if strings.HasPrefix(key, prefix) && key > after {
-			found = append(found, o)
-		}
+	v, err := f.Mem.Put(ctx, key, value, ifVersion)
+	f.delay()
+	if fn := f.onFail; err != nil && fn != nil {
+		f.onFail = nil
+		fn()
 	}
-	slices.SortFunc(found, func(a, b core.Object) int { return strings.Compare(a.Key, b.Key) })
-	return found[:min(limit, len(found))]
+	return v, err
 }
 
-func (f *fake) Watch(context.Context, string, core.Version, func(*core.Change) error) error {
-	return errInjected
+func (f *fake) List(ctx context.Context, prefix, after string, limit int) ([]core.Object, core.Version, error) {
+	f.delay()
+	return f.Mem.List(ctx, prefix, after, limit)
 }
 
-func (f *fake) Up() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.down
+// remove deletes a ticket as the trimming of the log does.
+func (f *fake) remove(t *testing.T, n core.TicketNumber) {
+	t.Helper()
+	o, _ := f.Object(state.TicketKey(n))
+	is.New(t).NoErr(f.Delete(t.Context(), o.Key, o.Version))
 }
 
 // log returns the ids of the tickets in the log.
 func (f *fake) log(t *testing.T) []string {
 	t.Helper()
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	ids := []string{}
-	for _, o := range f.list(state.TicketPrefix, "", len(f.objects)) {
+	for _, o := range f.Objects(state.TicketPrefix) {
 		ticket, err := state.DecodeTicket(o.Key, o.Value)
 		is.New(t).NoErr(err)
 		ids = append(ids, ticket.GetId())
--- a/io/oper/server_test.go
+++ b/io/oper/server_test.go
@@ -107,7 +107,7 @@
 		refused(t, err, step{kind: core.KindNotFound, run: core.RunNot})
 	}
 	for n := range core.TicketNumber(2) {
-		is.NoErr(st.Delete(t.Context(), state.TicketKey(n+1), 0))
+		st.remove(t, n+1)
 	}
 	list, err := loaded.List(t.Context(), &wire.ListRequest{})
 	is.NoErr(err)
