Test io/relay with the common store

Cause: world_test.go had its own object API, with one client per instance.

Instances are clients of one mem.Mem whose fault function asks storeErr and deleteFault; writes without conflict are counted and deleteFault is asked as before, only for deletions whose condition holds. Differences: watches report changes in the order of revisions and deletions too, and a deletion raises the revision, as the object API does.

Ruled out: other dissemination. Test names are identical.

--- a/io/relay/relay_test.go
+++ b/io/relay/relay_test.go
@@ -144,7 +144,7 @@
 	{"only relays watch, and watching moves with the role", func(is *is.I, w *world) {
 		nodes := w.fleet(12, 3)
 		time.Sleep(3 * time.Second)
-		is.Equal(w.watching(), 6)
+		is.Equal(w.store.Watches(), 6)
 		for _, p := range nodes[0].members.Relays(time.Now(), "zone-1", 2) {
 			for _, n := range nodes {
 				if n.peer.ID == p.ID {
@@ -153,7 +153,7 @@
 			}
 		}
 		time.Sleep(10 * time.Second)
-		is.Equal(w.watching(), 6)
+		is.Equal(w.store.Watches(), 6)
 	}},
 	{"snapshots are complete, few, and load at a start", func(is *is.I, w *world) {
 		for range 6 {
@@ -169,13 +169,11 @@
 		stored := completeSnapshots(objects)
 		is.True(len(stored) > 0 && len(stored) <= 2*keptSnapshots)
 		is.True(w.puts <= 20) // two relays may both write
-		w.mu.Lock()
-		for k := range w.objects {
-			if k < "tickets/0000000090" && k > "tickets/" {
-				delete(w.objects, k)
+		for _, o := range w.store.Objects("tickets/") {
+			if o.Key < "tickets/0000000090" {
+				is.NoErr(w.store.Delete(context.Background(), o.Key, o.Version))
 			}
 		}
-		w.mu.Unlock()
 		w.cut(separated)
 		n := w.add("zone-0")
 		n.Start()
--- a/io/relay/trim_test.go
+++ b/io/relay/trim_test.go
@@ -33,7 +33,7 @@
 	defer w.mu.Unlock()
 	for n := uint64(1); n <= w.accepted; n++ {
 		key := state.TicketKey(core.TicketNumber(n))
-		if o, found := w.objects[key]; found {
+		if o, found := w.store.Object(key); found {
 			if t, err := state.DecodeTicket(key, o.Value); err == nil {
 				kept = append(kept, t)
 			}
@@ -221,7 +221,8 @@
 		w.deleteFault = func(key string) (bool, error) {
 			if strings.HasPrefix(key, state.TicketPrefix) {
 				deletions[time.Now().Unix()]++
-				if t, err := state.DecodeTicket(key, w.objects[key].Value); err == nil {
+				o, _ := w.store.Object(key)
+				if t, err := state.DecodeTicket(key, o.Value); err == nil {
 					youngest = min(youngest, time.Since(time.UnixMilli(t.GetAcceptedUnixMs())))
 				}
 			}
--- a/io/relay/world_test.go
+++ b/io/relay/world_test.go
@@ -5,8 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"slices"
-	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -19,6 +19,7 @@
 	"snipeshed/core"
 	"snipeshed/core/member"
 	"snipeshed/core/state"
+	"snipeshed/stand/mem"
 	"snipeshed/wire"
 )
 
@@ -32,14 +33,12 @@
 	// peerErr fails calls from one instance to another, storeErr those to the platform.
 	peerErr  func(from, to *node) error
 	storeErr func(n *node) error
-	objects  map[string]core.Object
-	revision core.Version
+	store    *mem.Mem
 	list     []*wire.Instance
 	listRev  uint64
-	watches  int
-	calls    int // between instances
-	sent     int // tickets sent between instances
-	puts     int
+	calls    int    // between instances
+	sent     int    // tickets sent between instances
+	puts     int    // of instances, without conflicts
 	accepted uint64 // tickets so far, deleted ones included
 	// deleteFault returns whether a deletion takes effect and the error that its caller gets.
 	deleteFault func(key string) (bool, error)
@@ -61,7 +60,7 @@
 
 func newWorld(t *testing.T) *world {
 	return &world{
-		t: t, objects: map[string]core.Object{},
+		t: t, store: mem.New(),
 		peerErr:  linked,
 		storeErr: up,
 	}
@@ -87,12 +86,6 @@
 	w.storeErr = fn
 }
 
-func (w *world) watching() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.watches
-}
-
 // add makes an instance in a failure domain; listed puts it into the instance list.
 func (w *world) add(domain string, change ...func(*conf.Settings)) *node {
 	w.mu.Lock()
@@ -116,7 +109,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	members := member.New(n.peer, ms(n.cfg.GetSuspectMs()))
-	r := New(core.NewShared(logrus.NewEntry(log)), n.cfg, members, n.state, n, listOf{n}, WithDialer(n.dialPeer))
+	r := New(core.NewShared(logrus.NewEntry(log)), n.cfg, members, n.state, n.w.store.Client(mem.WithFaults(n.fault)), listOf{n}, WithDialer(n.dialPeer))
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	n.Relay = r
@@ -168,9 +161,9 @@
 	t := ticket(number)
 	t.AcceptedUnixMs = time.Now().UnixMilli()
 	b, _ := state.EncodeTicket(t)
-	w.revision++
-	key := state.TicketKey(core.TicketNumber(number))
-	w.objects[key] = core.Object{Key: key, Value: b, Version: w.revision}
+	if _, err := w.store.Put(context.Background(), state.TicketKey(core.TicketNumber(number)), b, 0); err != nil {
+		w.t.Error(err)
+	}
 	return t
 }
 
@@ -269,98 +262,29 @@
 	return err
 }
 
-func (n *node) Get(context.Context, string) (core.Object, error) { panic("not used") }
-func (n *node) Up() bool                                         { panic("not used") }
-
-func (n *node) Put(ctx context.Context, key string, value []byte, ifVersion core.Version) (core.Version, error) {
-	if err := n.reach(ctx); err != nil {
-		return 0, err
-	}
+// fault fails calls of the store as reach does, and deletions as deleteFault says.
+func (n *node) fault(c mem.Call) mem.Fault {
 	n.w.mu.Lock()
-	defer n.w.mu.Unlock()
-	if n.w.objects[key].Version != ifVersion {
-		return 0, core.ErrVersion
-	}
-	n.w.puts++
-	n.w.revision++
-	n.w.objects[key] = core.Object{Key: key, Value: value, Version: n.w.revision}
-	return n.w.revision, nil
-}
-
-func (n *node) Delete(ctx context.Context, key string, ifVersion core.Version) error {
-	if err := n.reach(ctx); err != nil {
-		return err
-	}
-	n.w.mu.Lock()
-	defer n.w.mu.Unlock()
-	o, found := n.w.objects[key]
-	if !found || o.Version != ifVersion {
-		return core.ErrVersion
-	}
-	effect, err := true, error(nil)
-	if n.w.deleteFault != nil {
-		effect, err = n.w.deleteFault(key)
-	}
-	if effect {
-		delete(n.w.objects, key)
-	}
-	return err
-}
-
-func (n *node) List(ctx context.Context, prefix, after string, limit int) ([]core.Object, core.Version, error) {
-	if err := n.reach(ctx); err != nil {
-		return nil, 0, err
+	fails := n.w.storeErr
+	n.w.mu.Unlock()
+	switch err := fails(n); {
+	case errors.Is(err, errSilentPeer):
+		return mem.Fault{Refuse: true, Delay: math.MaxInt64}
+	case err != nil:
+		return mem.Fault{Refuse: true, Err: err}
 	}
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
-	var found []core.Object
-	for k, o := range n.w.objects {
-		if strings.HasPrefix(k, prefix) && k > after {
-			found = append(found, o)
-		}
-	}
-	slices.SortFunc(found, func(a, b core.Object) int { return strings.Compare(a.Key, b.Key) })
-	return found[:min(limit, len(found))], n.w.revision, nil
-}
-
-// Watch looks for changes every 10 ms and sends a heartbeat each second, as the object API does.
-func (n *node) Watch(ctx context.Context, prefix string, since core.Version, fn func(*core.Change) error) error {
-	n.w.mu.Lock()
-	n.w.watches++
-	n.w.mu.Unlock()
-	defer func() {
-		n.w.mu.Lock()
-		n.w.watches--
-		n.w.mu.Unlock()
-	}()
-	for i := 1; ; i++ {
-		if !n.sleep(ctx, 10*time.Millisecond) {
-			return ctx.Err()
-		}
-		if err := n.reach(ctx); err != nil {
-			return err
-		}
-		n.w.mu.Lock()
-		var changes []core.Object
-		for k, o := range n.w.objects {
-			if strings.HasPrefix(k, prefix) && o.Version > since {
-				changes = append(changes, o)
-			}
-		}
-		since = n.w.revision
-		n.w.mu.Unlock()
-		slices.SortFunc(changes, func(a, b core.Object) int { return strings.Compare(a.Key, b.Key) })
-		for _, o := range changes {
-			if err := fn(&core.Change{Object: o}); err != nil {
-				return err
-			}
-		}
-		if i%100 == 0 {
-			if err := fn(nil); err != nil {
-				return err
-			}
-		}
+	o, found := n.w.store.Object(c.Key)
+	switch {
+	case o.Version != c.Version:
+	case c.Op == mem.OpPut:
+		n.w.puts++
+	case c.Op == mem.OpDelete && found && n.w.deleteFault != nil:
+		effect, err := n.w.deleteFault(c.Key)
+		return mem.Fault{Drop: !effect, Err: err}
 	}
+	return mem.Fault{}
 }
 
 type listOf struct{ *node }
