Count without a race in TestRestartInOutage

Cause: go test -race ./io/relay failed in 'peer that names a ticket and is lost before it hands it over'. The failure function of the test increments a plain integer and is called by several instances at once, outside the world's lock.

The counter is now atomic; each call still counts once, with the same condition and the same check.

--- a/io/relay/start_test.go
+++ b/io/relay/start_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,13 +72,13 @@
 			w.platform(down)
 			ahead := nodes[4]
 			is.NoErr(ahead.state.Load(&wire.Snapshot{Number: 1})) // kept by no peer as a ticket, so State has to be called
-			answered := 0
+			var answered atomic.Int64
 			w.cut(func(a, b *node) error {
 				if a == ahead {
 					return errCut
 				}
 				if b == ahead {
-					if answered++; a != n || answered > 1 {
+					if asked := answered.Add(1); a != n || asked > 1 {
 						return errCut
 					}
 				}
@@ -85,7 +86,7 @@
 			})
 			n.restart()
 			time.Sleep(30 * time.Second)
-			is.Equal(answered > 1, true)
+			is.Equal(answered.Load() > 1, true)
 			is.True(n.Fresh() != nil || n.state.Number() == 1)
 			w.cut(linked)
 			time.Sleep(5 * time.Second)
