Move the chat client of the proof tests into stand/caller

It is now the package stand/caller, which does not import testing: Ask, Answer and Error, the functions Post, Chat, ReadWhole and NewMark, and the methods Check, Honest, Complete and NotRun of Answer. ReadWhole also sets the request id and the header, which act, get and TestRefusals set in part or not at all; no test reads the id there. The go-sse test decodes chunks into a struct of its own, so that the chunk type stays unexported.

Ruled out: stand/bench keeps its client, which times tokens without decoding them and also reads the runners' protocol. stand/scale sends no chat requests.

--- a/proof/action_test.go
+++ b/proof/action_test.go
@@ -13,6 +13,7 @@
 
 	"snipeshed/conf"
 	"snipeshed/core"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
 )
@@ -23,16 +24,14 @@
 }
 
 func act(c *http.Client, address, key string, timeout time.Duration) answer {
-	resp, err := post(c, address, fleet.UrgentKey, "/services/"+fleet.AppService+"/orders/paint", []byte(`{"liters":4}`), map[string]string{
+	resp, err := caller.Post(c, address, fleet.UrgentKey, "/services/"+fleet.AppService+"/orders/paint", []byte(`{"liters":4}`), map[string]string{
 		"Idempotency-Key": key, "Snipeshed-Timeout-Ms": strconv.FormatInt(timeout.Milliseconds(), 10),
 	})
 	if err != nil {
-		return answer{broken: err}
+		return answer{Broken: err}
 	}
 	defer resp.Body.Close()
-	out := answer{status: resp.StatusCode, header: resp.Header}
-	out.readWhole(resp.Body)
-	return out
+	return caller.ReadWhole(resp)
 }
 
 // verify checks the answers to one key's calls against the runs that the application counted.
@@ -40,9 +39,9 @@
 	told, notRun := 0, 0
 	for _, a := range answers {
 		switch {
-		case a.broken == nil && a.status == http.StatusOK:
+		case a.Broken == nil && a.Status == http.StatusOK:
 			told++
-		case a.notRun():
+		case a.NotRun():
 			notRun++
 		}
 	}
@@ -120,7 +119,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			w := start(t)
-			key := "key-" + newMark()
+			key := "key-" + caller.NewMark()
 			do := func(f func(*world)) {
 				if f != nil {
 					f(w)
@@ -137,7 +136,7 @@
 			time.Sleep(1500 * time.Millisecond) // the store breaker's retry and what was still on its way
 			answers = append(answers, w.act(w.Nodes[2], key, tt.timeout), w.act(w.Nodes[1], key, tt.timeout))
 			for i, a := range answers {
-				t.Logf("call %d: %s %s", i, a, a.body)
+				t.Logf("call %d: %s %s", i, a, a.Body)
 			}
 			runs := w.Services[0].Runs(key)
 			if err := verify(key, runs, answers); err != nil {
@@ -147,7 +146,7 @@
 				t.Errorf("%d runs, want %d", runs, tt.runs)
 			}
 			for i, a := range answers[1:] {
-				if tt.runs == 1 && a.notRun() && a.err.Kind != core.KindStoreDown {
+				if tt.runs == 1 && a.NotRun() && a.Err.Kind != core.KindStoreDown {
 					t.Errorf("call %d was told not_run after the action had run", i+1)
 				}
 			}
@@ -167,13 +166,13 @@
 			w := start(t, fleet.WithSettings(func(s *conf.Settings) {
 				s.StoreTimeoutMs, s.ActionStopMs = storeTimeout.Milliseconds(), new(stopLimit.Milliseconds())
 			}))
-			app, key := w.Services[0], "key-"+newMark()
+			app, key := w.Services[0], "key-"+caller.NewMark()
 			app.Slow(time.Second)
 			first := make(chan answer, 1)
 			go func() { first <- w.act(w.Nodes[0], key, 5*time.Second) }()
 			is.NoErr(fleet.Wait(startLimit, "the application has the call", func() bool { return app.Counts().Open == 1 }))
 			w.Platform.SetOutage(mode)
-			is.Equal((<-first).status, http.StatusOK)
+			is.Equal((<-first).Status, http.StatusOK)
 			began := time.Now()
 			is.NoErr(w.Nodes[0].Stop())
 			took := time.Since(began)
@@ -183,10 +182,10 @@
 			var last answer
 			is.NoErr(fleet.Wait(ticketBound, "store used again", func() bool {
 				last = w.act(w.Nodes[1], key, 5*time.Second)
-				return last.err == nil || last.err.Kind != core.KindStoreDown
+				return last.Err == nil || last.Err.Kind != core.KindStoreDown
 			}))
 			t.Logf("retry: %s", last)
-			is.True(!last.notRun())
+			is.True(!last.NotRun())
 			is.Equal(app.Runs(key), int64(1))
 		})
 	}
@@ -238,12 +237,12 @@
 		}
 		for _, a := range answers {
 			switch {
-			case a.broken != nil:
+			case a.Broken != nil:
 				kinds["broken"]++
-			case a.err != nil:
-				kinds[string(a.err.Kind)+" "+string(a.err.Run)]++
+			case a.Err != nil:
+				kinds[string(a.Err.Kind)+" "+string(a.Err.Run)]++
 			default:
-				kinds[strconv.Itoa(a.status)]++
+				kinds[strconv.Itoa(a.Status)]++
 			}
 		}
 		// What runs late must still be found by the check below.
--- a/proof/answer_test.go
+++ b/proof/answer_test.go
@@ -15,6 +15,7 @@
 	"snipeshed/conf"
 	"snipeshed/core"
 	"snipeshed/stand/batch"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/runner"
 )
@@ -26,13 +27,13 @@
 	w := start(t)
 	for _, n := range w.Nodes {
 		for _, whole := range []bool{false, true} {
-			q := ask{output: 60, mark: newMark(), whole: whole}
+			q := ask{Output: 60, Mark: caller.NewMark(), Whole: whole}
 			a := w.chat(n, q)
-			if err := complete(a, q); err != nil {
+			if err := a.Complete(q); err != nil {
 				t.Errorf("%s: %v", n.ID, err)
 			}
-			if a.finish != "stop" {
-				t.Errorf("%s: finish reason %q", n.ID, a.finish)
+			if a.Finish != "stop" {
+				t.Errorf("%s: finish reason %q", n.ID, a.Finish)
 			}
 		}
 	}
@@ -69,8 +70,8 @@
 	})
 	t.Run("go-sse", func(t *testing.T) {
 		is := is.New(t)
-		q := ask{output: 40, mark: newMark()}
-		resp, err := post(w.client, w.Nodes[1].ClientAddress(), fleet.UrgentKey, "/v1/chat/completions", chatBody(&q), nil)
+		q := ask{Output: 40, Mark: caller.NewMark()}
+		resp, err := caller.Post(w.client, w.Nodes[1].ClientAddress(), fleet.UrgentKey, "/v1/chat/completions", q.Body(), nil)
 		is.NoErr(err)
 		defer resp.Body.Close()
 		var text strings.Builder
@@ -81,11 +82,13 @@
 			if last = ev.Data; last == "[DONE]" {
 				continue
 			}
-			var c chunk
+			var c struct {
+				Choices []struct{ Delta struct{ Content string } }
+			}
 			is.NoErr(json.Unmarshal([]byte(ev.Data), &c))
 			text.WriteString(c.Choices[0].Delta.Content)
 		}
-		tokens, err := runner.CheckText(text.String(), core.RequestID(resp.Header.Get("Request-Id")), q.mark)
+		tokens, err := runner.CheckText(text.String(), core.RequestID(resp.Header.Get("Request-Id")), q.Mark)
 		is.NoErr(err)
 		is.Equal(tokens, core.Tokens(40))
 		is.Equal(last, "[DONE]")
@@ -125,16 +128,15 @@
 				path = "/v1/chat/completions"
 			}
 			for _, n := range w.Nodes {
-				resp, err := post(w.client, n.ClientAddress(), key, path, []byte(tt.body), tt.header)
+				resp, err := caller.Post(w.client, n.ClientAddress(), key, path, []byte(tt.body), tt.header)
 				is.NoErr(err)
-				a := answer{status: resp.StatusCode}
-				a.readWhole(resp.Body)
+				a := caller.ReadWhole(resp)
 				resp.Body.Close()
-				is.Equal(a.status, tt.status)
-				is.True(a.err != nil)
-				is.Equal(a.err.Kind, tt.kind)
-				is.Equal(a.err.Run, core.RunNot)
-				is.True(a.err.Message != "" && a.err.Remedy != "" && a.err.RequestID != "")
+				is.Equal(a.Status, tt.status)
+				is.True(a.Err != nil)
+				is.Equal(a.Err.Kind, tt.kind)
+				is.Equal(a.Err.Run, core.RunNot)
+				is.True(a.Err.Message != "" && a.Err.Remedy != "" && a.Err.RequestID != "")
 			}
 		})
 	}
@@ -153,29 +155,29 @@
 	l := startLoad(t, 60, 400, func(int) (*http.Client, string) { return w.client, entry.ClientAddress() })
 	time.Sleep(time.Second)
 	started := w.total()
-	queued := w.chat(entry, ask{key: fleet.SlowKey, output: 3, timeout: 400 * time.Millisecond})
+	queued := w.chat(entry, ask{Key: fleet.SlowKey, Output: 3, Timeout: 400 * time.Millisecond})
 	t.Logf("deadline while queued: %s", queued)
-	is.True(queued.notRun())
-	is.True(queued.err.Kind == core.KindDeadline || queued.err.Kind == core.KindOverloaded)
-	is.True(queued.took < 400*time.Millisecond+resumeSlack)
-	is.Equal(w.starts(core.RequestID(queued.err.RequestID)), 0)
-	urgent := w.chat(entry, ask{output: 3, timeout: 10 * time.Second})
+	is.True(queued.NotRun())
+	is.True(queued.Err.Kind == core.KindDeadline || queued.Err.Kind == core.KindOverloaded)
+	is.True(queued.Took < 400*time.Millisecond+resumeSlack)
+	is.Equal(w.starts(core.RequestID(queued.Err.RequestID)), 0)
+	urgent := w.chat(entry, ask{Output: 3, Timeout: 10 * time.Second})
 	t.Logf("overload: %s", urgent)
-	if urgent.err != nil {
-		is.Equal(urgent.err.Kind, core.KindOverloaded)
-		is.Equal(urgent.status, http.StatusTooManyRequests)
-		is.Equal(urgent.err.Run, core.RunNot)
-		is.True(urgent.err.RetryAfterMS > 0)
-		is.Equal(w.starts(core.RequestID(urgent.err.RequestID)), 0)
+	if urgent.Err != nil {
+		is.Equal(urgent.Err.Kind, core.KindOverloaded)
+		is.Equal(urgent.Status, http.StatusTooManyRequests)
+		is.Equal(urgent.Err.Run, core.RunNot)
+		is.True(urgent.Err.RetryAfterMS > 0)
+		is.Equal(w.starts(core.RequestID(urgent.Err.RequestID)), 0)
 	}
 	l.mu.Lock()
 	kinds := map[core.Kind]int{}
 	for _, a := range l.answers {
-		if a.err == nil {
+		if a.Err == nil {
 			continue
 		}
-		kinds[a.err.Kind]++
-		if a.notRun() && w.starts(core.RequestID(a.err.RequestID)) > 0 {
+		kinds[a.Err.Kind]++
+		if a.NotRun() && w.starts(core.RequestID(a.Err.RequestID)) > 0 {
 			t.Errorf("told not_run, but an engine got it: %s", a)
 		}
 	}
--- a/proof/cross_test.go
+++ b/proof/cross_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/runner"
 )
@@ -63,8 +64,8 @@
 			for i := range asks {
 				running.Add(1)
 				reads := sync.OnceFunc(running.Done)
-				asks[i] = ask{output: 150, mark: newMark(), whole: i%2 == 0, timeout: 40 * time.Second, at: 5, then: reads}
-				if asks[i].whole {
+				asks[i] = ask{Output: 150, Mark: caller.NewMark(), Whole: i%2 == 0, Timeout: 40 * time.Second, At: 5, Then: reads}
+				if asks[i].Whole {
 					reads()
 				}
 				calls.Go(func() {
@@ -79,12 +80,12 @@
 			calls.Wait()
 			completed, kinds, longest := 0, map[string]int{}, time.Duration(0)
 			for i, a := range answers {
-				if err := honest(a, asks[i]); err != nil {
+				if err := a.Honest(asks[i]); err != nil {
 					t.Error(err)
 				}
-				longest = max(longest, a.took)
-				if a.err != nil {
-					kinds[string(a.err.Kind)+" "+string(a.err.Run)]++
+				longest = max(longest, a.Took)
+				if a.Err != nil {
+					kinds[string(a.Err.Kind)+" "+string(a.Err.Run)]++
 				} else {
 					completed++
 				}
--- a/proof/leave_test.go
+++ b/proof/leave_test.go
@@ -13,6 +13,7 @@
 	"snipeshed/conf"
 	"snipeshed/core/member"
 	"snipeshed/stand/batch"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
 	"snipeshed/stand/runner"
@@ -41,13 +42,13 @@
 					return
 				default:
 				}
-				q := ask{output: output + j%7, mark: newMark(), whole: j%3 == 0, timeout: 20 * time.Second}
+				q := ask{Output: output + j%7, Mark: caller.NewMark(), Whole: j%3 == 0, Timeout: 20 * time.Second}
 				c, address := pick(j)
 				if c == nil {
 					time.Sleep(10 * time.Millisecond)
 					continue
 				}
-				l.add(chat(c, address, &q), q)
+				l.add(caller.Chat(c, address, &q), q)
 			}
 		})
 	}
@@ -58,7 +59,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.answers = append(l.answers, a)
-	if err := complete(a, q); err != nil && !a.notRun() {
+	if err := a.Complete(q); err != nil && !a.NotRun() {
 		l.errs = append(l.errs, err)
 	}
 }
@@ -74,8 +75,8 @@
 	l.close()
 	kinds := map[string]int{}
 	for _, a := range l.answers {
-		if a.notRun() {
-			kinds[string(a.err.Kind)]++
+		if a.NotRun() {
+			kinds[string(a.Err.Kind)]++
 			refused++
 		}
 	}
@@ -138,7 +139,7 @@
 			})
 		}},
 		{name: "by a ticket that removes it", leave: func(w *world, i int) {
-			w.apply(w.Nodes[1], &wire.Ticket{Id: newMark(), Author: "morning", Base: 1, Items: []*wire.Item{{
+			w.apply(w.Nodes[1], &wire.Ticket{Id: caller.NewMark(), Author: "morning", Base: 1, Items: []*wire.Item{{
 				Body: &wire.Item_Remove{Remove: &wire.Removal{Item: fmt.Sprintf("endpoint/runner-%d", i)}},
 			}}})
 		}},
@@ -154,7 +155,7 @@
 			var running [3]answer
 			var side sync.WaitGroup
 			for k := range long {
-				long[k] = ask{output: 800, mark: newMark()} // over 6 s, longer than the bound
+				long[k] = ask{Output: 800, Mark: caller.NewMark()} // over 6 s, longer than the bound
 				side.Go(func() { running[k] = w.chat(entry, long[k]) })
 				is.NoErr(fleet.Wait(startLimit, "long answer runs", func() bool { return w.total() == k+1 }))
 			}
@@ -180,7 +181,7 @@
 			is.True(completed > 50) // the others took the work
 			is.Equal(after, before) // no new work after the bound
 			for k := range long {
-				is.NoErr(complete(running[k], long[k])) // running work was finished
+				is.NoErr(running[k].Complete(long[k])) // running work was finished
 			}
 			t.Logf("the runner started %d generations before it left, %d within the bound and %d after it", had, before-had, after-before)
 		})
@@ -234,7 +235,7 @@
 	results := make(chan result, 400)
 	var calls sync.WaitGroup
 	for i := range n {
-		q := ask{key: []string{fleet.SlowKey, fleet.OtherKey}[i%2], output: output, mark: newMark(), whole: i%4 == 0}
+		q := ask{Key: []string{fleet.SlowKey, fleet.OtherKey}[i%2], Output: output, Mark: caller.NewMark(), Whole: i%4 == 0}
 		n := []*fleet.Node{owner, entry}[i/2%2]
 		calls.Go(func() { results <- result{w.chat(n, q), q} })
 	}
@@ -252,12 +253,12 @@
 	close(results)
 	kinds := map[string]int{}
 	for r := range results {
-		err := complete(r.a, r.q)
+		err := r.a.Complete(r.q)
 		switch {
 		case err == nil:
 			kinds["completed"]++
-		case r.a.notRun():
-			kinds["refused "+string(r.a.err.Kind)]++
+		case r.a.NotRun():
+			kinds["refused "+string(r.a.Err.Kind)]++
 			t.Errorf("refused: %s", r.a)
 		default:
 			t.Error(err)
--- a/proof/partition_test.go
+++ b/proof/partition_test.go
@@ -11,6 +11,7 @@
 
 	"snipeshed/conf"
 	"snipeshed/core"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/runner"
 )
@@ -135,7 +136,7 @@
 			var side sync.WaitGroup
 			began := w.total()
 			for i := range running {
-				running[i].q = ask{output: 400, mark: newMark()}
+				running[i].q = ask{Output: 400, Mark: caller.NewMark()}
 				side.Go(func() { running[i].a = w.chat(w.Nodes[i%len(w.Nodes)], running[i].q) })
 			}
 			is.NoErr(fleet.Wait(startLimit, "streams run", func() bool { return w.total() == began+len(running) }))
@@ -150,13 +151,13 @@
 				counts[i] = map[string]int{}
 				load.Go(func() {
 					for j := 0; time.Since(cut) < partitionTime; j++ {
-						q := ask{output: 20, mark: newMark(), whole: j%2 == 0, timeout: 10 * time.Second}
+						q := ask{Output: 20, Mark: caller.NewMark(), Whole: j%2 == 0, Timeout: 10 * time.Second}
 						a := w.chat(n, q)
-						switch err := honest(a, q); {
+						switch err := a.Honest(q); {
 						case err != nil:
 							t.Errorf("%s: %v", n.ID, err)
-						case a.err != nil:
-							counts[i][string(a.err.Kind)+" "+string(a.err.Run)]++
+						case a.Err != nil:
+							counts[i][string(a.Err.Kind)+" "+string(a.Err.Run)]++
 						default:
 							counts[i]["complete"]++
 						}
@@ -180,11 +181,11 @@
 			side.Wait()
 			kinds := map[string]int{}
 			for _, r := range running {
-				if err := honest(r.a, r.q); err != nil {
+				if err := r.a.Honest(r.q); err != nil {
 					t.Error(err)
 				}
-				if r.a.err != nil {
-					kinds[string(r.a.err.Kind)]++
+				if r.a.Err != nil {
+					kinds[string(r.a.Err.Kind)]++
 				}
 			}
 			w.heal()
--- a/proof/pause_test.go
+++ b/proof/pause_test.go
@@ -17,6 +17,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/claim"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
 )
@@ -81,9 +82,9 @@
 			ask := func(want core.Kind) {
 				a := act(c, other.client, key, tt.timeout)
 				t.Logf("asked during the pause: %s", a)
-				is.True(a.err != nil)
-				is.Equal(a.err.Kind, want)
-				is.Equal(a.err.Run, core.RunUnknown)
+				is.True(a.Err != nil)
+				is.Equal(a.Err.Kind, want)
+				is.Equal(a.Err.Run, core.RunUnknown)
 			}
 			if tt.asked && !tt.lapse {
 				ask(core.KindInProgress)
@@ -106,12 +107,12 @@
 			}
 			is.NoErr(fleet.Wait(startLimit, "outcome recorded", func() bool { return p.record(key).State == want }))
 			is.Equal(p.runs(key), runs)
-			is.Equal(a.status == http.StatusOK, !tt.lapse)
-			is.True(!tt.lapse || a.err != nil && (a.err.Run == core.RunNot || a.err.Run == core.RunUnknown))
+			is.Equal(a.Status == http.StatusOK, !tt.lapse)
+			is.True(!tt.lapse || a.Err != nil && (a.Err.Run == core.RunNot || a.Err.Run == core.RunUnknown))
 			// A retry elsewhere gets the recorded result, or is the one run of an action that was not run.
 			last := act(c, other.client, key, 5*time.Second)
-			is.Equal(last.status, http.StatusOK)
-			is.Equal(last.header.Get("Snipeshed-Replayed") == "true", !tt.lapse)
+			is.Equal(last.Status, http.StatusOK)
+			is.Equal(last.Header.Get("Snipeshed-Replayed") == "true", !tt.lapse)
 			is.Equal(p.runs(key), int64(1))
 		})
 	}
@@ -133,7 +134,7 @@
 	case <-time.After(detect + resumeSlack + time.Second):
 	}
 	is.NoErr(p.app.Process.Signal(syscall.SIGCONT))
-	is.Equal((<-got).status, http.StatusOK)
+	is.Equal((<-got).Status, http.StatusOK)
 	is.Equal(p.runs("paused-application"), int64(1))
 }
 
@@ -152,10 +153,10 @@
 			reading.Add(1)
 			// Half of the generations end during the pause and can no longer be resumed after it.
 			reads := sync.OnceFunc(reading.Done)
-			asks[i] = ask{output: 200 + i%2*800, mark: newMark(), at: 20, then: reads}
+			asks[i] = ask{Output: 200 + i%2*800, Mark: caller.NewMark(), At: 20, Then: reads}
 			calls.Go(func() {
 				defer reads() // also when it failed early
-				answers[i] = chat(c, entry.client, &asks[i])
+				answers[i] = caller.Chat(c, entry.client, &asks[i])
 			})
 		}
 		reading.Wait()
@@ -166,12 +167,12 @@
 		longest, kinds := time.Duration(0), map[string]int{}
 		for i, a := range answers {
 			if i%2 == 1 {
-				is.NoErr(complete(a, asks[i]))
+				is.NoErr(a.Complete(asks[i]))
 			}
-			is.NoErr(honest(a, asks[i]))
-			longest = max(longest, a.gap)
-			if a.err != nil {
-				kinds[string(a.err.Kind)]++
+			is.NoErr(a.Honest(asks[i]))
+			longest = max(longest, a.Gap)
+			if a.Err != nil {
+				kinds[string(a.Err.Kind)]++
 			}
 		}
 		t.Logf("entry %s: %d streams, not complete %v, longest gap %s", entry.client, len(answers), kinds, longest)
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -21,6 +21,7 @@
 
 	"snipeshed/core/member"
 	"snipeshed/stand/apprun"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
 )
@@ -190,8 +191,8 @@
 func (p *processes) awaitAnswers(c *http.Client) {
 	is.New(p.t).NoErr(fleet.Wait(startLimit, "first answers", func() bool {
 		for _, in := range p.ins {
-			q := ask{output: 3, mark: newMark()}
-			if complete(chat(c, in.client, &q), q) != nil {
+			q := ask{Output: 3, Mark: caller.NewMark()}
+			if caller.Chat(c, in.client, &q).Complete(q) != nil {
 				return false
 			}
 		}
@@ -228,7 +229,7 @@
 	is.True(completed > 10)
 	longest := time.Duration(0)
 	for _, a := range l.answers {
-		longest = max(longest, a.gap)
+		longest = max(longest, a.Gap)
 	}
 	t.Logf("longest gap between two tokens %s", longest)
 	is.True(longest <= detect+resumeSlack)
@@ -238,13 +239,13 @@
 	t.Logf("paused holder: %s; second client: %s; third: %s; runs %d", paused, after, last, runs)
 	is.Equal(runs, int64(1))
 	for _, a := range []answer{after, last} {
-		is.True(!a.notRun())
+		is.True(!a.NotRun())
 	}
 
 	// A planned stop ends the process by itself.
 	is.NoErr(ins[1].Process.Signal(syscall.SIGTERM))
 	is.NoErr(ins[1].Wait())
 	is.True(fleet.Wait(ticketBound, "instance 1 gone", func() bool { return !ins[1].ready() }) == nil)
-	q := ask{output: 5, mark: newMark()}
-	is.NoErr(complete(chat(c, ins[0].client, &q), q))
+	q := ask{Output: 5, Mark: caller.NewMark()}
+	is.NoErr(caller.Chat(c, ins[0].client, &q).Complete(q))
 }
--- a/proof/silent_test.go
+++ b/proof/silent_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"snipeshed/core"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 )
 
@@ -23,12 +24,10 @@
 	r.Header.Set("Authorization", "Bearer "+fleet.UrgentKey)
 	resp, err := w.client.Do(r)
 	if err != nil {
-		return answer{broken: err}
+		return answer{Broken: err}
 	}
 	defer resp.Body.Close()
-	out := answer{status: resp.StatusCode, header: resp.Header}
-	out.readWhole(resp.Body)
-	return out
+	return caller.ReadWhole(resp)
 }
 
 // TestSilentApplication guards against calls of application services that wait for their deadline on a dead connection,
@@ -70,20 +69,20 @@
 			a := <-got
 			took := time.Since(began)
 			t.Logf("answered %s after the connection or application became silent: %s", took, a)
-			is.Equal(a.status, tt.status)
+			is.Equal(a.Status, tt.status)
 			is.True(!tt.silent || took <= detect+resumeSlack)
 			if tt.key == "" {
 				is.Equal(app.Counts().Total+app.Counts().Open == 2, tt.silent) // a second call only when the connection is dead
 				return
 			}
 			if tt.silent {
-				is.Equal(a.err.Kind, core.KindOutcomeUnknown)
-				is.Equal(a.err.Run, core.RunUnknown)
+				is.Equal(a.Err.Kind, core.KindOutcomeUnknown)
+				is.Equal(a.Err.Run, core.RunUnknown)
 			}
 			is.NoErr(fleet.Wait(startLimit, "the application has run the call", func() bool { return app.Counts().Open == 0 }))
 			last := w.act(w.Nodes[1], tt.key, timeout)
 			t.Logf("retry: %s", last)
-			is.True(!last.notRun())
+			is.True(!last.NotRun())
 			is.Equal(app.Runs(tt.key), int64(1))
 		})
 	}
--- a/proof/slow_test.go
+++ b/proof/slow_test.go
@@ -15,6 +15,7 @@
 
 	"snipeshed/conf"
 	"snipeshed/stand/batch"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/runner"
 )
@@ -43,7 +44,7 @@
 	}}}
 	defer client.CloseIdleConnections()
 	// At least 16 MB each, more than the kernel's buffers hold.
-	long := func(output int) ask { return ask{output: output, mark: newMark() + strings.Repeat("x", 16_000)} }
+	long := func(output int) ask { return ask{Output: output, Mark: caller.NewMark() + strings.Repeat("x", 16_000)} }
 	canceled := func() (n int64) {
 		for _, r := range w.Runners {
 			n += r.State().Canceled
@@ -66,10 +67,10 @@
 		q := long(30_000)
 		reading.Add(1)
 		reads := sync.OnceFunc(reading.Done)
-		q.at, q.then = 20, func() { reads(); <-release }
+		q.At, q.Then = 20, func() { reads(); <-release }
 		calls.Go(func() {
 			defer reads() // also when it failed early
-			chat(client, entry.ClientAddress(), &q)
+			caller.Chat(client, entry.ClientAddress(), &q)
 		})
 	}
 	reading.Wait()
@@ -78,13 +79,13 @@
 	var paused answer
 	slow := long(1000)
 	var goesOn atomic.Bool
-	slow.at, slow.then = 20, func() {
+	slow.At, slow.Then = 20, func() {
 		time.Sleep(pause)
 		goesOn.Store(true)
 	}
 	calls.Go(func() {
 		defer goesOn.Store(true) // also when it failed early
-		paused = chat(client, entry.ClientAddress(), &slow)
+		paused = caller.Chat(client, entry.ClientAddress(), &slow)
 	})
 	most := int64(0)
 	calls.Go(func() {
@@ -95,10 +96,10 @@
 	})
 	began, longest := time.Now(), time.Duration(0)
 	for canceled() < stopped && time.Since(began) < 2*startLimit {
-		q := ask{output: 1000, mark: newMark()}
+		q := ask{Output: 1000, Mark: caller.NewMark()}
 		a := w.chat(entry, q)
-		is.NoErr(complete(a, q))
-		longest = max(longest, a.gap)
+		is.NoErr(a.Complete(q))
+		longest = max(longest, a.Gap)
 	}
 	took := time.Since(began)
 	is.Equal(canceled(), int64(stopped))
@@ -106,7 +107,7 @@
 	calls.Wait()
 	t.Logf("%d clients stopped reading: longest gap of others %s, heap at most %d KiB for each, generations canceled after %s; paused client: %s",
 		stopped, longest, most/stopped/1024, took, paused)
-	is.NoErr(complete(paused, slow))
+	is.NoErr(paused.Complete(slow))
 	is.True(longest < resumeSlack)
 	is.True(most/stopped < heapPerStream)
 	is.NoErr(fleet.Wait(startLimit, "streams ended", func() bool {
--- a/proof/stream_test.go
+++ b/proof/stream_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"snipeshed/core"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/runner"
 )
@@ -92,17 +93,17 @@
 			if tt.busy {
 				w.burst(entry, 24)
 			}
-			q := ask{output: output, mark: newMark(), at: 20}
-			q.then = func() { tt.fail(w, owner, entry) }
+			q := ask{Output: output, Mark: caller.NewMark(), At: 20}
+			q.Then = func() { tt.fail(w, owner, entry) }
 			a := w.chat(entry, q)
 			t.Log(a)
-			if err := complete(a, q); err != nil {
+			if err := a.Complete(q); err != nil {
 				t.Error(err)
 			}
-			if a.gap > tt.gap {
-				t.Errorf("longest gap %s exceeds the bound %s", a.gap, tt.gap)
+			if a.Gap > tt.gap {
+				t.Errorf("longest gap %s exceeds the bound %s", a.Gap, tt.gap)
 			}
-			if n := w.starts(a.id); n != 1 {
+			if n := w.starts(a.ID); n != 1 {
 				t.Errorf("%d generations were started for one stream", n)
 			}
 		})
@@ -124,8 +125,8 @@
 	errs := make(chan error, n)
 	for range n {
 		go func() {
-			q := ask{output: 3, mark: newMark()}
-			errs <- complete(w.chat(entry, q), q)
+			q := ask{Output: 3, Mark: caller.NewMark()}
+			errs <- w.chat(entry, q).Complete(q)
 		}()
 	}
 	for range n {
@@ -146,27 +147,27 @@
 			w := start(t)
 			owner, other := w.owner()
 			for _, entry := range []*fleet.Node{owner, other} {
-				q := ask{output: 120, mark: newMark(), whole: whole, at: 20}
+				q := ask{Output: 120, Mark: caller.NewMark(), Whole: whole, At: 20}
 				reset := func() { w.Runners[w.serving()].Reset() }
 				if whole {
 					time.AfterFunc(400*time.Millisecond, reset)
 				} else {
-					q.then = reset
+					q.Then = reset
 				}
 				a := w.chat(entry, q)
 				t.Log(a)
 				if whole {
-					is.NoErr(complete(a, q))
-					is.True(w.starts(a.id) == 2) // regenerated once
+					is.NoErr(a.Complete(q))
+					is.True(w.starts(a.ID) == 2) // regenerated once
 					continue
 				}
-				n, err := check(a, q)
+				n, err := a.Check(q)
 				is.NoErr(err)
-				is.True(!a.done && a.err != nil) // an error event, no [DONE]
-				is.Equal(a.err.Kind, core.KindStreamBroken)
-				is.Equal(a.err.TokensDelivered, int64(n))
-				is.True(a.err.Run != core.RunNot)
-				is.Equal(w.starts(a.id), 1)
+				is.True(!a.Done && a.Err != nil) // an error event, no [DONE]
+				is.Equal(a.Err.Kind, core.KindStreamBroken)
+				is.Equal(a.Err.TokensDelivered, int64(n))
+				is.True(a.Err.Run != core.RunNot)
+				is.Equal(w.starts(a.ID), 1)
 			}
 		})
 	}
--- a/proof/ticket_test.go
+++ b/proof/ticket_test.go
@@ -13,6 +13,7 @@
 	"snipeshed/conf"
 	"snipeshed/core"
 	"snipeshed/io/oper"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
 	"snipeshed/wire"
@@ -80,8 +81,8 @@
 	t.Logf("in force at the remaining instances after %s", took)
 	is.True(took <= ticketBound)
 	for _, n := range w.Nodes[1:] {
-		q := ask{key: "key-nagasaki", output: 5, mark: newMark()}
-		is.NoErr(complete(w.chat(n, q), q))
+		q := ask{Key: "key-nagasaki", Output: 5, Mark: caller.NewMark()}
+		is.NoErr(w.chat(n, q).Complete(q))
 	}
 }
 
@@ -101,15 +102,15 @@
 			// A claim that is sent before the circuit breaker has seen 3 calls fail has an unknown effect.
 			unknown, known := 0, 0
 			for unknown < 4 && known < 2 {
-				a := w.act(w.Nodes[0], "outage-"+newMark(), time.Second)
-				is.True(a.err != nil)
-				if a.err.Kind == core.KindOutcomeUnknown && known == 0 {
-					is.Equal(a.err.Run, core.RunUnknown)
+				a := w.act(w.Nodes[0], "outage-"+caller.NewMark(), time.Second)
+				is.True(a.Err != nil)
+				if a.Err.Kind == core.KindOutcomeUnknown && known == 0 {
+					is.Equal(a.Err.Run, core.RunUnknown)
 					unknown++
 					continue
 				}
-				is.Equal(a.err.Kind, core.KindStoreDown)
-				is.Equal(a.err.Run, core.RunNot)
+				is.Equal(a.Err.Kind, core.KindStoreDown)
+				is.Equal(a.Err.Run, core.RunNot)
 				known++
 			}
 			t.Logf("%d actions of unknown outcome before the store was known to be down", unknown)
@@ -128,8 +129,8 @@
 			is.NoErr(lerr)
 			is.NoErr(fleet.Wait(startLimit, "new instance ready", late.Ready))
 			is.Equal(uint64(late.Ticket()), number) // ready, so not older than its peers
-			q := ask{key: "key-nagasaki", output: 5, mark: newMark()}
-			is.NoErr(complete(w.chat(late, q), q))
+			q := ask{Key: "key-nagasaki", Output: 5, Mark: caller.NewMark()}
+			is.NoErr(w.chat(late, q).Complete(q))
 
 			w.Platform.SetOutage(objs.OutageNone)
 			back := time.Now()
@@ -140,7 +141,7 @@
 			is.NoErr(w.WaitTicket(ticketBound, number+1))
 			t.Logf("the next ticket was in force everywhere %s after the end of the outage", time.Since(back))
 			is.NoErr(fleet.Wait(ticketBound, "action accepted after the outage", func() bool {
-				return w.act(w.Nodes[0], "after-outage", 5*time.Second).status == 200
+				return w.act(w.Nodes[0], "after-outage", 5*time.Second).Status == 200
 			}))
 			completed, _ := l.end(t)
 			is.True(completed > 20)
@@ -210,12 +211,12 @@
 	const limit = 2 * time.Second
 	w := start(t, fleet.WithSettings(func(s *conf.Settings) { s.VouchLimitMs = limit.Milliseconds() }))
 	last := w.Nodes[2]
-	q := ask{output: 500, mark: newMark(), at: 20} // 4 s, over the limit
+	q := ask{Output: 500, Mark: caller.NewMark(), At: 20} // 4 s, over the limit
 	var cut time.Time
 	var side sync.WaitGroup
 	var running answer
 	isCut := make(chan struct{})
-	q.then = func() {
+	q.Then = func() {
 		last.PlatformLink.Partition()
 		is.NoErr(w.Nodes[0].Kill())
 		is.NoErr(w.Nodes[1].Kill())
@@ -228,14 +229,14 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 	for range 10 {
-		a := w.chat(last, ask{output: 2})
-		is.True(a.err != nil)
-		is.Equal(a.err.Kind, core.KindStaleState)
-		is.Equal(a.err.Run, core.RunNot)
+		a := w.chat(last, ask{Output: 2})
+		is.True(a.Err != nil)
+		is.Equal(a.Err.Kind, core.KindStaleState)
+		is.Equal(a.Err.Run, core.RunNot)
 		is.True(!last.Ready())
 	}
 	side.Wait()
-	is.NoErr(complete(running, q)) // what runs is finished
+	is.NoErr(running.Complete(q)) // what runs is finished
 	is.NoErr(last.PlatformLink.Restore())
 	is.NoErr(fleet.Wait(ticketBound, "ready again", last.Ready))
 }
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -1,16 +1,10 @@
 package proof
 
 import (
-	"bufio"
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -20,6 +14,7 @@
 
 	"snipeshed/conf"
 	"snipeshed/core"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
 	"snipeshed/stand/runner"
@@ -43,6 +38,12 @@
 
 const pool = core.PoolID(fleet.Model + "/0")
 
+// Short names of the client's types.
+type (
+	ask    = caller.Ask
+	answer = caller.Answer
+)
+
 // world is one fleet of 3 instances, 3 model runners and 1 application runner.
 type world struct {
 	*fleet.Fleet
@@ -174,231 +175,7 @@
 	return found
 }
 
-// wireError is the error of an answer.
-type wireError struct {
-	Kind            core.Kind `json:"kind"`
-	Message         string    `json:"message"`
-	Remedy          string    `json:"remedy"`
-	Run             core.Run  `json:"run"`
-	RequestID       string    `json:"request_id"`
-	RetryAfterMS    int64     `json:"retry_after_ms"`
-	TokensDelivered int64     `json:"tokens_delivered"`
-}
-
-// answer is what a client saw of one request.
-type answer struct {
-	status int
-	id     core.RequestID
-	text   string
-	body   []byte
-	finish string
-	done   bool // [DONE] or a whole answer
-	err    *wireError
-	broken error // the connection broke
-	gap    time.Duration
-	took   time.Duration
-	header http.Header
-}
-
-func (a answer) String() string {
-	n := len(strings.Fields(a.text))
-	return fmt.Sprintf("status %d, %d tokens, done %v, error %+v, connection error %v, longest gap %s, took %s", a.status, n, a.done, a.err, a.broken, a.gap, a.took)
-}
-
-// notRun reports whether the request was refused with the proof that it was not run.
-func (a answer) notRun() bool { return a.broken == nil && a.err != nil && a.err.Run == core.RunNot }
-
-// ask describes one chat request.
-type ask struct {
-	key     string
-	model   string
-	mark    string
-	output  int
-	whole   bool
-	timeout time.Duration
-	// at calls then once that many tokens have arrived.
-	at   int
-	then func()
-}
-
-var marks = struct {
-	sync.Mutex
-	n int
-}{}
-
-func newMark() string {
-	marks.Lock()
-	defer marks.Unlock()
-	marks.n++
-	return "m" + strconv.Itoa(marks.n)
-}
-
-func chatBody(a *ask) []byte {
-	if a.mark == "" {
-		a.mark = newMark()
-	}
-	model := a.model
-	if model == "" {
-		model = fleet.Service
-	}
-	b, _ := json.Marshal(map[string]any{
-		"model": model, "stream": !a.whole,
-		"messages": []map[string]string{{"role": "user", "content": fmt.Sprintf("[output=%d][mark=%s] survey the coating", a.output, a.mark)}},
-	}) // plain values always marshal
-	return b
-}
-
-func post(c *http.Client, address, key, path string, body []byte, header map[string]string) (*http.Response, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	r.Header.Set("Authorization", "Bearer "+key)
-	for k, v := range header {
-		r.Header.Set(k, v)
-	}
-	resp, err := c.Do(r)
-	if err != nil {
-		cancel()
-		return nil, err
-	}
-	resp.Body = &bodyWith{resp.Body, cancel}
-	return resp, nil
-}
-
-type bodyWith struct {
-	io.ReadCloser
-	cancel func()
-}
-
-func (b *bodyWith) Close() error {
-	defer b.cancel()
-	return b.ReadCloser.Close()
-}
-
 // chat sends a request and reads its answer to the end.
 func (w *world) chat(n *fleet.Node, a ask) answer {
-	return chat(w.client, n.ClientAddress(), &a)
-}
-
-func chat(c *http.Client, address string, a *ask) (out answer) {
-	if a.key == "" {
-		a.key = fleet.UrgentKey
-	}
-	header := map[string]string{}
-	if a.timeout > 0 {
-		header["Snipeshed-Timeout-Ms"] = strconv.FormatInt(a.timeout.Milliseconds(), 10)
-	}
-	began := time.Now()
-	defer func() { out.took = time.Since(began) }()
-	resp, err := post(c, address, a.key, "/v1/chat/completions", chatBody(a), header)
-	if err != nil {
-		return answer{broken: err}
-	}
-	defer resp.Body.Close()
-	out = answer{status: resp.StatusCode, id: core.RequestID(resp.Header.Get("Request-Id")), header: resp.Header}
-	if resp.Header.Get("Content-Type") == "text/event-stream" {
-		out.readStream(resp.Body, a)
-		return out
-	}
-	out.readWhole(resp.Body)
-	return out
-}
-
-type chunk struct {
-	Error   *wireError
-	Choices []struct {
-		Delta, Message struct{ Content string }
-		FinishReason   string `json:"finish_reason"`
-	}
-}
-
-func (a *answer) readWhole(body io.Reader) {
-	if a.body, a.broken = io.ReadAll(body); a.broken != nil {
-		return
-	}
-	var c chunk
-	if err := json.Unmarshal(a.body, &c); err != nil {
-		return // an application's answer
-	}
-	a.err = c.Error
-	if len(c.Choices) > 0 {
-		a.text, a.finish, a.done = c.Choices[0].Message.Content, c.Choices[0].FinishReason, true
-	}
-}
-
-func (a *answer) readStream(body io.Reader, q *ask) {
-	var text strings.Builder
-	defer func() { a.text = text.String() }()
-	s := bufio.NewScanner(body)
-	s.Buffer(nil, 1<<20)
-	last, n := time.Time{}, 0
-	for s.Scan() {
-		data, ok := strings.CutPrefix(s.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		if data == "[DONE]" {
-			a.done = true
-			continue
-		}
-		var c chunk
-		if a.broken = json.Unmarshal([]byte(data), &c); a.broken != nil {
-			return
-		}
-		if c.Error != nil {
-			a.err = c.Error
-		}
-		if len(c.Choices) == 0 {
-			continue
-		}
-		text.WriteString(c.Choices[0].Delta.Content)
-		if c.Choices[0].FinishReason != "" {
-			a.finish = c.Choices[0].FinishReason
-			continue
-		}
-		if now := time.Now(); last.IsZero() {
-			last = now
-		} else {
-			a.gap, last = max(a.gap, now.Sub(last)), now
-		}
-		if n++; q.then != nil && n == q.at {
-			q.then()
-		}
-	}
-	a.broken = s.Err()
-}
-
-// check verifies the tokens of an answer: each once, in order, of one generation, of this request and mark.
-func check(a answer, q ask) (int, error) {
-	n, err := runner.CheckText(a.text, a.id, q.mark)
-	return int(n), err
-}
-
-// honest verifies that an answer is complete or ends with a typed error that says how much was delivered.
-func honest(a answer, q ask) error {
-	n, err := check(a, q)
-	switch {
-	case err != nil:
-		return err
-	case a.broken != nil || a.done == (a.err != nil) || (a.err != nil && a.err.TokensDelivered != int64(n)):
-		return fmt.Errorf("answer with %d of %d tokens does not end honestly: %s", n, q.output, a)
-	case a.err == nil:
-		return complete(a, q)
-	}
-	return nil
-}
-
-// complete verifies that an answer is complete.
-func complete(a answer, q ask) error {
-	n, err := check(a, q)
-	switch {
-	case err != nil:
-		return err
-	case a.status != http.StatusOK || !a.done || a.err != nil || a.broken != nil || n != q.output:
-		return fmt.Errorf("answer with %d of %d tokens is not complete: %s", n, q.output, a)
-	}
-	return nil
+	return caller.Chat(w.client, n.ClientAddress(), &a)
 }
--- /dev/null
+++ b/stand/caller/call.go
@@ -0,0 +1,82 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/stand/fleet"
+)
+
+// callLimit ends a call whose answer never comes.
+const callLimit = time.Minute
+
+// Post sends a request; closing the response's body releases it.
+func Post(c *http.Client, address, key, path string, body []byte, header map[string]string) (*http.Response, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callLimit)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	resp, err := c.Do(r)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	resp.Body = &bodyWith{resp.Body, cancel}
+	return resp, nil
+}
+
+type bodyWith struct {
+	io.ReadCloser
+	cancel func()
+}
+
+func (b *bodyWith) Close() error {
+	defer b.cancel()
+	return b.ReadCloser.Close()
+}
+
+// Chat sends a chat request and reads its answer to the end.
+func Chat(c *http.Client, address string, q *Ask) (out Answer) {
+	if q.Key == "" {
+		q.Key = fleet.UrgentKey
+	}
+	header := map[string]string{}
+	if q.Timeout > 0 {
+		header["Snipeshed-Timeout-Ms"] = strconv.FormatInt(q.Timeout.Milliseconds(), 10)
+	}
+	began := time.Now()
+	defer func() { out.Took = time.Since(began) }()
+	resp, err := Post(c, address, q.Key, "/v1/chat/completions", q.Body(), header)
+	if err != nil {
+		return Answer{Broken: err}
+	}
+	defer resp.Body.Close()
+	if resp.Header.Get("Content-Type") != "text/event-stream" {
+		return ReadWhole(resp)
+	}
+	out = newAnswer(resp)
+	out.readStream(resp.Body, q)
+	return out
+}
+
+// ReadWhole reads an answer that is not streamed.
+func ReadWhole(resp *http.Response) Answer {
+	out := newAnswer(resp)
+	out.readWhole(resp.Body)
+	return out
+}
+
+func newAnswer(resp *http.Response) Answer {
+	return Answer{Status: resp.StatusCode, ID: core.RequestID(resp.Header.Get("Request-Id")), Header: resp.Header}
+}
--- /dev/null
+++ b/stand/caller/doc.go
@@ -0,0 +1,2 @@
+// Package caller is a client that sends requests to an instance and verifies the answers.
+package caller
