Move the process harness of the proof tests into stand/procs

Cause: the harness that starts stand-ins and instances as processes and ends them by their ids was part of proof/process_test.go, which no other package can import.

It is now the package stand/procs, which does not import testing: Procs builds, runs and ends processes; Start returns a Fleet with the same ticket checks as before, whose failures it returns as errors. startProcesses and getJSON in proof are thin wrappers that fail the test. Differences: a failed snipeshed command ends the start at once instead of marking the test as failed and going on; an instance's standard output goes to the null device instead of a pipe that nobody reads; output without a space in its first line no longer panics.

Ruled out: scripts/processes.sh stays, because it uses fixed ports, the example tickets and logs to read while it runs, none of which the harness has. standin demo runs in one process. No other Go code starts processes.

--- a/proof/pause_test.go
+++ b/proof/pause_test.go
@@ -20,11 +20,12 @@
 	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
+	"snipeshed/stand/procs"
 )
 
 func (p *processes) admin(path string) {
 	p.t.Helper()
-	resp, err := http.Post("http://"+p.platform+"/admin/"+path, "", nil)
+	resp, err := http.Post("http://"+p.Platform+"/admin/"+path, "", nil)
 	if err != nil || resp.StatusCode != http.StatusNoContent {
 		p.t.Fatalf("admin call %s: %v", path, err)
 	}
@@ -36,7 +37,7 @@
 	p.t.Helper()
 	sum := sha256.Sum256([]byte(key))
 	var rec claim.Record
-	getJSON(p.t, fmt.Sprintf("http://%s/v1/objects/actions/%s/fukuoka/%s", p.platform, fleet.AppService, hex.EncodeToString(sum[:])), &rec)
+	getJSON(p.t, fmt.Sprintf("http://%s/v1/objects/actions/%s/fukuoka/%s", p.Platform, fleet.AppService, hex.EncodeToString(sum[:])), &rec)
 	return rec
 }
 
@@ -49,8 +50,8 @@
 // TestHolderPausedBeforeSend guards against a second run, and against not_run told for a run, when the holder of a claim
 // is paused after the claim's write took effect and before it learns of that, so certainly before it sends.
 func TestHolderPausedBeforeSend(t *testing.T) {
-	p := startProcesses(t, 0)
-	holder, other := p.ins[1], p.ins[0]
+	p := startProcesses(t)
+	holder, other := p.Instances[1], p.Instances[0]
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	for _, tt := range []struct {
 		name    string
@@ -67,12 +68,12 @@
 			is := is.New(t)
 			key := strings.ReplaceAll(tt.name, " ", "-")
 			var before, now objs.Counts
-			getJSON(t, "http://"+p.platform+"/admin/counts", &before)
+			getJSON(t, "http://"+p.Platform+"/admin/counts", &before)
 			p.admin("hold_answers?prefix=actions/")
 			first := make(chan answer, 1)
-			go func() { first <- act(c, holder.client, key, tt.timeout) }()
+			go func() { first <- act(c, holder.Client, key, tt.timeout) }()
 			is.NoErr(fleet.Wait(startLimit, "claim written and its answer held back", func() bool {
-				getJSON(t, "http://"+p.platform+"/admin/counts", &now)
+				getJSON(t, "http://"+p.Platform+"/admin/counts", &now)
 				return now.HeldAnswers > before.HeldAnswers
 			}))
 			is.NoErr(holder.Process.Signal(syscall.SIGSTOP))
@@ -80,7 +81,7 @@
 			is.NoErr(fleet.Wait(startLimit, "holder stopped", func() bool { return stopped(holder.Process.Pid) }))
 			p.admin("release_answers")
 			ask := func(want core.Kind) {
-				a := act(c, other.client, key, tt.timeout)
+				a := act(c, other.Client, key, tt.timeout)
 				t.Logf("asked during the pause: %s", a)
 				is.True(a.Err != nil)
 				is.Equal(a.Err.Kind, want)
@@ -110,7 +111,7 @@
 			is.Equal(a.Status == http.StatusOK, !tt.lapse)
 			is.True(!tt.lapse || a.Err != nil && (a.Err.Run == core.RunNot || a.Err.Run == core.RunUnknown))
 			// A retry elsewhere gets the recorded result, or is the one run of an action that was not run.
-			last := act(c, other.client, key, 5*time.Second)
+			last := act(c, other.Client, key, 5*time.Second)
 			is.Equal(last.Status, http.StatusOK)
 			is.Equal(last.Header.Get("Snipeshed-Replayed") == "true", !tt.lapse)
 			is.Equal(p.runs(key), int64(1))
@@ -122,18 +123,18 @@
 // for longer than a silent connection may stay unnoticed, its kernel still answers.
 func TestApplicationPaused(t *testing.T) {
 	is := is.New(t)
-	p := startProcesses(t, 0)
+	p := startProcesses(t)
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	is.NoErr(p.app.Process.Signal(syscall.SIGSTOP))
-	is.NoErr(fleet.Wait(startLimit, "application stopped", func() bool { return stopped(p.app.Process.Pid) }))
+	is.NoErr(p.App.Process.Signal(syscall.SIGSTOP))
+	is.NoErr(fleet.Wait(startLimit, "application stopped", func() bool { return stopped(p.App.Process.Pid) }))
 	got := make(chan answer, 1)
-	go func() { got <- act(c, p.ins[0].client, "paused-application", 20*time.Second) }()
+	go func() { got <- act(c, p.Instances[0].Client, "paused-application", 20*time.Second) }()
 	select {
 	case a := <-got:
 		t.Errorf("answered while the application was stopped: %s", a)
 	case <-time.After(detect + resumeSlack + time.Second):
 	}
-	is.NoErr(p.app.Process.Signal(syscall.SIGCONT))
+	is.NoErr(p.App.Process.Signal(syscall.SIGCONT))
 	is.Equal((<-got).Status, http.StatusOK)
 	is.Equal(p.runs("paused-application"), int64(1))
 }
@@ -142,11 +143,11 @@
 // that is their entry is paused and goes on: an entry that owns the pool and one that does not.
 func TestEntryPaused(t *testing.T) {
 	is := is.New(t)
-	p := startProcesses(t, 0, "--keep", "2s")
+	p := startProcesses(t, procs.WithRunnerArgs("--keep", "2s"))
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	p.awaitAnswers(c)
 	const pause = 5 * time.Second
-	for _, entry := range []*proc{p.ins[0], p.ins[2]} { // by the hash, instance 2 owns the pool
+	for _, entry := range []*procs.Instance{p.Instances[0], p.Instances[2]} { // by the hash, instance 2 owns the pool
 		var calls, reading sync.WaitGroup
 		asks, answers := make([]ask, 16), make([]answer, 16)
 		for i := range asks {
@@ -156,7 +157,7 @@
 			asks[i] = ask{Output: 200 + i%2*800, Mark: caller.NewMark(), At: 20, Then: reads}
 			calls.Go(func() {
 				defer reads() // also when it failed early
-				answers[i] = caller.Chat(c, entry.client, &asks[i])
+				answers[i] = caller.Chat(c, entry.Client, &asks[i])
 			})
 		}
 		reading.Wait()
@@ -175,8 +176,8 @@
 				kinds[string(a.Err.Kind)]++
 			}
 		}
-		t.Logf("entry %s: %d streams, not complete %v, longest gap %s", entry.client, len(answers), kinds, longest)
+		t.Logf("entry %s: %d streams, not complete %v, longest gap %s", entry.Client, len(answers), kinds, longest)
 		is.True(longest >= pause-time.Second && longest <= pause+detect+resumeSlack)
-		is.NoErr(fleet.Wait(startLimit, "ready again", entry.ready))
+		is.NoErr(fleet.Wait(startLimit, "ready again", entry.Ready))
 	}
 }
--- /dev/null
+++ b/stand/procs/instance.go
@@ -0,0 +1,66 @@
+package procs
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+
+	"snipeshed/core/member"
+	"snipeshed/stand/fleet"
+	"snipeshed/stand/objs"
+)
+
+// readyTimeout bounds a readiness check, which a stopped process does not answer.
+const readyTimeout = 500 * time.Millisecond
+
+// Instance is one instance as a process.
+type Instance struct {
+	*exec.Cmd
+	Client, Peer, Operator string
+}
+
+// Ready reports whether the instance passes its readiness check.
+func (in *Instance) Ready() bool {
+	c := http.Client{Timeout: readyTimeout}
+	resp, err := c.Get("http://" + in.Client + "/readyz")
+	if err != nil {
+		return false
+	}
+	defer resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// addInstance starts the i-th instance on 3 addresses and adds it to the instance list.
+func (f *Fleet) addInstance(i int, ports []string) error {
+	in := &Instance{Client: ports[0], Peer: ports[1], Operator: ports[2]}
+	file := filepath.Join(f.dir, instanceID(i)+".json")
+	settings := fmt.Sprintf(`{"instance": %q, "failure_domain": %q, "platform_url": "http://%s",
+		"client_address": %q, "peer_address": %q, "operator_address": %q}`, instanceID(i), fleet.Domains[i], f.Platform, in.Client, in.Peer, in.Operator)
+	err := os.WriteFile(file, []byte(settings), 0o600)
+	if err != nil {
+		return err
+	}
+	if in.Cmd, err = f.Run("snipeshed", "serve", "--settings", file); err != nil {
+		return err
+	}
+	body, err := json.Marshal(objs.Instance{
+		ID: instanceID(i), Address: in.Peer, FailureDomain: fleet.Domains[i], Kind: member.KindInstance, State: member.StateLive,
+	})
+	if err != nil {
+		return err
+	}
+	resp, err := http.Post("http://"+f.Platform+"/admin/instances", "application/json", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp.Body.Close()
+	f.Instances = append(f.Instances, in)
+	return nil
+}
+
+func instanceID(i int) string { return fmt.Sprintf("instance-%d", i) }
