--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -144,7 +144,7 @@
 	if r := a.running[id]; r != nil && n > r.generated {
 		r.ep.pace.token(now, r, r.prompt, r.ep.decoding)
 		if t := r.ep.target(r.gap); t != nil && !r.last.IsZero() {
-			t.room.add(now, now.Sub(r.last), r.gap, r.ep.streams(r.gap), a.runningLimit)
+			t.limit.add(now, now.Sub(r.last), r.gap, r.ep.streams(r.gap), a.runningLimit)
 		}
 		r.last = now
 		if r.generated == 0 {
@@ -266,7 +266,7 @@
 		prompt := e.uncached(c)
 		stall := e.stall(prompt)
 		busy := e.prompts > 0 && a.tooMuch(e, e.prompts+prompt)
-		if a.noRoom(e, a.gaps[c.Rank], prompt) || e.crowded(a.gaps[c.Rank]) || (busy && stall == 0) {
+		if a.full(e, a.gaps[c.Rank], prompt) || e.crowded(a.gaps[c.Rank]) || (busy && stall == 0) {
 			if load := 1 + float64(e.held)/float64(e.info.KVCapacity); full == nil || load < fullLoad {
 				full, fullLoad = e, load
 			}
@@ -313,16 +313,16 @@
 	return lowest.info.ID, true
 }
 
-// noRoom reports whether as many calls run as an endpoint may run next to a new one. Each token gap target has a
+// full reports whether as many calls run as an endpoint may run next to a new one. Each token gap target has a
 // limit of its own that counts streams with targets at most as long: urgent calls must not be refused because others
 // took the places, and background calls may run where only urgent streams stall. It does not hold for a prompt that
 // would delay the streams of a full endpoint: that goes where it delays least.
-func (a *Admit) noRoom(e *endpoint, gap time.Duration, prompt core.Tokens) bool {
+func (a *Admit) full(e *endpoint, gap time.Duration, prompt core.Tokens) bool {
 	if len(e.running)+e.foreign >= a.runningLimit {
 		return true
 	}
 	t := e.target(gap)
-	return t != nil && e.streams(gap) >= t.room.calls && !e.exceeds(e.pace.gap(a.runningLimit, prompt))
+	return t != nil && e.streams(gap) >= t.limit.calls && !e.exceeds(e.pace.gap(a.runningLimit, prompt))
 }
 
 // tooMuch reports whether an endpoint that computes prompts already has to finish them first.
--- a/core/admit/endpoint.go
+++ b/core/admit/endpoint.go
@@ -42,7 +42,7 @@
 type gapTarget struct {
 	gap   time.Duration
 	calls int
-	room  room
+	limit runningLimit
 }
 
 func newEndpoint(id core.EndpointID, block core.Tokens) *endpoint {
@@ -166,7 +166,7 @@
 	if t := e.target(gap); t != nil {
 		t.calls += n
 	} else if gap > 0 {
-		e.targets = append(e.targets, gapTarget{gap: gap, calls: n, room: room{calls: most}})
+		e.targets = append(e.targets, gapTarget{gap: gap, calls: n, limit: runningLimit{calls: most}})
 	}
 }
 
--- a/core/admit/room.go
+++ b/core/admit/limit.go
@@ -3,30 +3,30 @@
 import "time"
 
 const (
-	// roomInterval is the time between two changes of a limit of running calls.
-	roomInterval = time.Second
+	// limitInterval is the time between two changes of a limit of running calls.
+	limitInterval = time.Second
 	// stallAim is the part of the streams' time beyond the gap targets above which the limit shrinks. With 0.005 the
 	// stall in a flood of urgent work was 14% higher and 3% more tokens were served.
 	stallAim = 0.002
-	// roomStep is the growth of the limit per interval without stall. With 1 call 5% fewer tokens were served in a
+	// limitStep is the growth of the limit per interval without stall. With 1 call 5% fewer tokens were served in a
 	// flood, with 4 calls the stall was a fifth higher.
-	roomStep = 2
-	// roomKeepNum and roomKeepDen are the part of the limit that is kept when it shrinks.
-	roomKeepNum, roomKeepDen = 7, 8
+	limitStep = 2
+	// limitKeepNum and limitKeepDen are the part of the limit that is kept when it shrinks.
+	limitKeepNum, limitKeepDen = 7, 8
 )
 
-// room is an endpoint's limit of running calls with a token gap target; it follows the gaps beyond that target.
+// runningLimit is an endpoint's limit of running calls with a token gap target; it follows the gaps beyond that target.
 //
 // Prompts that delay the streams of a full endpoint go where the fewest calls run. The limits there shrink and those
 // of the other endpoints grow, so that few streams share an engine with long prompts.
-type room struct {
+type runningLimit struct {
 	calls         int
 	at            time.Time
 	stall, stream time.Duration
 }
 
 // add counts a gap of one of the running calls; most is the largest limit.
-func (m *room) add(now time.Time, gap, target time.Duration, running, most int) {
+func (m *runningLimit) add(now time.Time, gap, target time.Duration, running, most int) {
 	if m.at.IsZero() {
 		m.at = now
 	}
@@ -34,13 +34,13 @@
 	if target > 0 && gap > target {
 		m.stall += gap - target
 	}
-	if now.Sub(m.at) < roomInterval {
+	if now.Sub(m.at) < limitInterval {
 		return
 	}
 	if m.stall.Seconds() > stallAim*m.stream.Seconds() {
-		m.calls = max(min(m.calls, running)*roomKeepNum/roomKeepDen, min(minRunning, most))
+		m.calls = max(min(m.calls, running)*limitKeepNum/limitKeepDen, min(minRunning, most))
 	} else {
-		m.calls = min(m.calls+roomStep, most)
+		m.calls = min(m.calls+limitStep, most)
 	}
 	m.at, m.stall, m.stream = now, 0, 0
 }
--- a/core/admit/pace_test.go
+++ b/core/admit/pace_test.go
@@ -139,7 +139,7 @@
 func TestRoomFollowsStall(t *testing.T) {
 	is := is.New(t)
 	const target, most = 31 * time.Millisecond, 64
-	m := room{calls: most}
+	m := runningLimit{calls: most}
 	now := t0
 	run := func(seconds int, gap time.Duration, running int) {
 		for end := now.Add(time.Duration(seconds) * time.Second); now.Before(end); {
@@ -197,12 +197,12 @@
 		_, ok := a.Choose(&c, 0, nil, false)
 		return ok
 	}
-	e.target(31 * time.Millisecond).room.calls = 2
+	e.target(31 * time.Millisecond).limit.calls = 2
 	is.True(fits(gapRank))
 	is.True(fits(slowRank)) // its own streams don't stall
-	e.target(62 * time.Millisecond).room.calls = 10
+	e.target(62 * time.Millisecond).limit.calls = 10
 	is.True(fits(gapRank))
 	is.True(!fits(slowRank))
-	e.target(31 * time.Millisecond).room.calls = 1
+	e.target(31 * time.Millisecond).limit.calls = 1
 	is.True(!fits(gapRank))
 }
