--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -155,7 +155,7 @@
 			return fmt.Errorf("%w: owner answered with generation %q for %q", peer.ErrLost, f.Started.Generation, p.at.Generation)
 		}
 		p.at = f.Started
-		p.begun = p.begun || !f.Started.Waiting
+		p.started = p.started || !f.Started.Waiting
 		return nil
 	case f.Admitted:
 		p.admitted = true
@@ -232,7 +232,7 @@
 	if p.at != nil {
 		p.avoid = append(p.avoid, string(p.at.Endpoint))
 	}
-	p.at, p.next, p.begun, p.maybeRun = nil, 0, false, true
+	p.at, p.next, p.started, p.maybeRun = nil, 0, false, true
 	e.Meter.Count("regenerated")
 	return true
 }
--- a/io/entry/progress.go
+++ b/io/entry/progress.go
@@ -15,10 +15,10 @@
 	pool core.PoolID
 	at   *core.ResumePoint
 	next core.Tokens
-	// begun tells that the engine has begun the generation at hand.
-	begun bool
-	done  bool
-	avoid []string
+	// started tells that the engine has started the current generation.
+	started bool
+	done    bool
+	avoid   []string
 	// maybeRun tells that an earlier attempt may have run, so that a later refusal does not prove the opposite.
 	maybeRun bool
 	// tried are the owners that did not take the call.
@@ -31,7 +31,7 @@
 
 // run says whether the call was run, as far as it is provable.
 func (p *progress) run() core.Run {
-	if p.begun {
+	if p.started {
 		return core.RunYes
 	}
 	return core.RunUnknown
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -25,8 +25,8 @@
 	counters   Counters
 	// confirmed tells that a line of the stream has named the generation together with the request.
 	confirmed bool
-	// unbegun tells that the wait for the generation's begin was given up.
-	unbegun bool
+	// notStarted tells that the wait for the start of the generation was given up.
+	notStarted bool
 
 	// wrong is when the first of the streams in a row came that were not this generation's; backoff delays the next one.
 	wrong   time.Time
@@ -67,9 +67,9 @@
 	defaultGiveUp  = 5 * time.Second
 	// maxFailedProbes is the number of unanswered probes after which the engine counts as unreachable.
 	maxFailedProbes = 3
-	// beginLimit bounds the wait for the begin of a generation: an engine without room begins it when others end, a stuck
+	// startLimit bounds the wait for the start of a generation: an engine without free memory starts it when others end, a stuck
 	// engine never.
-	beginLimit   = 15 * time.Second
+	startLimit   = 15 * time.Second
 	firstBackoff = 20 * time.Millisecond
 	maxBackoff   = 500 * time.Millisecond
 )
@@ -201,7 +201,7 @@
 func (f *Follow) resume(ctx context.Context, cause error) error {
 	_ = f.current().Close() // it already failed
 	if f.givenUp() {
-		return f.cancelUnbegun(ctx)
+		return f.cancelNotStarted(ctx)
 	}
 	if f.generation == "" {
 		return &core.Error{
@@ -234,15 +234,15 @@
 func (f *Follow) givenUp() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.unbegun
+	return f.notStarted
 }
 
-// cancelUnbegun ends a generation that its engine accepted but did not begin, so that the call can go elsewhere.
-func (f *Follow) cancelUnbegun(ctx context.Context) error {
+// cancelNotStarted ends a generation that its engine accepted but did not start, so that the call can go elsewhere.
+func (f *Follow) cancelNotStarted(ctx context.Context) error {
 	cctx, cancel := context.WithTimeout(ctx, f.silence)
 	defer cancel()
 	return &core.Error{
-		Kind: core.KindStreamBroken, Message: fmt.Sprintf("the engine did not begin the generation within %s", beginLimit),
+		Kind: core.KindStreamBroken, Message: fmt.Sprintf("the engine did not start the generation within %s", startLimit),
 		Remedy: "send the request again", Run: core.RunUnknown, Cause: f.runner.Cancel(cctx, f.Generation()),
 	}
 }
@@ -343,13 +343,13 @@
 		}
 	case err == nil && st.Tokens <= f.next && !st.Done:
 		f.failures = 0
-		if f.confirmed || quiet < beginLimit {
+		if f.confirmed || quiet < startLimit {
 			return
 		}
-		f.unbegun = true
+		f.notStarted = true
 	}
-	if f.unbegun {
-		f.counters.Count("unbegun_generations")
+	if f.notStarted {
+		f.counters.Count("generations_not_started")
 		_ = s.Close()
 		return
 	}
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -176,9 +176,9 @@
 			tokens: 1,
 		},
 		{
-			name:  "an engine that does not begin a generation is left, and the generation is canceled",
+			name:  "an engine that does not start a generation is left, and the generation is canceled",
 			first: []step{accepted(generation), {stall: true}},
-			count: "unbegun_generations", kind: core.KindStreamBroken, longest: 17 * time.Second, canceled: 1,
+			count: "generations_not_started", kind: core.KindStreamBroken, longest: 17 * time.Second, canceled: 1,
 		},
 		{
 			name:   "a connection that is silent before the first line is left when the engine is ahead",
