--- /dev/null
+++ b/io/entry/deadline_test.go
@@ -0,0 +1,54 @@
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+	"snipeshed/io/reply"
+)
+
+// An owner's word on a passed deadline came after the entry had given up, so that a call that never left the queue was
+// told unknown.
+func TestOwnersWordOnTheDeadline(t *testing.T) {
+	for name, tt := range map[string]struct {
+		late time.Duration
+		run  core.Run
+	}{
+		"shortly after the deadline": {50 * time.Millisecond, core.RunNot},
+		"never":                      {time.Minute, core.RunUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			b := start(t, nil)
+			b.owner.serve = func(ctx context.Context, req *core.CallRequest, _ func(*core.Frame) error) error {
+				select {
+				case <-ctx.Done():
+					return ctx.Err()
+				case <-time.After(time.Duration(req.DeadlineMS)*time.Millisecond + tt.late):
+					return &core.Error{Kind: core.KindDeadline, Run: core.RunNot}
+				}
+			}
+			r, err := http.NewRequest(http.MethodPost, b.URL+"/v1/chat/completions", strings.NewReader(fmt.Sprintf(ask, false)))
+			is.NoErr(err)
+			r.Header.Set("Authorization", "Bearer "+key)
+			r.Header.Set("Snipeshed-Timeout-Ms", "200")
+			began := time.Now()
+			resp, err := http.DefaultClient.Do(r)
+			is.NoErr(err)
+			defer resp.Body.Close()
+			var got reply.Body
+			is.NoErr(json.NewDecoder(resp.Body).Decode(&got))
+			is.Equal(got.Error.Kind, core.KindDeadline)
+			is.Equal(got.Error.Run, tt.run)
+			is.True(time.Since(began) < 2*time.Second)
+		})
+	}
+}
