Answer every request that a stopping instance has accepted

Ruled out: a cut of streams in flight (both requests had no token and failed 2.5 and 81 ms after their start), and a readiness that stays good.

Change: io/drain takes the connections in the listener's queue, waits until each has been answered (typed refusal "leaving", not run), and then shuts the server down. From the start of the stop each answer is the last one of its connection. The three listeners close side by side, since a client that sends nothing uses up the timeout of 2 s.

A connection without any request is closed after 2 s, as before.

Conclusion: the window that is left is a connection that the kernel takes between the last accept and the close of the listener; its client sees a reset.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"snipeshed/core/queue"
 	"snipeshed/core/state"
 	"snipeshed/io/action"
+	"snipeshed/io/drain"
 	"snipeshed/io/entry"
 	"snipeshed/io/host"
 	"snipeshed/io/link"
@@ -52,6 +53,7 @@
 
 	listeners [listenerCount]net.Listener
 	servers   [listenerCount]server
+	clients   *drain.Drain
 	leaving   atomic.Bool
 	// changed wakes ownPools after a new configuration.
 	changed chan struct{}
@@ -241,7 +243,8 @@
 	clients.Handle("/", d.entry)
 	d.addHealth(clients)
 
-	d.servers = [listenerCount]server{l.Server(clients), l.PeerServer(peers), l.Server(operators)}
+	d.clients = drain.New(l.Server(clients))
+	d.servers = [listenerCount]server{d.clients, l.PeerServer(peers), l.Server(operators)}
 }
 
 // ClientAddress returns the address of the clients' listener.
--- a/daemon/stop.go
+++ b/daemon/stop.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 )
 
-// closeTimeout bounds the end of idle connections after all requests have ended.
+// closeTimeout bounds the wait for requests of connections that have sent none, after all open requests have ended.
 const closeTimeout = 2 * time.Second
 
 // stop shuts down gracefully: readiness fails, peers hear of it, queued calls go
@@ -18,6 +19,7 @@
 	d.leaving.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), ms(d.cfg.GetStopTimeoutMs()+d.cfg.GetLeaveDelayMs()))
 	defer cancel()
+	d.clients.Retire()
 	d.relay.Leave(ctx)
 	d.Log.Info("instance is leaving")
 	d.sleep(ctx, ms(d.cfg.GetLeaveDelayMs()))
@@ -54,11 +56,15 @@
 	d.host.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
+	var g sync.WaitGroup // a client that sends nothing uses up the timeout, which the other listeners need too
 	for _, s := range d.servers {
-		if s.Shutdown(ctx) != nil {
-			_ = s.Close() // a connection stayed open past the timeout
-		}
+		g.Go(func() {
+			if s.Shutdown(ctx) != nil {
+				_ = s.Close() // a connection stayed open past the timeout
+			}
+		})
 	}
+	g.Wait()
 	d.store.Close()
 }
 
