Bound the open requests and bodies of each instance

Cause: an instance took any number of requests with bodies of up to 4 MiB, and a pool's owner queued their prompts without a limit in bytes. Calls of application services had no limit at all. One team could exhaust the memory of the instance that serves everybody.

The refusal is overloaded, not_run, before a body of stated length is read. Calls that another owner had admitted are counted and not refused. A chat body is read into one buffer, and a message's content is no longer copied raw.

Tests: without the check TestFull (3 cases) and TestPromptsOfQueuedCalls fail.

Conclusion: the limits bound what is held, not garbage; GOMEMLIMIT does that.

--- a/conf/load.go
+++ b/conf/load.go
@@ -79,6 +79,10 @@
 	if !validLevel(s.GetLogLevel()) {
 		return fieldError(name, "log_level", s.GetLogLevel(), "use debug, info, warn or error")
 	}
+	if s.GetOpenBodyBytes() < s.GetMaxBodyBytes() {
+		return fieldError(name, "open_body_bytes", strconv.FormatInt(s.GetOpenBodyBytes(), 10),
+			fmt.Sprintf("use at least max_body_bytes, which is %d", s.GetMaxBodyBytes()))
+	}
 	return nil
 }
 
--- a/core/config.go
+++ b/core/config.go
@@ -15,6 +15,18 @@
 	SetBy map[string]TicketNumber
 }
 
+// RanksAbove returns the number of ranks that are more urgent than one; an unknown rank is the least urgent.
+func (c *Config) RanksAbove(name RankName) int {
+	own, known := c.Ranks[name]
+	n := 0
+	for _, r := range c.Ranks {
+		if !known || r.GetPriority() > own.GetPriority() {
+			n++
+		}
+	}
+	return n
+}
+
 // Credential is what a client's key stands for.
 type Credential struct {
 	Team TeamName
--- /dev/null
+++ b/core/gate/gate_test.go
@@ -0,0 +1,86 @@
+package gate_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"snipeshed/core"
+	"snipeshed/core/gate"
+)
+
+// TestEnter guards against one holder that fills the limit, or that is refused while there is room for it.
+func TestEnter(t *testing.T) {
+	a, b, urgent := gate.Holder{Team: "a", Rank: "routine"}, gate.Holder{Team: "b", Rank: "routine"}, gate.Holder{Team: "a", Rank: "urgent"}
+	type step struct {
+		holder    gate.Holder
+		n, weight int64
+		above     int
+		most      int // entries until the first refusal
+	}
+	for _, tt := range []struct {
+		name  string
+		steps []step
+	}{
+		{"one team gets half", []step{{holder: a, n: 1, most: 50}}},
+		{"a newcomer gets as much as is left to each", []step{{holder: a, n: 1, most: 50}, {holder: b, n: 1, most: 25}}},
+		{"weight 3 gets three quarters", []step{{holder: a, n: 1, weight: 3, most: 75}}},
+		{"a lower rank leaves room for the one above", []step{{holder: a, n: 1, weight: 1000, above: 1, most: 92}, {holder: urgent, n: 1, most: 4}}},
+		{"ranks of one team are counted apart", []step{{holder: a, n: 1, most: 50}, {holder: urgent, n: 1, most: 25}}},
+		{"large units", []step{{holder: a, n: 40, most: 1}, {holder: b, n: 60, most: 1}, {holder: urgent, n: 1, most: 0}}},
+		{"units above the limit", []step{{holder: a, n: 101, most: 0}}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			g := gate.New(100)
+			for _, s := range tt.steps {
+				n := 0
+				for g.Enter(s.holder, s.n, s.weight, s.above) {
+					n++
+				}
+				is.Equal(n, s.most)
+			}
+			is.True(g.Used() <= 100)
+		})
+	}
+}
+
+// TestAdd guards against admitted work that is refused, or that is not counted for the work after it.
+func TestAdd(t *testing.T) {
+	is := is.New(t)
+	g, h := gate.New(10), gate.Holder{Team: "a"}
+	g.Add(h, 12)
+	is.True(!g.Enter(h, 1, 1, 0))
+	is.True(g.Enter(h, 0, 1, 0)) // a request without a body
+	g.Leave(h, 12)
+	is.Equal(g.Used(), int64(0))
+	is.True(g.Enter(h, 5, 1, 0))
+}
+
+// TestNewcomer guards against holders that take the last room while they have some already, and against a holder
+// without any that is refused while there is room.
+func TestNewcomer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Int64Range(8, 500).Draw(t, "limit")
+		teams := rapid.Int64Range(1, 30).Draw(t, "teams")
+		g := gate.New(limit)
+		held := map[gate.Holder]int64{}
+		for range rapid.IntRange(0, 400).Draw(t, "steps") {
+			h := gate.Holder{Team: core.TeamName(rune('a' + rapid.Int64Range(0, teams-1).Draw(t, "team")))}
+			free := limit - g.Used()
+			switch {
+			case held[h] > 0 && rapid.IntRange(0, 3).Draw(t, "leave") == 0:
+				g.Leave(h, 1)
+				held[h]--
+			case g.Enter(h, 1, 1, 0):
+				held[h]++
+				if held[h] > free {
+					t.Fatalf("team %q has %d units and took one of the last %d", h.Team, held[h], free)
+				}
+			case held[h] == 0 && free > 0:
+				t.Fatalf("team %q has nothing and is refused one of %d free units", h.Team, free)
+			}
+		}
+	})
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -223,6 +223,10 @@
 		}
 		return out
 	})
+	d.meter.Publish("open", func() any {
+		requests, bytes := d.entry.Open()
+		return map[string]int64{"requests": requests, "body_bytes": bytes, "prompt_bytes_of_pools": d.host.PromptBytes()}
+	})
 	d.meter.Publish("ticket", func() any { return d.state.Number() })
 }
 
--- a/io/action/call.go
+++ b/io/action/call.go
@@ -155,8 +155,11 @@
 	_ = rc.SetReadDeadline(time.Now().Add(ms(a.cfg.GetBodyTimeoutMs())))
 	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.cfg.GetMaxBodyBytes()))
 	_ = rc.SetReadDeadline(time.Time{})
+	var typed *core.Error
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.As(err, &typed):
+		return nil, typed
 	case errors.As(err, &tooLarge):
 		return nil, &core.Error{
 			Kind: core.KindBodyTooLarge, Message: fmt.Sprintf("the body is larger than %d bytes", tooLarge.Limit),
--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -16,6 +16,7 @@
 
 	conn    *http.ResponseController
 	timeout time.Duration
+	room    *room
 	started bool
 }
 
@@ -26,6 +27,9 @@
 		_ = b.conn.SetReadDeadline(time.Now().Add(b.timeout)) // not every writer has deadlines
 	}
 	n, err := b.ReadCloser.Read(p)
+	if full := b.room.read(int64(n)); full != nil {
+		return 0, full
+	}
 	if errors.Is(err, io.EOF) {
 		// After another error the deadline stays, because net/http reads the rest of the body before it answers.
 		_ = b.conn.SetReadDeadline(time.Time{}) // as above
--- a/io/entry/chat.go
+++ b/io/entry/chat.go
@@ -1,10 +1,10 @@
 package entry
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -29,8 +29,34 @@
 }
 
 type chatMessage struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
+	Role    string      `json:"role"`
+	Content chatContent `json:"content"`
+}
+
+// chatContent is the text of a message, given as a string or as a list of parts.
+type chatContent struct {
+	given bool
+	text  string
+	err   error
+}
+
+// UnmarshalJSON keeps only the text: a copy of each raw message doubled the memory of large prompts.
+func (c *chatContent) UnmarshalJSON(b []byte) error {
+	c.given = true
+	if json.Unmarshal(b, &c.text) == nil {
+		return nil
+	}
+	var parts []chatPart
+	if c.err = json.Unmarshal(b, &parts); c.err != nil {
+		return nil // told together with the number of the message
+	}
+	var text strings.Builder
+	for _, p := range parts {
+		text.WriteString(p.Text)
+		text.WriteString(p.ImageURL.URL)
+	}
+	c.text = text.String()
+	return nil
 }
 
 type chatPart struct {
@@ -50,37 +76,24 @@
 
 // prompt joins the messages into the text that the engine gets.
 func (c *chatRequest) prompt() (string, error) {
-	var b strings.Builder
+	n := 0
 	for i, m := range c.Messages {
-		text, err := m.text()
-		if err != nil {
+		if !m.Content.given || m.Content.err != nil {
 			return "", badRequest("messages[%d].content is neither a string nor a list of parts", i)
 		}
+		n += len(m.Role) + len(": ") + len(m.Content.text) + len("\n")
+	}
+	var b strings.Builder
+	b.Grow(n)
+	for _, m := range c.Messages {
 		b.WriteString(m.Role)
 		b.WriteString(": ")
-		b.WriteString(text)
+		b.WriteString(m.Content.text)
 		b.WriteByte('\n')
 	}
 	return b.String(), nil
 }
 
-func (m *chatMessage) text() (string, error) {
-	var s string
-	if json.Unmarshal(m.Content, &s) == nil {
-		return s, nil
-	}
-	var parts []chatPart
-	if err := json.Unmarshal(m.Content, &parts); err != nil {
-		return "", err
-	}
-	var b strings.Builder
-	for _, p := range parts {
-		b.WriteString(p.Text)
-		b.WriteString(p.ImageURL.URL)
-	}
-	return b.String(), nil
-}
-
 // defaultMaxTokens applies where neither the request nor the service sets a limit.
 const defaultMaxTokens = 32768
 
@@ -108,7 +121,7 @@
 }
 
 func (e *Entry) parse(w http.ResponseWriter, r *http.Request, q *request) (*generation, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, e.Settings.GetMaxBodyBytes()))
+	body, err := e.readBody(w, r)
 	if err != nil {
 		return nil, bodyError(err, e.Settings.GetMaxBodyBytes())
 	}
@@ -149,7 +162,23 @@
 	return g, nil
 }
 
+// readBody makes room for a body of stated length at once; growing step by step takes twice the memory.
+func (e *Entry) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	limit := e.Settings.GetMaxBodyBytes()
+	in := http.MaxBytesReader(w, r.Body, limit)
+	var b bytes.Buffer
+	if r.ContentLength > 0 && r.ContentLength <= limit {
+		b.Grow(int(r.ContentLength) + bytes.MinRead) // ReadFrom wants this much spare room to see the end
+	}
+	_, err := b.ReadFrom(in)
+	return b.Bytes(), err
+}
+
 func bodyError(err error, limit int64) error {
+	var typed *core.Error
+	if errors.As(err, &typed) {
+		return typed
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return &core.Error{
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -8,6 +8,7 @@
 
 	"snipeshed/conf"
 	"snipeshed/core"
+	"snipeshed/core/gate"
 	"snipeshed/core/shard"
 	"snipeshed/io/peer"
 	"snipeshed/io/pool"
@@ -60,6 +61,8 @@
 	mux   *http.ServeMux
 	loads loads
 
+	requests, bodies *gate.Gate
+
 	mu      sync.Mutex
 	leaving bool
 	open    sync.WaitGroup
@@ -67,7 +70,10 @@
 
 // New returns an Entry.
 func New(parts Parts) *Entry {
-	e := &Entry{Parts: parts, mux: http.NewServeMux(), loads: loads{seen: map[core.PoolID]seenLoad{}}}
+	e := &Entry{
+		Parts: parts, mux: http.NewServeMux(), loads: loads{seen: map[core.PoolID]seenLoad{}},
+		requests: gate.New(parts.Settings.GetOpenRequestLimit()), bodies: gate.New(parts.Settings.GetOpenBodyBytes()),
+	}
 	e.mux.HandleFunc("POST /v1/chat/completions", e.guard(e.chat))
 	e.mux.HandleFunc("GET /v1/models", e.guard(e.models))
 	e.mux.HandleFunc("/services/{service}/{path...}", e.guard(e.service))
@@ -117,7 +123,15 @@
 			return
 		}
 		q.cred = cred
-		r.Body = &timedBody{ReadCloser: r.Body, conn: http.NewResponseController(w), timeout: ms(e.Settings.GetBodyTimeoutMs())}
+		room, err := e.reserve(q, r.ContentLength)
+		if err != nil {
+			e.refuse(w, q.id, err)
+			return
+		}
+		defer room.release()
+		r.Body = &timedBody{
+			ReadCloser: r.Body, conn: http.NewResponseController(w), timeout: ms(e.Settings.GetBodyTimeoutMs()), room: room,
+		}
 		next(w, r, q)
 	}
 }
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -8,6 +8,7 @@
 
 	"snipeshed/conf"
 	"snipeshed/core"
+	"snipeshed/core/gate"
 	"snipeshed/core/order"
 	"snipeshed/core/shard"
 	"snipeshed/io/driver"
@@ -27,6 +28,7 @@
 	newPolicy func() core.Policy
 	newRunner func(address string) core.Runner
 	slots     core.Slots
+	prompts   *gate.Gate
 
 	mu       sync.Mutex
 	current  *core.Config
@@ -75,6 +77,7 @@
 		newRunner: func(address string) core.Runner { return engine.New(address, client) },
 		pools:     map[core.PoolID]*pool.Pool{},
 		cancels:   map[core.RequestID]context.CancelCauseFunc{},
+		prompts:   gate.New(cfg.GetOpenBodyBytes()),
 		life:      ctx, stop: cancel,
 	}
 	for _, o := range opts {
@@ -98,6 +101,9 @@
 	}
 }
 
+// PromptBytes returns the bytes of the prompts that this instance's pools hold.
+func (h *Host) PromptBytes() int64 { return h.prompts.Used() }
+
 // Shard returns the division of endpoints into pools in force.
 func (h *Host) Shard() *shard.Shard {
 	h.mu.Lock()
--- a/io/host/host_test.go
+++ b/io/host/host_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -125,3 +126,36 @@
 		is.True(!marked) // it was never in the queue
 	})
 }
+
+// TestPromptsOfQueuedCalls guards against prompts of one team that take the memory of a pool's owner, and against calls
+// refused for it that the pool had admitted before.
+func TestPromptsOfQueuedCalls(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		call core.CallRequest
+		kind core.Kind
+	}{
+		{"new call of the team", core.CallRequest{Team: "large"}, core.KindOverloaded},
+		{"call that another owner had admitted", core.CallRequest{Team: "large", Admitted: true}, core.KindDeadline},
+		{"new call of another team", core.CallRequest{Team: "small"}, core.KindDeadline},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				h := newHost(t, &engine{leaving: true}, func() core.Policy { return fifo.New() })
+				defer h.Close()
+				prompt := strings.Repeat("x", 30<<20) // the default of open_body_bytes holds one of a team, and another one
+				serve := func(req core.CallRequest) error {
+					req.Pool, req.Model, req.Prompt, req.DeadlineMS = "m/0", "m", prompt, 1000
+					return h.Serve(t.Context(), &req, func(*core.Frame) error { return nil })
+				}
+				go func() { _ = serve(core.CallRequest{RequestID: "first", Team: "large"}) }() // waits in the queue
+				synctest.Wait()
+				tt.call.RequestID = "second"
+				is.Equal(core.KindOf(serve(tt.call)), tt.kind)
+				time.Sleep(2 * time.Second) // past the first call's deadline
+				is.Equal(h.PromptBytes(), int64(0))
+			})
+		})
+	}
+}
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"snipeshed/core"
+	"snipeshed/core/gate"
 	"snipeshed/core/prefix"
 	"snipeshed/io/follow"
 	"snipeshed/io/pool"
@@ -23,6 +25,11 @@
 		return err
 	}
 	defer h.unregister(req.RequestID)
+	leave, err := h.hold(req)
+	if err != nil {
+		return err
+	}
+	defer leave()
 	defer context.AfterFunc(h.life, func() { cancel(context.Canceled) })()
 	if req.DeadlineMS > 0 {
 		var stop context.CancelFunc
@@ -44,6 +51,24 @@
 	return j.start(ctx)
 }
 
+// hold takes room for the prompt of a call. A call that was admitted before, or that already runs, is not refused.
+func (h *Host) hold(req *core.CallRequest) (leave func(), err error) {
+	cfg, n := h.config.Config(), int64(len(req.Prompt))
+	holder := gate.Holder{Team: req.Team, Rank: req.Rank}
+	if req.Admitted || req.Resume != nil {
+		h.prompts.Add(holder, n)
+	} else if !h.prompts.Enter(holder, n, cfg.Teams[req.Team].GetWeight(), cfg.RanksAbove(req.Rank)) {
+		h.counters.Count("instance_full")
+		return nil, &core.Error{
+			Kind: core.KindOverloaded, Run: core.RunNot, RetryAfter: time.Second + rand.N(time.Second),
+			Message: fmt.Sprintf("team %q has its part of the %d bytes of prompts that the owner of pool %q holds for rank %q",
+				req.Team, h.cfg.GetOpenBodyBytes(), req.Pool, req.Rank),
+			Remedy: "send the request again after the stated time, with fewer open requests",
+		}
+	}
+	return func() { h.prompts.Leave(holder, n) }, nil
+}
+
 func (h *Host) call(req *core.CallRequest) core.Call {
 	c := core.Call{
 		ID: req.RequestID, Service: req.Service, Team: req.Team, Rank: req.Rank,
