Keep the polls of an instance within a number of bytes per second

Cause: each pool polled its endpoints by itself. An owner of two pools (8% of the instances at the target size) was over 2 KB/s with its other traffic (2,186 and 2,324 B/s worked out), and polled 5.8 KB/s in the minute after it had opened them.

Change: core/ration holds poll_bytes_per_s (600, which with the 1,405 B/s of a relay of configuration stays below 2,048). All pools of an instance share it. Bytes are metered on the connections of polls, so larger reports of another engine count as such. Polls of endpoints in the wanted state wait for it, the most overdue first, a minute at most; those of endpoints that are in trouble, leave, lack the wanted state or have not reported yet never wait, but count. TestSteadyBytes leaves room for the ration in place of a measured figure.

--- /dev/null
+++ b/core/ration/doc.go
@@ -0,0 +1,2 @@
+// Package ration keeps the polls of one instance within a number of bytes per second.
+package ration
--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -20,6 +20,7 @@
 type Engine struct {
 	base    string
 	client  *http.Client
+	polls   *http.Client
 	timeout time.Duration
 }
 
@@ -29,6 +30,9 @@
 // WithTimeout sets the time in which a unary call must be answered.
 func WithTimeout(d time.Duration) Option { return func(e *Engine) { e.timeout = d } }
 
+// WithPollClient sets the client that asks for load reports, so that their bytes can be counted apart.
+func WithPollClient(c *http.Client) Option { return func(e *Engine) { e.polls = c } }
+
 const defaultTimeout = time.Second
 
 // New returns a client of the runner at address, given as host:port.
@@ -36,7 +40,7 @@
 // The client must open a connection for each call: Resume and Status are to find out about a silent connection,
 // and an idle connection to the same endpoint may be silent, too. Setting Request.Close does not prevent its use.
 func New(address string, client *http.Client, opts ...Option) *Engine {
-	e := &Engine{base: "http://" + address, client: client, timeout: defaultTimeout}
+	e := &Engine{base: "http://" + address, client: client, polls: client, timeout: defaultTimeout}
 	for _, o := range opts {
 		o(e)
 	}
@@ -63,25 +67,25 @@
 // Status asks over a new connection how far a generation has come.
 func (e *Engine) Status(ctx context.Context, id core.GenerationID) (core.GenerationStatus, error) {
 	var st core.GenerationStatus
-	err := e.unary(ctx, http.MethodGet, generationPath(id)+"/status", nil, &st)
+	err := e.unary(ctx, e.client, http.MethodGet, generationPath(id)+"/status", nil, &st)
 	return st, err
 }
 
 // Cancel ends a generation.
 func (e *Engine) Cancel(ctx context.Context, id core.GenerationID) error {
-	return e.unary(ctx, http.MethodDelete, generationPath(id), nil, nil)
+	return e.unary(ctx, e.client, http.MethodDelete, generationPath(id), nil, nil)
 }
 
 // Load returns the engine's report of itself.
 func (e *Engine) Load(ctx context.Context) (core.RunnerLoad, error) {
 	var l core.RunnerLoad
-	err := e.unary(ctx, http.MethodGet, "/v1/load", nil, &l)
+	err := e.unary(ctx, e.polls, http.MethodGet, "/v1/load", nil, &l)
 	return l, err
 }
 
 // Order tells the engine which state to have.
 func (e *Engine) Order(ctx context.Context, o core.RunnerOrder) error {
-	return e.unary(ctx, http.MethodPost, "/v1/orders", o, nil)
+	return e.unary(ctx, e.client, http.MethodPost, "/v1/orders", o, nil)
 }
 
 func generationPath(id core.GenerationID) string {
@@ -89,14 +93,14 @@
 }
 
 func (e *Engine) open(ctx context.Context, method, path string, body []byte) (core.Stream, error) {
-	resp, err := e.do(ctx, method, path, body) //nolint:bodyclose // the stream closes the body
+	resp, err := e.do(ctx, e.client, method, path, body) //nolint:bodyclose // the stream closes the body
 	if err != nil {
 		return nil, err
 	}
 	return newStream(resp.Body, saysLeaving(resp), core.GenerationID(resp.Header.Get(generationHeader))), nil
 }
 
-func (e *Engine) unary(ctx context.Context, method, path string, in, out any) error {
+func (e *Engine) unary(ctx context.Context, client *http.Client, method, path string, in, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, e.timeout)
 	defer cancel()
 	var body []byte
@@ -107,7 +111,7 @@
 		}
 		body = b
 	}
-	resp, err := e.do(ctx, method, path, body)
+	resp, err := e.do(ctx, client, method, path, body)
 	if err != nil {
 		return err
 	}
@@ -121,7 +125,7 @@
 	return nil
 }
 
-func (e *Engine) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
+func (e *Engine) do(ctx context.Context, client *http.Client, method, path string, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, e.base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("make request for %s: %w", path, err)
@@ -131,7 +135,7 @@
 	if body != nil {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := e.client.Do(req)
+	resp, err := client.Do(req)
 	if err != nil {
 		if notSent(err) {
 			return nil, fmt.Errorf("%w: %w", core.ErrNotSent, err)
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -9,6 +9,7 @@
 	"snipeshed/conf"
 	"snipeshed/core"
 	"snipeshed/core/order"
+	"snipeshed/core/ration"
 	"snipeshed/core/shard"
 	"snipeshed/io/driver"
 	"snipeshed/io/engine"
@@ -27,6 +28,7 @@
 	newPolicy func() core.Policy
 	newRunner func(address string) core.Runner
 	slots     core.Slots
+	ration    *ration.Ration
 
 	mu       sync.Mutex
 	current  *core.Config
@@ -68,18 +70,29 @@
 
 // New returns a Host; newPolicy makes the policy of each pool.
 func New(shared core.Shared, cfg *conf.Settings, config core.ConfigSource, members core.Members, newPolicy func() core.Policy, opts ...Option) *Host {
-	client := link.New(cfg).EngineClient()
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{
 		Shared: shared, cfg: cfg, config: config, members: members, newPolicy: newPolicy, counters: noCounters{},
-		newRunner: func(address string) core.Runner { return engine.New(address, client) },
-		pools:     map[core.PoolID]*pool.Pool{},
-		cancels:   map[core.RequestID]context.CancelCauseFunc{},
-		life:      ctx, stop: cancel,
+		pools:   map[core.PoolID]*pool.Pool{},
+		cancels: map[core.RequestID]context.CancelCauseFunc{},
+		life:    ctx, stop: cancel,
 	}
 	for _, o := range opts {
 		o(h)
 	}
+	limits := []ration.Option{ration.WithRate(cfg.GetPollBytesPerS())}
+	if h.newRunner == nil {
+		polls := link.New(cfg)
+		client, pollClient := link.New(cfg).EngineClient(), polls.EngineClient()
+		h.newRunner = func(address string) core.Runner {
+			return engine.New(address, client, engine.WithPollClient(pollClient))
+		}
+		limits = append(limits, ration.WithMeter(func() int64 {
+			sent, received := polls.Bytes()
+			return sent + received
+		}))
+	}
+	h.ration = ration.New(limits...)
 	h.Configure(config.Config())
 	return h
 }
@@ -160,7 +173,7 @@
 	}
 	p := pool.New(h.Shared, id, h.newPolicy(), h.newRunner,
 		pool.WithPollInterval(ms(h.cfg.GetLoadPollMs())), pool.WithListLeaving(h.members.EndpointLeaving),
-		pool.WithDriver(h.driverOptions(id)...))
+		pool.WithRation(h.ration), pool.WithDriver(h.driverOptions(id)...))
 	p.Configure(h.current, h.shard.Endpoints(id))
 	h.pools[id] = p
 	return p, nil
--- a/io/pool/endpoint.go
+++ b/io/pool/endpoint.go
@@ -42,32 +42,41 @@
 		!e.driver.Loading() && !listLeaving(e.address)
 }
 
-// Poll intervals between two polls of an endpoint that is in the wanted state. A poll is about 370 bytes, so that
-// polls of 8 idle endpoints at each interval of 2 s cost an instance 1.5 KB/s of its 2 KB/s.
+// Poll intervals between two polls of an endpoint that is in the wanted state; they are longer when the instance's
+// ration of bytes for polls is used up. A poll is about 370 bytes, so that polls of 8 idle endpoints at each interval of
+// 2 s cost an instance 1.5 KB/s of its 2 KB/s.
 const (
 	// idlePolls holds without calls: a poll only tells early what the first call would find out. An engine that
 	// leaves refuses it, one that is gone does not take it, and the call goes elsewhere.
 	idlePolls = 3
-	// skipPolls holds while the endpoint takes calls, since its answers say at once that it leaves.
+	// skipPolls holds while the endpoint takes calls: since its answers say at once that it leaves.
 	skipPolls = 5
 )
 
+// longestWait bounds how far the ration of bytes stretches the interval of an endpoint. 48 endpoints, three pools, cost
+// 290 B/s at this interval.
+const longestWait = time.Minute
+
 // orderWatch is how long after a change of its wanted state an endpoint is polled at each interval: an owner that was
 // paused may still send the order before, and an engine that ignores order numbers follows it.
 const orderWatch = time.Minute
 
-// due reports whether the endpoint's load has to be asked for.
-func (e *endpoint) due(now time.Time, interval time.Duration) bool {
-	settled := e.up && !e.load.Leaving && now.Sub(e.refused) >= refusedFor &&
+// settled reports whether the endpoint is up, stays and has the wanted state.
+func (e *endpoint) settled(now time.Time) bool {
+	return e.up && !e.load.Leaving && now.Sub(e.refused) >= refusedFor &&
 		e.load.Model == e.wanted.Model && e.load.OrderNumber == e.wanted.Number
-	if !settled {
-		return true
-	}
-	passed := now.Sub(e.polled)
-	if now.Sub(e.answered) < interval {
-		return passed >= skipPolls*interval
+}
+
+// overdue returns the time since the last poll of a settled endpoint as a multiple of its interval.
+func (e *endpoint) overdue(now time.Time, interval time.Duration) float64 {
+	wanted := idlePolls * interval
+	switch {
+	case now.Sub(e.answered) < interval:
+		wanted = skipPolls * interval
+	case now.Sub(e.ordered) < orderWatch:
+		wanted = interval
 	}
-	return passed >= idlePolls*interval || now.Sub(e.ordered) < orderWatch
+	return float64(now.Sub(e.polled)) / float64(wanted)
 }
 
 // open adds an endpoint and starts its driver; p.mu is held.
@@ -82,9 +91,10 @@
 	return e
 }
 
-// poll asks the endpoint for its load, which its driver compares with the wanted state.
+// poll asks the endpoint for its load, which its driver compares with the wanted state; the ration was asked before.
 func (p *Pool) poll(ctx context.Context, e *endpoint) {
 	l, err := e.runner.Load(ctx)
+	p.ration.End(p.Clock.Now())
 	if ctx.Err() != nil {
 		return
 	}
--- a/io/pool/loop.go
+++ b/io/pool/loop.go
@@ -1,7 +1,10 @@
 package pool
 
 import (
+	"cmp"
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -31,18 +34,8 @@
 }
 
 func (p *Pool) pollAll(ctx context.Context) {
-	p.mu.Lock()
-	polled := make([]*endpoint, 0, len(p.endpoints))
-	now := p.Clock.Now()
-	for _, e := range p.endpoints {
-		if e.due(now, p.pollEvery) {
-			e.polled = now
-			polled = append(polled, e)
-		}
-	}
-	p.mu.Unlock()
 	var g errgroup.Group
-	for _, e := range polled {
+	for _, e := range p.due() {
 		g.Go(func() error {
 			p.poll(ctx, e)
 			p.refresh()
@@ -52,6 +45,36 @@
 	_ = g.Wait() // no task returns an error
 }
 
+// due returns the endpoints to poll now: those that are not in the wanted state, and the most overdue of the others
+// while the ration lasts.
+func (p *Pool) due() []*endpoint {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	p.ration.Round(p.id)
+	var polled []*endpoint
+	waiting := map[*endpoint]float64{}
+	for _, e := range p.endpoints {
+		if !e.settled(now) || now.Sub(e.polled) >= longestWait {
+			p.ration.Begin(now)
+			polled = append(polled, e)
+		} else if overdue := e.overdue(now, p.pollEvery); overdue >= 1 {
+			waiting[e] = overdue
+		}
+	}
+	order := slices.SortedFunc(maps.Keys(waiting), func(a, b *endpoint) int { return cmp.Compare(waiting[b], waiting[a]) })
+	for _, e := range order {
+		if !p.ration.Grant(now, p.id, waiting[e]) {
+			break
+		}
+		polled = append(polled, e)
+	}
+	for _, e := range polled {
+		e.polled = now
+	}
+	return polled
+}
+
 // refresh tells the policy of new reports at once, so that one silent endpoint does not delay the others.
 func (p *Pool) refresh() {
 	p.mu.Lock()
--- a/io/pool/poll_test.go
+++ b/io/pool/poll_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -14,6 +16,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/fifo"
+	"snipeshed/core/ration"
 	"snipeshed/io/pool"
 	"snipeshed/wire"
 )
@@ -44,9 +47,13 @@
 }
 
 func newPool(t *testing.T, r core.Runner, opts ...pool.Option) *pool.Pool {
+	return newPools(t, "m/0", func(string) core.Runner { return r }, opts...)
+}
+
+func newPools(t *testing.T, id core.PoolID, newRunner func(address string) core.Runner, opts ...pool.Option) *pool.Pool {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	return pool.New(core.NewShared(log.WithField("test", t.Name())), "m/0", fifo.New(), func(string) core.Runner { return r }, opts...)
+	return pool.New(core.NewShared(log.WithField("test", t.Name())), id, fifo.New(), newRunner, opts...)
 }
 
 // Guards against polls that use up the control traffic of an instance although nothing depends on them, and against
@@ -138,6 +145,91 @@
 	})
 }
 
+// Guards against polls of several pools that exceed the bytes that the other control traffic leaves, also after the pools
+// were opened, against endpoints that the ration starves, and against a ration that holds back polls of endpoints that
+// fail, leave or lack their wanted state.
+func TestPollsOfManyPools(t *testing.T) {
+	const (
+		pollBytes = 363  // both directions, io/engine TestPollBytes
+		budget    = 2048 // bytes per second for all control traffic
+		others    = 1405 // of a relay of configuration at the target size (docs/CAPACITY.md)
+		size      = 16
+	)
+	tests := []struct {
+		name   string
+		pools  int
+		settle time.Duration
+		// seconds of the count.
+		seconds int64
+		busy    bool
+		// fails makes the first endpoint fail.
+		fails bool
+	}{
+		{name: "one pool", pools: 1, settle: 5 * time.Minute, seconds: 600},
+		{name: "two pools", pools: 2, settle: 5 * time.Minute, seconds: 600},
+		{name: "three pools", pools: 3, settle: 5 * time.Minute, seconds: 600},
+		{name: "three pools that take calls", pools: 3, settle: 5 * time.Minute, seconds: 600, busy: true},
+		{name: "two pools just opened", pools: 2, seconds: 60},
+		{name: "three pools just opened", pools: 3, seconds: 60},
+		{name: "three pools with a failing endpoint", pools: 3, settle: 5 * time.Minute, seconds: 600, fails: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				shared := ration.New()
+				var pools []*pool.Pool
+				var runners []*polledRunner
+				for i := range tt.pools {
+					cfg, ids := &core.Config{Endpoints: map[core.EndpointID]*wire.Endpoint{}}, []core.EndpointID{}
+					for j := range size {
+						id := core.EndpointID(fmt.Sprint(j))
+						cfg.Endpoints[id] = &wire.Endpoint{Address: string(id), Wanted: &wire.Wanted{Model: "m"}}
+						ids = append(ids, id)
+						runners = append(runners, &polledRunner{})
+					}
+					mine := runners[i*size:]
+					p := newPools(t, core.PoolID(fmt.Sprint(i)), func(address string) core.Runner {
+						n, err := strconv.Atoi(address)
+						is.NoErr(err)
+						return mine[n]
+					}, pool.WithRation(shared))
+					defer p.Close()
+					p.Configure(cfg, ids)
+					pools = append(pools, p)
+				}
+				runners[0].fails.Store(tt.fails)
+				time.Sleep(tt.settle)
+				for _, r := range runners {
+					if tt.settle > 0 {
+						r.polls.Store(0)
+					}
+				}
+				for range tt.seconds {
+					for i := 0; tt.busy && i < len(pools)*size; i++ {
+						pools[i/size].Answered(core.EndpointID(fmt.Sprint(i%size)), false)
+					}
+					time.Sleep(time.Second)
+				}
+				var sum, least, most int64 = 0, tt.seconds, 0
+				for i, r := range runners {
+					n := r.polls.Load()
+					sum += n
+					if i == 0 && tt.fails {
+						is.True(n >= tt.seconds/2-1) // each interval
+						continue
+					}
+					least, most = min(least, n), max(most, n)
+				}
+				t.Logf("bytes_per_s=%d least=%d most=%d", sum*pollBytes/tt.seconds, least, most)
+				is.True(sum*pollBytes <= (budget-others)*tt.seconds)
+				is.True(least >= tt.seconds/60)
+				is.True(most-least <= 2+most/10) // the first polls after the opening follow each other
+			})
+		})
+	}
+}
+
 // An endpoint that takes calls is polled seldom; what the instance list says of it must not wait for a poll.
 func TestListLeavingBetweenPolls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -7,6 +7,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/order"
+	"snipeshed/core/ration"
 	"snipeshed/io/driver"
 )
 
@@ -19,6 +20,7 @@
 	listLeaving func(address string) bool
 	newRunner   func(address string) core.Runner
 	driverOpts  []driver.Option
+	ration      *ration.Ration
 
 	mu        sync.Mutex
 	policy    core.Policy
@@ -47,6 +49,9 @@
 	return func(p *Pool) { p.driverOpts = append(p.driverOpts, opts...) }
 }
 
+// WithRation sets the bytes for polls, which the pools of an instance share.
+func WithRation(r *ration.Ration) Option { return func(p *Pool) { p.ration = r } }
+
 const defaultPollInterval = 2 * time.Second
 
 // Target describes an endpoint of the pool as the tickets want it.
@@ -67,6 +72,7 @@
 		listLeaving: func(string) bool { return false },
 		waiting:     map[core.RequestID]chan core.Action{},
 		endpoints:   map[core.EndpointID]*endpoint{},
+		ration:      ration.New(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -81,6 +87,7 @@
 	p.Drain()
 	p.cancel()
 	p.done.Wait()
+	p.ration.Round(p.id)
 }
 
 // Configure sets rules and endpoints from a configuration.
--- a/io/relay/bytes_test.go
+++ b/io/relay/bytes_test.go
@@ -108,8 +108,8 @@
 	const (
 		seconds = 4
 		budget  = 2000
-		polls   = 470 // of 8 idle endpoints (docs/CAPACITY.md)
 	)
+	polls := nodes[0].cfg.GetPollBytesPerS()
 	time.Sleep(seconds * time.Second)
 	var sum int64
 	for i, n := range nodes {
