Ask an endpoint that does not refuse calls before one starts

Cause: an endpoint whose load report alone says that it leaves, which neither refuses calls nor marks its answers, got new work until its next poll: up to 10 s while it took calls, and longer where the ration stretches its interval. Invariant 5 allows 3 s.

Change: tickets say which endpoints refuse new work by themselves (refuses_when_leaving). At the others a call starts only when the last report is at most 2 s old, else after a poll, which all calls that wait for it share. A call whose endpoint turns out to be leaving, silent or in another state goes back to the policy. Unmarked answers are no sign that an endpoint stays. The stand-in runner can leave by its report only.

A check is paid only where new work goes, and not at all where the engine refuses.

The test of leaving uses the default poll interval of 2 s in place of 1 s, as its comment says.

--- a/io/pool/call.go
+++ b/io/pool/call.go
@@ -8,8 +8,17 @@
 	"snipeshed/core"
 )
 
-// Admit waits until the policy gives the call an endpoint or refuses it.
+// Admit waits until the policy gives the call an endpoint that takes new work, or refuses it.
 func (p *Pool) Admit(ctx context.Context, c core.Call) (core.EndpointID, core.Runner, error) {
+	for {
+		ep, runner, err := p.admit(ctx, c)
+		if !errors.Is(err, errNotAccepting) {
+			return ep, runner, err
+		}
+	}
+}
+
+func (p *Pool) admit(ctx context.Context, c core.Call) (core.EndpointID, core.Runner, error) {
 	ch := make(chan core.Action, 1)
 	p.mu.Lock()
 	p.waiting[c.ID] = ch
@@ -17,7 +26,7 @@
 	p.mu.Unlock()
 	select {
 	case a := <-ch:
-		return p.admitted(a)
+		return p.admitted(ctx, a)
 	case <-ctx.Done():
 	}
 	p.mu.Lock()
@@ -31,13 +40,20 @@
 		p.apply(p.policy.Cancel(p.Clock.Now(), c.ID))
 	}
 	p.mu.Unlock()
-	return "", nil, &core.Error{
+	return "", nil, endedWaiting(ctx)
+}
+
+func endedWaiting(ctx context.Context) error {
+	return &core.Error{
 		Kind: core.KindDeadline, Message: "the call ended while it waited for an engine",
 		Remedy: "allow more time or send less work", Run: core.RunNot, Cause: context.Cause(ctx),
 	}
 }
 
-func (p *Pool) admitted(a core.Action) (core.EndpointID, core.Runner, error) {
+// errNotAccepting means that a check before a call found that its endpoint takes no new work.
+var errNotAccepting = errors.New("the endpoint takes no new work")
+
+func (p *Pool) admitted(ctx context.Context, a core.Action) (core.EndpointID, core.Runner, error) {
 	if a.Kind == core.ActionRefuse {
 		return "", nil, a.Err
 	}
@@ -48,7 +64,41 @@
 		p.apply(p.policy.Finish(p.Clock.Now(), a.ID, false))
 		return "", nil, core.ErrNotSent
 	}
-	return a.Endpoint, e.runner, nil
+	if !e.needsCheck(p.Clock.Now()) {
+		return a.Endpoint, e.runner, nil
+	}
+	p.check(ctx, e)
+	now := p.Clock.Now()
+	if ctx.Err() == nil && p.endpoints[a.Endpoint] == e && e.accepting(now, p.listLeaving) {
+		return a.Endpoint, e.runner, nil
+	}
+	p.setRunners(now)
+	p.apply(p.policy.Finish(now, a.ID, false))
+	if ctx.Err() != nil {
+		return "", nil, endedWaiting(ctx)
+	}
+	return "", nil, errNotAccepting
+}
+
+// check polls the endpoint, once for all calls that need it; p.mu is held, but not during the poll.
+func (p *Pool) check(ctx context.Context, e *endpoint) {
+	if ch := e.checking; ch != nil {
+		p.mu.Unlock()
+		defer p.mu.Lock()
+		select {
+		case <-ch:
+		case <-ctx.Done():
+		}
+		return
+	}
+	ch := make(chan struct{})
+	e.checking, e.polled = ch, p.Clock.Now()
+	p.ration.Begin(e.polled)
+	p.mu.Unlock()
+	p.poll(p.ctx, e) // not ended by this call's end, since others wait for it
+	p.mu.Lock()
+	e.checking = nil
+	close(ch)
 }
 
 // Adopt takes a call that already runs; it returns nil when the endpoint is not in the pool.
--- a/io/pool/endpoint.go
+++ b/io/pool/endpoint.go
@@ -24,6 +24,12 @@
 	answered time.Time
 	// polled is when its load was last asked for.
 	polled time.Time
+	// confirmed is when the load was asked for that its last report shows.
+	confirmed time.Time
+	// checking is closed at the end of a poll that calls wait for, and nil when there is none.
+	checking chan struct{}
+	// refuses tells that it refuses calls by itself when it leaves.
+	refuses bool
 	// ordered is when the wanted state last changed here.
 	ordered time.Time
 	// told is the acceptance that the policy was told last.
@@ -49,7 +55,8 @@
 	// idlePolls holds without calls: a poll only tells early what the first call would find out. An engine that
 	// leaves refuses it, one that is gone does not take it, and the call goes elsewhere.
 	idlePolls = 3
-	// skipPolls holds while the endpoint takes calls: since its answers say at once that it leaves.
+	// skipPolls holds while the endpoint takes calls: its answers may say that it leaves, and calls to one that does
+	// not refuse them are preceded by a check.
 	skipPolls = 5
 )
 
@@ -79,6 +86,16 @@
 	return float64(now.Sub(e.polled)) / float64(wanted)
 }
 
+// maxReportAge is the age of the last report up to which a call starts without a check. It leaves a second for the
+// call's connection to open, so that no new work arrives 3 s after an endpoint's report began to say that it leaves.
+const maxReportAge = 2 * time.Second
+
+// needsCheck reports whether the endpoint has to be asked before a call starts, because only its report would tell that
+// it leaves.
+func (e *endpoint) needsCheck(now time.Time) bool {
+	return !e.refuses && now.Sub(e.confirmed) > maxReportAge
+}
+
 // open adds an endpoint and starts its driver; p.mu is held.
 func (p *Pool) open(t target) *endpoint {
 	e := &endpoint{id: t.id, address: t.address, runner: p.newRunner(t.address)}
@@ -93,6 +110,7 @@
 
 // poll asks the endpoint for its load, which its driver compares with the wanted state; the ration was asked before.
 func (p *Pool) poll(ctx context.Context, e *endpoint) {
+	asked := p.Clock.Now()
 	l, err := e.runner.Load(ctx)
 	p.ration.End(p.Clock.Now())
 	if ctx.Err() != nil {
@@ -107,7 +125,7 @@
 	was := e.up
 	e.up = err == nil
 	if err == nil {
-		e.load, e.reported = l, p.Clock.Now()
+		e.load, e.reported, e.confirmed = l, p.Clock.Now(), asked
 	}
 	p.mu.Unlock()
 	if was != (err == nil) {
--- a/io/pool/poll_test.go
+++ b/io/pool/poll_test.go
@@ -230,6 +230,71 @@
 	}
 }
 
+// Guards against new work at an endpoint whose load report alone says that it leaves, however seldom it is polled, and
+// against checks where the endpoint's own refusal makes them useless.
+func TestCallsAfterLeavingByReport(t *testing.T) {
+	const bound = 3 * time.Second
+	tests := []struct {
+		name string
+		// gap is the time between two calls.
+		gap     time.Duration
+		refuses bool
+		fails   bool
+	}{
+		{name: "many calls", gap: 50 * time.Millisecond},
+		{name: "calls of the peak", gap: 1077 * time.Millisecond},
+		{name: "seldom calls", gap: 5 * time.Second},
+		{name: "gone without a word", gap: 50 * time.Millisecond, fails: true},
+		{name: "refuses by itself", gap: 50 * time.Millisecond, refuses: true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			for offset := time.Duration(0); offset < 10*time.Second; offset += 700 * time.Millisecond {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					r := &polledRunner{}
+					p := newPool(t, r)
+					defer p.Close()
+					cfg := configuration("m", 0)
+					cfg.Endpoints["e"].RefusesWhenLeaving = tt.refuses
+					p.Configure(cfg, []core.EndpointID{"e"})
+					time.Sleep(2*time.Minute + offset)
+					admit := func() bool {
+						ctx, cancel := context.WithTimeout(t.Context(), tt.gap)
+						defer cancel()
+						id := core.RequestID(time.Now().String())
+						ep, _, err := p.Admit(ctx, core.Call{ID: id})
+						if err != nil {
+							return false
+						}
+						p.Answered(ep, false) // the answers are not marked
+						p.Finish(id, true)
+						return true
+					}
+					r.polls.Store(0)
+					for began := time.Now(); time.Since(began) < 20*time.Second; time.Sleep(tt.gap) {
+						is.True(admit())
+					}
+					polls := r.polls.Load()
+					if tt.refuses {
+						is.True(polls <= 3) // one in 10 s
+						return
+					}
+					is.True(polls <= 11) // at most one in 2 s
+					left := time.Now()
+					r.leaves.Store(!tt.fails)
+					r.fails.Store(tt.fails)
+					for time.Since(left) < 30*time.Second {
+						took := admit()
+						is.True(!took || time.Since(left) <= bound)
+						time.Sleep(tt.gap)
+					}
+				})
+			}
+		})
+	}
+}
+
 // An endpoint that takes calls is polled seldom; what the instance list says of it must not wait for a poll.
 func TestListLeavingBetweenPolls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -60,6 +60,7 @@
 	address string
 	order   core.RunnerOrder
 	checks  bool
+	refuses bool
 }
 
 // New returns a pool without endpoints and starts to poll.
@@ -114,7 +115,7 @@
 		if e.ordered.IsZero() || e.wanted.Number != t.order.Number {
 			e.ordered = now
 		}
-		e.wanted = t.order
+		e.wanted, e.refuses = t.order, t.refuses
 		e.driver.Want(t.order, t.checks)
 	}
 	p.apply(p.policy.SetRules(now, rules(cfg)))
@@ -124,7 +125,7 @@
 func newTarget(cfg *core.Config, id core.EndpointID) target {
 	ep := cfg.Endpoints[id]
 	w := ep.GetWanted()
-	return target{id: id, address: ep.GetAddress(), checks: ep.GetChecksFencing(), order: core.RunnerOrder{
+	return target{id: id, address: ep.GetAddress(), checks: ep.GetChecksFencing(), refuses: ep.GetRefusesWhenLeaving(), order: core.RunnerOrder{
 		Number: cfg.SetBy["endpoint/"+string(id)], Model: core.ModelName(w.GetModel()),
 		Version: w.GetVersion(), Adapters: w.GetAdapters(), Role: w.GetRole(),
 	}}
--- a/proof/leave_test.go
+++ b/proof/leave_test.go
@@ -120,7 +120,7 @@
 func defaultIntervals() []fleet.Option {
 	return []fleet.Option{
 		fleet.WithPlatform(objs.WithListLag(time.Second)),
-		fleet.WithSettings(func(s *conf.Settings) { s.ListPollMs, s.GossipIntervalMs, s.LoadPollMs = 1000, 1000, 1000 }),
+		fleet.WithSettings(func(s *conf.Settings) { s.ListPollMs, s.GossipIntervalMs, s.LoadPollMs = 1000, 1000, 2000 }),
 	}
 }
 
@@ -129,8 +129,10 @@
 	t.Parallel()
 	tests := []struct {
 		name  string
+		quiet bool
 		leave func(w *world, i int)
 	}{
+		{name: "by its load report only", quiet: true, leave: func(w *world, i int) { w.Runners[i].SetLeaving(true) }},
 		{name: "by its own word", leave: func(w *world, i int) { w.Runners[i].SetLeaving(true) }},
 		{name: "by the instance list", leave: func(w *world, i int) {
 			w.Platform.SetInstance(objs.Instance{
@@ -148,7 +150,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			w := start(t, defaultIntervals()...)
+			w := startWith(t, []runner.Option{runner.WithQuietLeave(tt.quiet)}, defaultIntervals()...)
 			_, entry := w.owner()
 			// One long answer at each runner, so that new work would go to all of them.
 			var long [3]ask
--- a/stand/runner/runner.go
+++ b/stand/runner/runner.go
@@ -99,7 +99,7 @@
 			host.Cut()
 		}
 		r.mu.Lock()
-		if r.leaving {
+		if r.leaving && !r.set.quietLeave {
 			w.Header().Set("Endpoint-State", "leaving")
 		}
 		r.mu.Unlock()
@@ -211,7 +211,7 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leaving {
+	if r.leaving && !r.set.quietLeave {
 		return nil, http.StatusServiceUnavailable, "the runner is leaving"
 	}
 	if m := r.order.loaded(now); req.Model == "" || req.Model != m {
