--- a/stand/cmds/scale.go
+++ b/stand/cmds/scale.go
@@ -20,7 +20,7 @@
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "largest", Usage: "instances of the largest fleet to measure", Value: 350, Validator: notNegativeInt},
 			&cli.IntSliceFlag{Name: "instances", Usage: "measure only the fleets of these sizes, such as 64,350"},
-			&cli.BoolFlag{Name: "polls", Usage: "also measure the polls of an owner of 8 endpoints, which takes 165 s"},
+			&cli.BoolFlag{Name: "polls", Usage: "also measure the polls of owners of 8 to 48 endpoints, which takes 245 s"},
 			&cli.DurationFlag{Name: "window", Usage: "time for which each idle fleet is observed", Value: 2 * time.Second, Validator: notNegativeDuration},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
--- a/stand/scale/polls.go
+++ b/stand/scale/polls.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"snipeshed/core"
 	"snipeshed/core/fifo"
+	"snipeshed/core/ration"
 	"snipeshed/io/engine"
 	"snipeshed/io/link"
 	"snipeshed/io/pool"
@@ -21,69 +23,147 @@
 
 // Sizes of a measurement of polls.
 const (
-	// pollEndpoints is the number of endpoints that an instance owns in the mean at the target size.
-	pollEndpoints = 8
 	// callGap is the mean time between two calls of an endpoint at the peak, 2,600 calls a second at 2,800 runners.
 	callGap = time.Second * 2800 / 2600
-	// pollSettle covers the minute of quick polls after the endpoints were configured.
-	pollSettle = 65 * time.Second
-	// pollWindow holds five polls of a busy endpoint.
-	pollWindow = 50 * time.Second
+	// pollWindow is the minute of quick polls after the endpoints were configured, and the time of each later count.
+	pollWindow = time.Minute
+	// pollSettle lets the quick polls end.
+	pollSettle = 5 * time.Second
 )
 
-// Polls measures what an owner of 8 endpoints sends and receives for polls, without calls and with those of the peak.
-// The calls themselves are clients' traffic and are left out.
-func (s *Scale) Polls(ctx context.Context) (err error) {
+// owned are the pools of an owner: the mean of the target size, one whole pool, and what 8% and 1% of the instances own.
+var owned = []struct{ pools, endpoints int }{{1, 8}, {1, 16}, {2, 32}, {3, 48}}
+
+// owner is an instance's share in the polls.
+type owner struct {
+	pools     int
+	endpoints int
+	link      *link.Link
+	open      []*pool.Pool
+	config    *core.Config
+	ids       [][]core.EndpointID
+	runners   []*runner.Runner
+}
+
+// Polls measures what owners of some pools send and receive for polls and checks: in the minute after they opened them,
+// without calls, and with those of the peak, at endpoints that refuse calls when they leave and at others. The calls
+// themselves are clients' traffic and are left out.
+func (s *Scale) Polls(ctx context.Context) error {
+	var all sync.WaitGroup
+	errs := make([]error, len(owned))
+	for i, c := range owned {
+		all.Go(func() {
+			o := &owner{pools: c.pools, endpoints: c.endpoints}
+			errs[i] = errors.Join(s.owner(ctx, o), o.close())
+		})
+	}
+	all.Wait()
+	return errors.Join(errs...)
+}
+
+func (s *Scale) owner(ctx context.Context, o *owner) error {
+	if err := o.start(); err != nil {
+		return err
+	}
+	o.configure(true)
+	if err := s.polls(ctx, o, "polls_opened"); err != nil {
+		return err
+	}
+	if err := sleep(ctx, pollSettle); err != nil {
+		return err
+	}
+	if err := s.polls(ctx, o, "polls_idle"); err != nil {
+		return err
+	}
+	busy, stop := context.WithCancel(ctx)
+	var calls sync.WaitGroup
+	defer calls.Wait()
+	defer stop()
+	for i, p := range o.open {
+		gap := float64(callGap) / float64(len(o.ids[i]))
+		calls.Go(func() {
+			for sleep(busy, time.Duration(rand.ExpFloat64()*gap)) == nil {
+				id := core.RequestID(core.NewRandomID())
+				ep, _, err := p.Admit(busy, core.Call{ID: id})
+				if err != nil {
+					continue // only at the end
+				}
+				p.Answered(ep, false)
+				p.Finish(id, true)
+			}
+		})
+	}
+	if err := s.polls(ctx, o, "polls_peak"); err != nil {
+		return err
+	}
+	o.configure(false)
+	return s.polls(ctx, o, "polls_peak_checked")
+}
+
+func (o *owner) start() error {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	shared := core.NewShared(logrus.NewEntry(log))
 	cfg := settings("")
-	l := link.New(cfg)
-	client := l.EngineClient()
-	c := &core.Config{Endpoints: map[core.EndpointID]*wire.Endpoint{}}
-	var ids []core.EndpointID
-	for i := range pollEndpoints {
+	o.link = link.New(cfg)
+	client := o.link.EngineClient()
+	limit := ration.New(ration.WithRate(cfg.GetPollBytesPerS()), ration.WithMeter(o.bytes))
+	o.config = &core.Config{Endpoints: map[core.EndpointID]*wire.Endpoint{}}
+	o.ids = make([][]core.EndpointID, o.pools)
+	for i := range o.endpoints {
 		r := runner.New(runner.WithModel("model", "1"))
 		if err := r.Start(); err != nil {
 			return err
 		}
-		defer func() { err = errors.Join(err, r.Close()) }()
+		o.runners = append(o.runners, r)
 		id := core.EndpointID(fmt.Sprintf("runner-%d", i))
-		c.Endpoints[id] = &wire.Endpoint{Name: string(id), Address: r.Addr(), Wanted: &wire.Wanted{Model: "model", Version: "1"}}
-		ids = append(ids, id)
+		o.config.Endpoints[id] = &wire.Endpoint{Name: string(id), Address: r.Addr(), Wanted: &wire.Wanted{Model: "model", Version: "1"}}
+		o.ids[i%o.pools] = append(o.ids[i%o.pools], id)
 	}
-	p := pool.New(shared, "model/0", fifo.New(), func(address string) core.Runner { return engine.New(address, client) },
-		pool.WithPollInterval(time.Duration(cfg.GetLoadPollMs())*time.Millisecond))
-	defer p.Close()
-	p.Configure(c, ids)
-	if err := sleep(ctx, pollSettle); err != nil {
-		return err
+	for i := range o.pools {
+		o.open = append(o.open, pool.New(shared, core.PoolID(fmt.Sprintf("model/%d", i)), fifo.New(),
+			func(address string) core.Runner { return engine.New(address, client) },
+			pool.WithPollInterval(time.Duration(cfg.GetLoadPollMs())*time.Millisecond), pool.WithRation(limit)))
 	}
-	if err := s.polls(ctx, l, "polls_idle"); err != nil {
-		return err
+	return nil
+}
+
+// configure sets the endpoints and whether they refuse calls when they leave.
+func (o *owner) configure(refuse bool) {
+	for _, e := range o.config.Endpoints {
+		e.RefusesWhenLeaving = refuse
 	}
-	busy, stop := context.WithCancel(ctx)
-	defer stop()
-	for _, id := range ids {
-		go func() { // ends with busy
-			for sleep(busy, time.Duration(rand.ExpFloat64()*float64(callGap))) == nil {
-				p.Answered(id, false)
-			}
-		}()
+	for i, p := range o.open {
+		p.Configure(o.config, o.ids[i])
 	}
-	return s.polls(ctx, l, "polls_peak")
 }
 
-func (s *Scale) polls(ctx context.Context, l *link.Link, what string) error {
-	sent, received := l.Bytes()
+func (o *owner) close() error {
+	for _, p := range o.open {
+		p.Close()
+	}
+	var errs []error
+	for _, r := range o.runners {
+		errs = append(errs, r.Close())
+	}
+	return errors.Join(errs...)
+}
+
+func (o *owner) bytes() int64 {
+	sent, received := o.link.Bytes()
+	return sent + received
+}
+
+func (s *Scale) polls(ctx context.Context, o *owner, what string) error {
+	sent, received := o.link.Bytes()
 	if err := sleep(ctx, pollWindow); err != nil {
 		return err
 	}
-	out, in := l.Bytes()
+	out, in := o.link.Bytes()
 	out, in = out-sent, in-received
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fmt.Fprintf(s.out, "bench=scale case=%s endpoints=%d sent_bytes_per_s=%.2f received_bytes_per_s=%.2f both_bytes_per_s=%.2f\n",
-		what, pollEndpoints, float64(out)/pollWindow.Seconds(), float64(in)/pollWindow.Seconds(), float64(out+in)/pollWindow.Seconds())
+	fmt.Fprintf(s.out, "bench=scale case=%s pools=%d endpoints=%d sent_bytes_per_s=%.2f received_bytes_per_s=%.2f both_bytes_per_s=%.2f\n",
+		what, o.pools, o.endpoints, float64(out)/pollWindow.Seconds(), float64(in)/pollWindow.Seconds(), float64(out+in)/pollWindow.Seconds())
 	return nil
 }
