--- a/io/host/host.go
+++ b/io/host/host.go
@@ -10,6 +10,7 @@
 	"snipeshed/core"
 	"snipeshed/core/gate"
 	"snipeshed/core/order"
+	"snipeshed/core/ration"
 	"snipeshed/core/shard"
 	"snipeshed/io/driver"
 	"snipeshed/io/engine"
@@ -29,6 +30,7 @@
 	newRunner func(address string) core.Runner
 	slots     core.Slots
 	prompts   *gate.Gate
+	ration    *ration.Ration
 
 	mu       sync.Mutex
 	current  *core.Config
@@ -70,19 +72,30 @@
 
 // New returns a Host; newPolicy makes the policy of each pool.
 func New(shared core.Shared, cfg *conf.Settings, config core.ConfigSource, members core.Members, newPolicy func() core.Policy, opts ...Option) *Host {
-	client := link.New(cfg).EngineClient()
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &Host{
 		Shared: shared, cfg: cfg, config: config, members: members, newPolicy: newPolicy, counters: noCounters{},
-		newRunner: func(address string) core.Runner { return engine.New(address, client) },
-		pools:     map[core.PoolID]*pool.Pool{},
-		cancels:   map[core.RequestID]context.CancelCauseFunc{},
-		prompts:   gate.New(cfg.GetOpenBodyBytes()),
-		life:      ctx, stop: cancel,
+		pools:   map[core.PoolID]*pool.Pool{},
+		cancels: map[core.RequestID]context.CancelCauseFunc{},
+		prompts: gate.New(cfg.GetOpenBodyBytes()),
+		life:    ctx, stop: cancel,
 	}
 	for _, o := range opts {
 		o(h)
 	}
+	limits := []ration.Option{ration.WithRate(cfg.GetPollBytesPerS())}
+	if h.newRunner == nil {
+		polls := link.New(cfg)
+		client, pollClient := link.New(cfg).EngineClient(), polls.EngineClient()
+		h.newRunner = func(address string) core.Runner {
+			return engine.New(address, client, engine.WithPollClient(pollClient))
+		}
+		limits = append(limits, ration.WithMeter(func() int64 {
+			sent, received := polls.Bytes()
+			return sent + received
+		}))
+	}
+	h.ration = ration.New(limits...)
 	h.Configure(config.Config())
 	return h
 }
@@ -166,7 +179,7 @@
 	}
 	p := pool.New(h.Shared, id, h.newPolicy(), h.newRunner,
 		pool.WithPollInterval(ms(h.cfg.GetLoadPollMs())), pool.WithListLeaving(h.members.EndpointLeaving),
-		pool.WithDriver(h.driverOptions(id)...))
+		pool.WithRation(h.ration), pool.WithDriver(h.driverOptions(id)...))
 	p.Configure(h.current, h.shard.Endpoints(id))
 	h.pools[id] = p
 	return p, nil
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -7,6 +7,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/order"
+	"snipeshed/core/ration"
 	"snipeshed/io/driver"
 )
 
@@ -19,6 +20,7 @@
 	listLeaving func(address string) bool
 	newRunner   func(address string) core.Runner
 	driverOpts  []driver.Option
+	ration      *ration.Ration
 
 	mu        sync.Mutex
 	policy    core.Policy
@@ -47,6 +49,9 @@
 	return func(p *Pool) { p.driverOpts = append(p.driverOpts, opts...) }
 }
 
+// WithRation sets the bytes for polls, which the pools of an instance share.
+func WithRation(r *ration.Ration) Option { return func(p *Pool) { p.ration = r } }
+
 const defaultPollInterval = 2 * time.Second
 
 // Target describes an endpoint of the pool as the tickets want it.
@@ -55,6 +60,7 @@
 	address string
 	order   core.RunnerOrder
 	checks  bool
+	refuses bool
 }
 
 // New returns a pool without endpoints and starts to poll.
@@ -67,6 +73,7 @@
 		listLeaving: func(string) bool { return false },
 		waiting:     map[core.RequestID]chan core.Action{},
 		endpoints:   map[core.EndpointID]*endpoint{},
+		ration:      ration.New(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -81,6 +88,7 @@
 	p.Drain()
 	p.cancel()
 	p.done.Wait()
+	p.ration.Round(p.id)
 }
 
 // Configure sets rules and endpoints from a configuration.
@@ -107,7 +115,7 @@
 		if e.ordered.IsZero() || e.wanted.Number != t.order.Number {
 			e.ordered = now
 		}
-		e.wanted = t.order
+		e.wanted, e.refuses = t.order, t.refuses
 		e.driver.Want(t.order, t.checks)
 	}
 	p.apply(p.policy.SetRules(now, rules(cfg)))
@@ -117,7 +125,7 @@
 func newTarget(cfg *core.Config, id core.EndpointID) target {
 	ep := cfg.Endpoints[id]
 	w := ep.GetWanted()
-	return target{id: id, address: ep.GetAddress(), checks: ep.GetChecksFencing(), order: core.RunnerOrder{
+	return target{id: id, address: ep.GetAddress(), checks: ep.GetChecksFencing(), refuses: ep.GetRefusesWhenLeaving(), order: core.RunnerOrder{
 		Number: cfg.SetBy["endpoint/"+string(id)], Model: core.ModelName(w.GetModel()),
 		Version: w.GetVersion(), Adapters: w.GetAdapters(), Role: w.GetRole(),
 	}}
