Keep a call's place when a check finds its endpoint leaving

Cause: after a check before its start a call went back to the policy as a new one, which may refuse it for overload although it had waited its turn.

Change: it goes back as admitted, like a call that a stopping owner hands over.

Result: tests of io/pool pass; the case is that of TestCallsAfterLeavingByReport, whose calls go to another endpoint. A refusal there was not seen.

--- a/io/pool/call.go
+++ b/io/pool/call.go
@@ -15,6 +15,7 @@
 		if !errors.Is(err, errNotAccepting) {
 			return ep, runner, err
 		}
+		c.Admitted = true // it has waited its turn, so it is not refused for overload
 	}
 }
 
