Drop a case of the ceiling that changes no result

Cause: when more urgent work is asked for than was served, urgentFirst divided the served tokens by urgent demand. A mutation of that branch failed no test, because it can't change the smallest team's part: it only bounds teams that get their fair share or more anyway.

Change: the branch is gone.

--- a/stand/trial/shares.go
+++ b/stand/trial/shares.go
@@ -23,17 +23,9 @@
 func (s *shares) fair() map[core.TeamName]float64 { return s.level(nil, s.wanted) }
 
 // urgentFirst returns what each team would get if all urgent work was served first, whoever asked for it, and the
-// rest of the served tokens went to the teams that then have the least.
-func (s *shares) urgentFirst() map[core.TeamName]float64 {
-	sum := 0.0
-	for _, n := range s.urgent {
-		sum += n
-	}
-	if sum >= s.total() {
-		return s.level(nil, s.urgent)
-	}
-	return s.level(s.urgent, s.wanted)
-}
+// rest of the served tokens went to the teams that then have the least. When there is more urgent work than was served,
+// teams with more of it than their fair share get too much here; no other team's part changes.
+func (s *shares) urgentFirst() map[core.TeamName]float64 { return s.level(s.urgent, s.wanted) }
 
 func (s *shares) total() float64 {
 	sum := 0.0
