Check the schema against the released one

Cause: versions run side by side during an upgrade, and nothing kept a field from being removed or renumbered.

Trials, each reverted: Team.weight renumbered from 2 to 22, Ticket.author removed, Settings.log_level removed; buf breaking ended with status 100 each time and named the field ("Previously present field \"2\" with name \"weight\" on message \"Team\" was deleted."), and with 0 before.

--- a/scripts/current.sh
+++ b/scripts/current.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Fails when generated code or pages are older than the schema.
+# Fails when generated code or pages are older than the schema, or when the schema breaks with the released one
+# (docs/upgrades.md says when and how to renew proto/released.binpb).
 set -euo pipefail
 cd "$(dirname "$0")/.."
 files=$(git ls-files '*.pb.go' '*.twirp.go' docs/settings.md)
@@ -10,3 +11,4 @@
   echo "generated files were out of date; run make generate and commit them" >&2
   exit 1
 fi
+.bin/buf breaking --against proto/released.binpb
