Refuse tickets that this version knows only in part

Cause: an instance applied a ticket with a field unknown to it and reported the ticket as in force, although half of it was not (protobuf keeps unknown fields but State.Apply ignored them). Item kinds unknown to it were refused already.

State.Apply and Load refuse a higher format than they know, and unknown fields at any depth whatever the format says.

--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -32,6 +32,13 @@
 	if core.TicketNumber(snap.GetNumber()) <= s.cfg.Load().Number {
 		return nil
 	}
+	var needs uint32
+	for _, e := range snap.GetEntries() {
+		needs = max(needs, e.GetFormat())
+	}
+	if err := s.checkFormat(snap.GetNumber(), needs, snap); err != nil {
+		return err
+	}
 	snap = proto.CloneOf(snap)
 	cfg, err := FromSnapshot(snap)
 	if err != nil {
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -21,7 +21,8 @@
 
 // State is the fold of the ticket log; it only moves forward and is safe for concurrent use.
 type State struct {
-	cfg atomic.Pointer[core.Config]
+	cfg    atomic.Pointer[core.Config]
+	format uint32
 
 	// change serializes Apply, Load and Subscribe, so that subscribers see configurations in order.
 	change sync.Mutex
@@ -44,6 +45,7 @@
 // New returns the empty state before the first ticket.
 func New(opts ...Option) *State {
 	s := &State{
+		format:  Format,
 		entries: map[string]*wire.Entry{},
 		recent:  newRecent(defaultKeepTickets, defaultKeepBytes),
 	}
@@ -71,7 +73,8 @@
 	return fmt.Sprintf("ticket %d cannot be applied after ticket %d; fetch ticket %d first", e.Got, e.Have, e.Have+1)
 }
 
-// Apply applies the next ticket; an older one is ignored, a later one returns a *GapError.
+// Apply applies the next ticket; an older one is ignored, a later one returns a *GapError, and one that this version knows
+// in part only a *FormatError or *ItemError.
 func (s *State) Apply(t *wire.Ticket) error {
 	s.change.Lock()
 	defer s.change.Unlock()
@@ -83,6 +86,9 @@
 	if n > old.Number+1 {
 		return &GapError{Have: old.Number, Got: n}
 	}
+	if err := s.checkFormat(t.GetNumber(), t.GetFormat(), t); err != nil {
+		return err
+	}
 	t = proto.CloneOf(t)
 	cfg, err := Fold(old, t)
 	if err != nil {
@@ -90,7 +96,7 @@
 	}
 	s.mu.Lock()
 	for _, item := range t.GetItems() {
-		s.entries[ItemKey(item)] = &wire.Entry{Item: item, SetBy: t.GetNumber()}
+		s.entries[ItemKey(item)] = &wire.Entry{Item: item, SetBy: t.GetNumber(), Format: t.GetFormat()}
 	}
 	s.recent.add(t)
 	s.cfg.Store(cfg)
