Stop serving when an accepted ticket cannot be applied, and pass it on

Cause: an instance that could not apply a ticket went on serving the state before it while others with the same old state vouched for it (half of the members), and it dropped the ticket, so that instances which hear of the log through it only did not get it.

Change: such an instance refuses new calls with stale_state (not_run) at once, vouches for nothing, tells peers that it leaves, so that its pools and its part as a relay go to others, and keeps the tickets unchanged to hand them on. Digests name them in a field of their own (held), absent otherwise: no bytes when nothing is held.

--- a/io/relay/ahead.go
+++ b/io/relay/ahead.go
@@ -36,6 +36,9 @@
 // digestFor returns the digest that answers another one.
 func (r *Relay) digestFor(asker *wire.Digest) *wire.Digest {
 	d := r.digest()
+	if asker.GetFrom() == "" {
+		d.Format = r.state.Format() // an operator's question
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if n := uint64(r.ahead.said[core.InstanceID(asker.GetFrom())]); n > d.GetTicket() {
--- a/io/relay/apply.go
+++ b/io/relay/apply.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"snipeshed/core"
+	"snipeshed/core/state"
 	"snipeshed/wire"
 )
 
@@ -14,14 +15,14 @@
 func (r *Relay) apply(ts []*wire.Ticket) (gap bool, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	before := r.state.Number()
+	before := r.topLocked()
 	for _, t := range ts {
 		if n := core.TicketNumber(t.GetNumber()); n > r.state.Number() && len(r.pending) < maxPending {
 			r.pending[n] = t
 		}
 	}
 	err = r.drain()
-	if r.state.Number() > before {
+	if r.topLocked() > before {
 		wake(r.news)
 	}
 	return len(r.pending) > 0, err
@@ -32,6 +33,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	err := r.state.Load(s)
+	if state.NeedsNewer(err) {
+		r.block(err)
+	}
 	return errors.Join(err, r.drain())
 }
 
@@ -47,8 +51,13 @@
 		if !found {
 			return nil
 		}
+		err := r.state.Apply(t)
+		if state.NeedsNewer(err) {
+			r.block(err) // the ticket stays pending and is passed on
+			return err
+		}
 		delete(r.pending, n)
-		if err := r.state.Apply(t); err != nil {
+		if err != nil {
 			r.Log.WithError(err).WithField("ticket", n).Error("ticket cannot be applied")
 			return err
 		}
--- /dev/null
+++ b/io/relay/block_test.go
@@ -0,0 +1,144 @@
+package relay
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"snipeshed/core"
+	"snipeshed/core/state"
+	"snipeshed/wire"
+)
+
+// Guards against older instances that serve a state without an accepted ticket, or apply half of it, vouch for each other's
+// old state, or keep the ticket from instances that could apply it.
+func TestTicketOfANewerFormat(t *testing.T) {
+	const size, domains = 9, 3
+	cut := func(reached func(*node) bool) func(*node) error {
+		return func(n *node) error {
+			if reached(n) {
+				return nil
+			}
+			return errCut
+		}
+	}
+	old := func(n *node) bool { return n.state.Format() == 0 }
+	for name, c := range map[string]struct {
+		old int
+		// storeErr holds from before the ticket's acceptance, and after from 2 s later on.
+		storeErr, after func(*node) error
+	}{
+		"one old instance":                          {1, up, up},
+		"most are old":                              {7, up, up},
+		"most are old, then the store is down":      {7, up, down},
+		"few are old, then the store is down":       {2, up, down},
+		"only old instances reach the object API":   {6, cut(old), cut(old)},
+		"only newer instances reach the object API": {6, cut(func(n *node) bool { return !old(n) }), cut(func(n *node) bool { return !old(n) })},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, w *world) {
+				is := is.New(t)
+				for i := range size {
+					n := w.add(fmt.Sprintf("zone-%d", i%domains))
+					if i >= c.old {
+						n.state = state.New(state.WithFormat(1))
+						n.make()
+					}
+				}
+				nodes := w.fleet(0, 1)
+				time.Sleep(5 * time.Second)
+				w.accept()
+				time.Sleep(10 * time.Second)
+				w.platform(c.storeErr)
+				sent := w.acceptNewer()
+				time.Sleep(2 * time.Second)
+				w.platform(c.after)
+				time.Sleep(8 * time.Second)
+				for _, n := range nodes {
+					is.Equal(n.state.Number() == 2, !old(n)) // in force within 10 s
+					is.Equal(n.state.Number() == 1, old(n))
+				}
+				time.Sleep(10 * time.Second)
+				synctest.Wait()
+				for _, n := range nodes {
+					// Blocked instances leave, so the others are half of the members also when they are few.
+					is.Equal(core.KindOf(n.Fresh()) == core.KindStaleState, old(n))
+					for _, other := range nodes {
+						is.Equal(n.members.Leaving(other.peer.ID), old(other)) // pools of old instances go to others
+					}
+					got := n.answer(&wire.Digest{Ticket: 1}).GetTickets()
+					is.True(len(got) == 1 && proto.Equal(got[0], sent)) // also old instances pass it on
+				}
+			})
+		})
+	}
+}
+
+// acceptNewer writes the next ticket in format 1 into the store.
+func (w *world) acceptNewer() *wire.Ticket {
+	w.accepted++
+	t := ticket(w.accepted)
+	t.Format = 1
+	b, _ := state.EncodeTicket(t)
+	if _, err := w.store.Put(context.Background(), state.TicketKey(core.TicketNumber(w.accepted)), b, 0); err != nil {
+		w.t.Error(err)
+	}
+	return t
+}
+
+// Guards against an older instance that changes a ticket which it passes on, or hands on fewer than it has.
+func TestHeldTicketsAreUnchanged(t *testing.T) {
+	inBubble(t, func(t *testing.T, w *world) {
+		is, n := is.New(t), w.fleet(1, 1)[0]
+		first, second := ticket(1), ticket(2)
+		team := first.GetItems()[0].GetTeam().ProtoReflect()
+		team.SetUnknown(protowire.AppendVarint(protowire.AppendTag(nil, 1000, protowire.VarintType), 7))
+		sent := []*wire.Ticket{proto.CloneOf(second), proto.CloneOf(first)}
+		n.takeDelta(&wire.Delta{Tickets: sent})
+		is.Equal(core.KindOf(n.Fresh()), core.KindStaleState) // at once
+		is.Equal(n.digest().GetHeld(), uint64(2))
+		is.Equal(n.digest().GetTicket(), uint64(0))
+		is.Equal(n.digest().GetVouchAgeMs(), int64(-1))
+		got := n.answer(&wire.Digest{}).GetTickets()
+		is.True(slices.EqualFunc(got, []*wire.Ticket{first, second}, func(a, b *wire.Ticket) bool { return proto.Equal(a, b) }))
+		is.Equal(len(n.answer(&wire.Digest{Held: 2}).GetTickets()), 0)
+	})
+}
+
+// Guards against an older instance that starts on a snapshot of which it knows a part only, and then serves.
+func TestOlderInstanceStartsAfterNewerTicket(t *testing.T) {
+	for name, trimmed := range map[string]bool{"ticket in the log": false, "ticket in a snapshot only": true} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, w *world) {
+				is := is.New(t)
+				n := w.add("zone-0")
+				n.state = state.New(state.WithFormat(1))
+				n.make()
+				w.fleet(0, 1)
+				w.accept()
+				w.acceptNewer()
+				time.Sleep(5 * time.Second)
+				if trimmed {
+					is.NoErr(n.writeSnapshot(t.Context(), 1))
+					o, _ := w.store.Object(state.TicketKey(1))
+					is.NoErr(w.store.Delete(t.Context(), o.Key, o.Version))
+				}
+				late := w.add("zone-0")
+				late.Start()
+				<-late.Ready() // passes tickets on
+				time.Sleep(30 * time.Second)
+				is.Equal(core.KindOf(late.Fresh()), core.KindStaleState)
+				is.True(late.state.Number() < 2)
+				is.True(n.members.Leaving(late.peer.ID))
+				is.NoErr(n.Fresh())
+			})
+		})
+	}
+}
--- a/io/relay/gossip.go
+++ b/io/relay/gossip.go
@@ -164,7 +164,7 @@
 // exchange compares digests with a peer and pulls what this instance lacks.
 func (r *Relay) exchange(ctx context.Context, p core.Peer) error {
 	for range maxRounds {
-		before, asked := r.state.Number(), r.Clock.Now()
+		before, asked := r.top(), r.Clock.Now()
 		var d *wire.Delta
 		err := r.call(ctx, p, func(ctx context.Context, c wire.Peer) (err error) {
 			d, err = c.Exchange(ctx, r.digest())
@@ -176,11 +176,14 @@
 		r.takeDelta(d)
 		r.takeDigest(asked, d.GetDigest())
 		r.takeReach(asked, d)
-		if uint64(r.state.Number()) >= d.GetDigest().GetTicket() {
+		if r.top() >= topOf(d.GetDigest()) {
 			return nil
 		}
-		if r.state.Number() == before {
-			if err := r.takeState(ctx, p); err != nil || r.state.Number() == before {
+		if r.top() == before {
+			if r.blocked.Load() != nil {
+				return nil // the whole state cannot be applied either
+			}
+			if err := r.takeState(ctx, p); err != nil || r.top() == before {
 				return err
 			}
 		}
@@ -229,17 +232,19 @@
 func (r *Relay) answer(d *wire.Digest) *wire.Delta {
 	now := r.Clock.Now()
 	out := &wire.Delta{Digest: r.digestFor(d)}
-	if d.GetTicket() < out.GetDigest().GetTicket() {
-		if ts, ok := r.state.Since(core.TicketNumber(d.GetTicket()), maxTickets); ok {
+	if n := topOf(d); uint64(n) < out.GetDigest().GetTicket() {
+		if ts, ok := r.state.Since(n, maxTickets); ok {
 			out.Tickets = cut(ts)
 		}
+	} else {
+		out.Tickets = cut(r.heldAfter(n))
 	}
 	// Revision 0 on both sides means that neither has read the list; then each tells the other of itself.
 	if d.GetListRevision() < out.GetDigest().GetListRevision() || d.GetListRevision() == 0 {
 		out.Instances, out.ListSince, out.ListRevision = r.members.Since(d.GetListRevision())
 	}
 	out.Words = r.members.Words(now, wordTicks*ms(r.cfg.GetGossipIntervalMs()))
-	if r.isReady.Load() && d.GetWantReach() {
+	if r.isReady.Load() && r.blocked.Load() == nil && d.GetWantReach() {
 		fleet, revision := r.members.Fleet()
 		if revision > 0 {
 			out.Digest.ListRevision = revision
--- a/io/relay/push.go
+++ b/io/relay/push.go
@@ -58,7 +58,7 @@
 	defer r.mu.Unlock()
 	d := &wire.Delta{Words: r.words}
 	r.words = nil
-	n := r.state.Number()
+	n := r.topLocked()
 	newTicket := n > r.pushed
 	r.pushed = n
 	if r.listNews {
--- a/io/relay/relay.go
+++ b/io/relay/relay.go
@@ -27,6 +27,8 @@
 	Config() *core.Config
 	// Number returns the number of the last applied ticket.
 	Number() core.TicketNumber
+	// Format returns the highest format of tickets that Apply takes.
+	Format() uint32
 	// Apply applies the next ticket, ignores an older one and refuses one after a gap.
 	Apply(t *wire.Ticket) error
 	// Since returns up to limit tickets after n, or false when some of them are no longer kept.
@@ -60,6 +62,8 @@
 
 	leaving  atomic.Bool
 	isReady  atomic.Bool
+	blocked  atomic.Pointer[core.Error]
+	halted   chan struct{}
 	ready    chan struct{}
 	news     chan struct{}
 	pulls    chan *wire.Digest
@@ -100,6 +104,7 @@
 		vouch:    newVouch(s.Clock.Now(), ms(cfg.GetVouchLimitMs())),
 		run:      uint64(s.Clock.Now().UnixMilli()),
 		ready:    make(chan struct{}),
+		halted:   make(chan struct{}),
 		news:     make(chan struct{}, 1),
 		pulls:    make(chan *wire.Digest, 1),
 		catchUps: make(chan struct{}, 1),
@@ -122,7 +127,7 @@
 			return
 		}
 		r.mu.Lock()
-		r.pushed, r.listed = r.state.Number(), r.members.Revision()
+		r.pushed, r.listed = r.topLocked(), r.members.Revision()
 		r.mu.Unlock()
 		r.isReady.Store(true)
 		close(r.ready)
@@ -153,8 +158,11 @@
 // Config returns the configuration in force.
 func (r *Relay) Config() *core.Config { return r.state.Config() }
 
-// Fresh returns nil, or the stale_state error when nothing vouches for the configuration.
+// Fresh returns nil, or the stale_state error when nothing vouches for the configuration or it lacks an accepted ticket.
 func (r *Relay) Fresh() error {
+	if err := r.blocked.Load(); err != nil {
+		return err
+	}
 	if r.isReady.Load() && r.vouch.fresh(r.Clock.Now()) {
 		return nil
 	}
@@ -194,14 +202,18 @@
 
 func (r *Relay) digest() *wire.Digest {
 	now, age := r.Clock.Now(), int64(-1)
-	if r.isReady.Load() {
+	if r.isReady.Load() && r.blocked.Load() == nil {
 		age = r.vouch.storeAge(now).Milliseconds()
 	}
-	return &wire.Digest{
+	d := &wire.Digest{
 		From: string(r.members.Self().ID), Ticket: uint64(r.state.Number()), ListRevision: r.members.Revision(),
 		Leaving: r.leaving.Load(), VouchAgeMs: age, Run: r.run,
 		WantReach: r.vouch.age(now) > r.vouch.limit/2,
 	}
+	if n := uint64(r.top()); n > d.GetTicket() {
+		d.Held = n
+	}
+	return d
 }
 
 func (r *Relay) spawn(fn func()) { r.running.Go(fn) }
--- a/io/relay/serve.go
+++ b/io/relay/serve.go
@@ -33,7 +33,7 @@
 
 // pullFrom asks for an exchange with the sender of a digest if it is ahead; one that is already waiting is enough.
 func (r *Relay) pullFrom(d *wire.Digest) {
-	if d.GetTicket() <= uint64(r.state.Number()) {
+	if topOf(d) <= r.top() {
 		return
 	}
 	select {
@@ -50,7 +50,7 @@
 			return
 		case d := <-r.pulls:
 			// The exchange before may have brought the ticket already.
-			if p, found := r.members.Peer(core.InstanceID(d.GetFrom())); found && d.GetTicket() > uint64(r.state.Number()) {
+			if p, found := r.members.Peer(core.InstanceID(d.GetFrom())); found && topOf(d) > r.top() {
 				_ = r.exchange(r.ctx, p) // call marks the peer suspect; the next gossip repeats it
 			}
 		case <-r.catchUps:
--- a/io/relay/start.go
+++ b/io/relay/start.go
@@ -27,6 +27,9 @@
 		if r.ctx.Err() != nil {
 			return false
 		}
+		if r.blocked.Load() != nil {
+			return true // it passes tickets on, but never serves
+		}
 		// A store contact of a peer since the start, with a state that is no newer than this one, is as good as an own one.
 		vouched := stored || r.vouch.storeAge(r.Clock.Now()) <= r.Clock.Now().Sub(began)
 		if vouched && r.state.Number() >= named {
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -37,7 +37,7 @@
 	for {
 		asked := r.Clock.Now()
 		callCtx, cancel := context.WithTimeout(ctx, ms(r.cfg.GetStoreTimeoutMs()))
-		objects, rev, err := r.store.List(callCtx, state.TicketPrefix, state.TicketKey(r.state.Number()), listPage)
+		objects, rev, err := r.store.List(callCtx, state.TicketPrefix, state.TicketKey(r.top()), listPage)
 		cancel()
 		if err != nil {
 			return 0, err
@@ -60,9 +60,12 @@
 		return err
 	}
 	if _, err := r.apply(one(t)); err != nil {
+		if state.NeedsNewer(err) && uint64(r.top()) >= t.GetNumber() {
+			return nil // held, to be passed on
+		}
 		return err
 	}
-	if uint64(r.state.Number()) < t.GetNumber() {
+	if uint64(r.top()) < t.GetNumber() {
 		return fmt.Errorf("%w: have %d, read %d", errGap, r.state.Number(), t.GetNumber())
 	}
 	return nil
