Refuse tickets that a live instance cannot apply yet

Cause: nothing told the operator that part of the fleet is too old for a ticket.

Change: Apply sets the least format that the ticket's fields need. For a format above 0 it asks every live instance for the highest format that it applies (the answer to an operator's question carries it; exchanges do not) and refuses the ticket as old_version, not_run, naming the instances that are older or did not answer. Fields that the asked instance does not know are refused. An instance that cannot read the whole log refuses tickets as stale_state. The status shows what each instance knows, and one that holds a ticket it cannot apply. The daemon hands queued calls to other instances when it meets such a ticket.

--- a/core/error.go
+++ b/core/error.go
@@ -28,7 +28,9 @@
 	KindStaleState     Kind = "stale_state"
 	KindConflict       Kind = "conflict"
 	KindNotFound       Kind = "not_found"
-	KindInternal       Kind = "internal"
+	// KindOldVersion refuses a ticket that some live instance cannot apply yet.
+	KindOldVersion Kind = "old_version"
+	KindInternal   Kind = "internal"
 )
 
 // Run says whether a request was run.
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -83,11 +83,15 @@
 
 type options struct {
 	newPolicy func() core.Policy
+	state     []state.Option
 }
 
 // WithPolicy replaces the policy of the pools.
 func WithPolicy(fn func() core.Policy) Option { return func(o *options) { o.newPolicy = fn } }
 
+// WithState passes options to the state, for tests of fleets with two versions.
+func WithState(opts ...state.Option) Option { return func(o *options) { o.state = opts } }
+
 // Run serves until ctx ends, then shuts down gracefully.
 func Run(ctx context.Context, cfg *conf.Settings, logs io.Writer) error {
 	d, err := New(cfg, NewLog(cfg, logs))
@@ -110,7 +114,7 @@
 
 // New makes an instance and opens its listeners.
 func New(cfg *conf.Settings, log *logrus.Entry, opts ...Option) (*Daemon, error) {
-	d := &Daemon{Shared: core.NewShared(log), cfg: cfg, meter: meter.New(), state: state.New(), changed: make(chan struct{}, 1)}
+	d := &Daemon{Shared: core.NewShared(log), cfg: cfg, meter: meter.New(), changed: make(chan struct{}, 1)}
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -127,6 +131,7 @@
 	for _, opt := range opts {
 		opt(&o)
 	}
+	d.state = state.New(o.state...)
 	d.build(&o)
 	return d, nil
 }
@@ -276,6 +281,10 @@
 	d.relay.Start()
 	own, stopOwning := context.WithCancel(ctx)
 	g.Go(func() error { return d.ownPools(own) })
+	g.Go(func() error {
+		d.retire(own)
+		return nil
+	})
 	select {
 	case <-ctx.Done():
 	case <-d.life.Done():
@@ -287,6 +296,15 @@
 	return err
 }
 
+// retire hands this instance's queued calls to others when it cannot apply an accepted ticket; running ones go on.
+func (d *Daemon) retire(ctx context.Context) {
+	select {
+	case <-d.relay.Blocked():
+		d.host.Drain()
+	case <-ctx.Done():
+	}
+}
+
 // ownInterval is how soon an instance opens a pool that it has come to own.
 const ownInterval = 500 * time.Millisecond
 
--- a/io/oper/apply.go
+++ b/io/oper/apply.go
@@ -33,6 +33,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, applyTimeout)
 	defer cancel()
+	t = proto.CloneOf(t)
+	t.Format = max(t.GetFormat(), state.Needs(t))
 	accepted, err := o.ledger.append(ctx, t)
 	log := o.Log.WithField("id", t.GetId()).WithField("author", t.GetAuthor())
 	if err != nil {
@@ -47,6 +49,12 @@
 	if t.GetId() == "" {
 		return badTicket("the ticket has no id", "give it a unique id, which makes a retry safe")
 	}
+	if state.HasUnknown(t) {
+		return &core.Error{
+			Kind: core.KindOldVersion, Run: core.RunNot, Message: "the ticket has fields that this instance's version of snipeshed does not know",
+			Remedy: "apply it at an instance of the version for which it was written, or replace this one first",
+		}
+	}
 	if t.GetAuthor() == "" {
 		return badTicket("the ticket has no author", "name the author, whom others ask in case of a conflict")
 	}
@@ -121,6 +129,11 @@
 	if err := (check.Check{Source: "ticket " + a.ticket.GetId()}).Ticket(cfg, a.ticket); err != nil {
 		return nil, err
 	}
+	if a.pending == 0 { // the fleet was asked before the first write
+		if err := a.supported(ctx, a.ticket.GetFormat()); err != nil {
+			return nil, err
+		}
+	}
 	return a.create(ctx, cfg.Number+1)
 }
 
--- a/io/oper/error.go
+++ b/io/oper/error.go
@@ -23,6 +23,7 @@
 	core.KindConflict:       twirp.Aborted,
 	core.KindStoreDown:      twirp.Unavailable,
 	core.KindStaleState:     twirp.Unavailable,
+	core.KindOldVersion:     twirp.FailedPrecondition,
 	core.KindDeadline:       twirp.DeadlineExceeded,
 	core.KindOutcomeUnknown: twirp.Unknown,
 }
--- a/io/oper/find.go
+++ b/io/oper/find.go
@@ -47,7 +47,7 @@
 func (a *attempt) same(accepted *wire.Ticket) (*wire.Ticket, error) {
 	want, got := proto.CloneOf(a.ticket), proto.CloneOf(accepted)
 	for _, t := range []*wire.Ticket{want, got} {
-		t.Number, t.AcceptedUnixMs = 0, 0
+		t.Number, t.AcceptedUnixMs, t.Format = 0, 0, 0
 	}
 	if !proto.Equal(want, got) {
 		return nil, badTicket(fmt.Sprintf("field id has the value %q, which ticket %d has with other content", a.ticket.GetId(), accepted.GetNumber()),
--- /dev/null
+++ b/io/oper/format_test.go
@@ -0,0 +1,96 @@
+package oper_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"snipeshed/conf"
+	"snipeshed/core"
+	"snipeshed/core/state"
+	"snipeshed/io/oper"
+	"snipeshed/wire"
+)
+
+// mixed is a fleet of instances by name with what they say of themselves; nil is no answer.
+type mixed map[string]*wire.Digest
+
+func (m mixed) Instances() []*wire.Instance {
+	list := []*wire.Instance{{Id: "self", State: "live"}}
+	for id := range m {
+		list = append(list, &wire.Instance{Id: id, State: "live"})
+	}
+	return list
+}
+
+func (m mixed) Digest(_ context.Context, in *wire.Instance) (*wire.Digest, error) {
+	if d := m[in.GetId()]; d != nil {
+		return d, nil
+	}
+	return nil, errors.New("no answer")
+}
+
+// Guards against accepting a ticket that some live instance would have to refuse, and against an upgrade that blocks
+// tickets which need no newer version.
+func TestApplyNewerFormat(t *testing.T) {
+	newer, old := &wire.Digest{Format: 1}, &wire.Digest{}
+	for name, c := range map[string]struct {
+		fleet  mixed
+		knows  uint32
+		format uint32
+		parts  []string // of the refusal; nil means accepted
+	}{
+		"all are newer":            {mixed{"a": newer, "b": newer}, 1, 1, nil},
+		"ticket needs nothing new": {mixed{"a": old, "b": nil}, 1, 0, nil},
+		"one is older":             {mixed{"a": newer, "b": old}, 1, 1, []string{"format 1", "b (up to 0)"}},
+		"one does not answer":      {mixed{"a": newer, "b": nil}, 1, 1, []string{"b, which did not answer"}},
+		"the older one leaves":     {mixed{"a": newer, "b": {Leaving: true}}, 1, 1, nil},
+		"the asked one is older":   {mixed{"a": newer}, 0, 1, []string{"self (up to 0)"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is, st := is.New(t), newFake()
+				s := state.New(state.WithFormat(c.knows))
+				o := oper.New(shared(), &conf.Settings{Instance: "self"}, st, s, oper.WithFleet(c.fleet))
+				sent := ticket("a", 0, rank("urgent", 1))
+				sent.Format = c.format
+				got, err := o.Apply(t.Context(), sent)
+				if c.parts == nil {
+					is.NoErr(err)
+					is.Equal(got.GetFormat(), c.format)
+					again, err := o.Apply(t.Context(), ticket("a", 0, rank("urgent", 1)))
+					is.NoErr(err) // the format is not part of the operator's ticket
+					is.Equal(again.GetNumber(), got.GetNumber())
+					return
+				}
+				refused(t, err, step{kind: core.KindOldVersion, run: core.RunNot, parts: c.parts})
+				is.Equal(strings.Join(st.log(t), " "), "")
+			})
+		})
+	}
+}
+
+// Guards against accepting a ticket of a newer command without the part that this version does not know, and against
+// extending a log that this version cannot read.
+func TestUnknownParts(t *testing.T) {
+	is, st := is.New(t), newFake()
+	o, _ := start(st)
+	sent := ticket("a", 0, rank("urgent", 1))
+	sent.GetItems()[0].GetRank().ProtoReflect().SetUnknown(protowire.AppendVarint(protowire.AppendTag(nil, 1000, protowire.VarintType), 7))
+	_, err := o.Apply(t.Context(), sent)
+	refused(t, err, step{kind: core.KindOldVersion, run: core.RunNot, parts: []string{"does not know"}})
+
+	newer := oper.New(shared(), &conf.Settings{Instance: "newer"}, st, state.New(state.WithFormat(1)))
+	accepted := ticket("b", 0, rank("urgent", 1))
+	accepted.Format = 1
+	_, err = newer.Apply(t.Context(), accepted)
+	is.NoErr(err)
+	_, err = o.Apply(t.Context(), ticket("c", 0, rank("batch", 1)))
+	refused(t, err, step{kind: core.KindStaleState, run: core.RunNot, parts: []string{"newer version"}})
+	is.Equal(st.log(t), []string{"b"})
+}
--- a/io/oper/ledger.go
+++ b/io/oper/ledger.go
@@ -20,6 +20,8 @@
 	store    core.Store
 	state    *state.State
 	accepted func(*wire.Ticket)
+	// supported refuses a format of tickets that some live instance cannot apply.
+	supported func(ctx context.Context, format uint32) error
 	// turn holds one token: an instance appends one ticket at a time, as its own tickets would only race each other.
 	turn chan struct{}
 }
@@ -47,6 +49,12 @@
 }
 
 func behind(err error) error {
+	if state.NeedsNewer(err) {
+		return &core.Error{
+			Kind: core.KindStaleState, Run: core.RunNot, Cause: err,
+			Message: "this instance cannot read the whole log", Remedy: "apply the ticket at an instance of a newer version, and replace this one",
+		}
+	}
 	var gap *state.GapError
 	if !errors.As(err, &gap) {
 		return err
--- a/io/oper/oper.go
+++ b/io/oper/oper.go
@@ -51,6 +51,7 @@
 		fleet:  noFleet{},
 		load:   func(*wire.StatusResponse) {},
 	}
+	o.ledger.supported = o.supported
 	for _, opt := range opts {
 		opt(o)
 	}
--- a/io/oper/status.go
+++ b/io/oper/status.go
@@ -22,6 +22,8 @@
 const (
 	stateLive    = "live"
 	stateLeaving = "leaving"
+	// stateBlocked is that of an instance that has a ticket which needs a newer version.
+	stateBlocked = "needs a newer version"
 )
 
 // Fleet gives the other instances.
@@ -58,7 +60,7 @@
 func (o *Oper) instances(ctx context.Context) []*wire.InstanceStatus {
 	all := []*wire.InstanceStatus{{
 		Id: o.cfg.GetInstance(), FailureDomain: o.cfg.GetFailureDomain(), State: stateLive,
-		Ticket: uint64(o.state.Number()), Reachable: true,
+		Ticket: uint64(o.state.Number()), Reachable: true, Format: o.state.Format(),
 	}}
 	group := &errgroup.Group{}
 	group.SetLimit(statusFanOut)
@@ -88,7 +90,11 @@
 		return
 	}
 	s.Reachable, s.Ticket = true, d.GetTicket()
-	if d.GetLeaving() {
+	s.Format, s.Held = d.GetFormat(), d.GetHeld()
+	switch {
+	case d.GetHeld() > 0:
+		s.State = stateBlocked
+	case d.GetLeaving():
 		s.State = stateLeaving
 	}
 }
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -38,6 +38,7 @@
 	logs     io.Writer
 	settings []func(*conf.Settings)
 	platform []objs.Option
+	daemon   []daemon.Option
 	linked   bool
 	links    []*link.Link
 }
@@ -58,6 +59,9 @@
 	return func(f *Fleet) { f.platform = append(f.platform, opts...) }
 }
 
+// SetDaemon replaces the options of the instances that are added from now on.
+func (f *Fleet) SetDaemon(opts ...daemon.Option) { f.daemon = opts }
+
 // WithLinks puts a link in front of each model and application runner, of each instance's peer listener and between each instance and the platform.
 func WithLinks() Option { return func(f *Fleet) { f.linked = true } }
 
@@ -186,7 +190,7 @@
 	if err := conf.Check("fleet", cfg); err != nil {
 		return nil, err
 	}
-	a, err := daemon.New(cfg, daemon.NewLog(cfg, f.logs))
+	a, err := daemon.New(cfg, daemon.NewLog(cfg, f.logs), f.daemon...)
 	if err != nil {
 		return nil, err
 	}
