Keep a newer version's fields in records of the object API

Cause: records of protected actions and the weight slots are read and written with encoding/json, so an older instance that updated one dropped the fields that it does not know; slots of other holders too.

Change: core/extra keeps the other fields of a JSON object through an update; core/claim and io/weight use it. A record of an action can also name the least format needed to act on it (0 today, absent). One above that is answered with outcome_unknown, run unknown, whatever its state; it is never claimed or removed.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -105,6 +105,7 @@
 	case EventAccepted:
 		return c.send(now, e.Version)
 	case EventRead:
+		c.mine.extra = e.Record.extra
 		if e.Record.Nonce == c.mine.Nonce {
 			return c.send(now, e.Version)
 		}
@@ -119,7 +120,7 @@
 		c.base, c.mine.Attempt = e.Version, e.Record.Attempt+1
 	case EventMissing:
 		if c.base != 0 {
-			c.doubt, c.base, c.mine.Attempt = false, 0, 1
+			c.doubt, c.base, c.mine.Attempt, c.mine.extra = false, 0, 1, nil
 		}
 	case EventConflicted:
 		c.seen = true
@@ -152,6 +153,9 @@
 
 // existing returns the answer that another call's record calls for, or nil when the action may be claimed.
 func (c *Claim) existing(now time.Time, r Record) *Reply {
+	if r.Newer() {
+		return refuse(newerRecord())
+	}
 	switch r.State {
 	case StateClaimed, StateDone, StateNotRun:
 	default:
--- a/core/claim/error.go
+++ b/core/claim/error.go
@@ -66,6 +66,13 @@
 	}
 }
 
+func newerRecord() *core.Error {
+	return &core.Error{
+		Kind: core.KindOutcomeUnknown, Message: "the action's record was written by a newer version of snipeshed",
+		Remedy: "look the action up, or repeat the call with the same idempotency key, when all instances are replaced", Run: core.RunUnknown,
+	}
+}
+
 func malformed() *core.Error {
 	return &core.Error{
 		Kind: core.KindOutcomeUnknown, Message: "the action's record is malformed",
--- a/core/claim/record.go
+++ b/core/claim/record.go
@@ -1,11 +1,11 @@
 package claim
 
 import (
-	"encoding/json"
 	"fmt"
 	"time"
 
 	"snipeshed/core"
+	"snipeshed/core/extra"
 )
 
 // State is the recorded state of a protected action.
@@ -32,8 +32,19 @@
 	// Deadline only separates in_progress from outcome_unknown for readers, so clock skew between instances is harmless.
 	Deadline int64   `json:"deadline_unix_ms"`
 	Result   *Result `json:"result,omitempty"`
+	// Format is the least version of the record's format that an instance must know to act on it.
+	Format int `json:"format,omitempty"`
+
+	// extra holds the fields that a newer version wrote; an update keeps them.
+	extra extra.Extra
 }
 
+// Format is the highest format of records that this version knows.
+const Format = 0
+
+// Newer reports whether the record needs a newer version of snipeshed; its state then says nothing.
+func (r Record) Newer() bool { return r.Format > Format }
+
 // Result is an endpoint's recorded answer.
 type Result struct {
 	Status int                 `json:"status"`
@@ -45,14 +56,15 @@
 
 // Marshal returns the record's JSON.
 func (r Record) Marshal() []byte {
-	b, _ := json.Marshal(r) // plain fields always marshal
+	b, _ := r.extra.Marshal(r) // plain fields always marshal
 	return b
 }
 
 // Parse reads a record from JSON.
 func Parse(b []byte) (Record, error) {
 	var r Record
-	if err := json.Unmarshal(b, &r); err != nil {
+	var err error
+	if r.extra, err = extra.Parse(b, &r); err != nil {
 		return Record{}, fmt.Errorf("action record is malformed: %w", err)
 	}
 	return r, nil
--- /dev/null
+++ b/core/extra/extra.go
@@ -0,0 +1,41 @@
+package extra
+
+import (
+	"encoding/json"
+	"maps"
+	"reflect"
+	"strings"
+)
+
+// Extra holds the fields of one JSON object that its Go struct does not have.
+type Extra map[string]json.RawMessage
+
+// Parse reads a JSON object into the struct to which v points and returns the other fields.
+func Parse(b []byte, v any) (Extra, error) {
+	if err := json.Unmarshal(b, v); err != nil {
+		return nil, err
+	}
+	var e Extra
+	if err := json.Unmarshal(b, &e); err != nil {
+		return nil, err
+	}
+	t := reflect.TypeOf(v).Elem()
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
+		delete(e, name)
+	}
+	return e, nil
+}
+
+// Marshal returns the JSON of a struct together with the other fields.
+func (e Extra) Marshal(v any) ([]byte, error) {
+	b, err := json.Marshal(v)
+	if err != nil || len(e) == 0 {
+		return b, err
+	}
+	all := maps.Clone(e)
+	if err := json.Unmarshal(b, &all); err != nil {
+		return nil, err
+	}
+	return json.Marshal(all)
+}
--- /dev/null
+++ b/io/action/newer_test.go
@@ -0,0 +1,54 @@
+package action
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against an instance that drops a newer version's fields from a record that it updates, and against one that runs,
+// judges or removes an action whose record needs a newer version.
+func TestRecordsOfANewerVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		field  string
+		want   string // of the second call
+		lookup string
+		runs   int
+		swept  int
+	}{
+		"field that may be passed on":  {`"shown_to":{"a":[1,2.50]}`, "ran b", `"state":"done"`, 1, 1},
+		"record of a newer format":     {`"format":1`, "outcome_unknown/unknown", `"kind":"outcome_unknown"`, 0, 0},
+		"newer format and more fields": {`"format":7,"shown_to":{}`, "outcome_unknown/unknown", `"kind":"outcome_unknown"`, 0, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				w := newWorld(1, "10.0.0.1:1")
+				w.end.faults = []fault{{effect: refused}}
+				w.call(0, "POST", "/confirm", "k", "b", 10*time.Second) // records not_run
+				key := objectKey("swaps", "tallinn", "k")
+				o, _ := w.store.Object(key)
+				_, err := w.store.Put(t.Context(), key, []byte(strings.TrimSuffix(string(o.Value), "}")+","+c.field+"}"), o.Version)
+				is.NoErr(err)
+				got := w.call(0, "POST", "/confirm", "k", "b", 10*time.Second)
+				is.Equal(got, c.want)
+				o, _ = w.store.Object(key)
+				is.True(strings.Contains(string(o.Value), c.field))
+				is.True(strings.Contains(w.lookup("k"), c.lookup))
+				a := w.instances[0]
+				a.members, a.retention, a.instance = spread{}, minRetention, "1"
+				if (spread{}).Owners(time.Now(), key[:strings.LastIndexByte(key, '/')+2], 1)[0].ID == "2" {
+					a.instance = "2"
+				}
+				time.Sleep(3 * time.Hour)
+				n, err := a.sweep(t.Context())
+				is.NoErr(err)
+				is.Equal(n, c.swept)
+				is.NoErr(w.close(time.Minute))
+			})
+		})
+	}
+}
--- a/io/weight/record.go
+++ b/io/weight/record.go
@@ -1,12 +1,12 @@
 package weight
 
 import (
-	"encoding/json"
 	"fmt"
 	"slices"
 	"time"
 
 	"snipeshed/core"
+	"snipeshed/core/extra"
 )
 
 // Key is the key of the slots in the object API.
@@ -20,15 +20,34 @@
 	LeaseMS  int64           `json:"lease_ms"`
 	// Renewal differs at each renewal, so that observers restart their count.
 	Renewal int64 `json:"renewal"`
+
+	extra extra.Extra
+}
+
+// UnmarshalJSON keeps the fields of a newer version.
+func (e *entry) UnmarshalJSON(b []byte) error {
+	type plain entry
+	x, err := extra.Parse(b, (*plain)(e))
+	e.extra = x
+	return err
+}
+
+// MarshalJSON writes them again.
+func (e entry) MarshalJSON() ([]byte, error) {
+	type plain entry
+	return e.extra.Marshal(plain(e))
 }
 
 type record struct {
 	Slots []entry `json:"slots"`
+
+	extra extra.Extra
 }
 
 func decode(o core.Object) (record, error) {
 	var r record
-	if err := json.Unmarshal(o.Value, &r); err != nil {
+	var err error
+	if r.extra, err = extra.Parse(o.Value, &r); err != nil {
 		return r, fmt.Errorf("object %q does not hold slots; delete it to free all of them: %w", o.Key, err)
 	}
 	return r, nil
--- a/io/weight/weight.go
+++ b/io/weight/weight.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"slices"
@@ -291,7 +290,7 @@
 }
 
 func (w *Weight) write(ctx context.Context, r record, version core.Version) error {
-	value, err := json.Marshal(r)
+	value, err := r.extra.Marshal(r)
 	if err != nil {
 		return fmt.Errorf("encode slots: %w", err)
 	}
--- a/io/weight/weight_test.go
+++ b/io/weight/weight_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -247,3 +248,19 @@
 		})
 	}
 }
+
+// Guards against an update that drops what a newer version wrote into the slots, its own or those of others.
+func TestNewerFieldsOfSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := &world{store: newObjects(), n: &counts{n: map[string]int{}}}
+		const slot = `{"endpoint":"e","holder":"other","lease_ms":10000,"nonce":"n","renewal":1,"share":0.5}`
+		_, err := w.store.Put(t.Context(), weight.Key, []byte(`{"epoch":7,"slots":[`+slot+`]}`), 0)
+		is.NoErr(err)
+		_, err = w.instance("a").Acquire(t.Context(), "endpoint")
+		is.NoErr(err)
+		o, _ := w.store.Object(weight.Key)
+		is.True(strings.Contains(string(o.Value), `"epoch":7`))
+		is.True(strings.Contains(string(o.Value), slot))
+	})
+}
