Answer and judge calls of other versions with typed errors

Cause: a peer whose version lacks a method or path was suspected, which takes its pools away although it is alive; an unknown value of run was passed on to clients; an operator's command of another version was told that the address was wrong; a draft by an older command would take back a newer ticket's fields.

A ticket file must not set its format.

--- a/cmds/cmds_test.go
+++ b/cmds/cmds_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/matryer/is"
 	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"snipeshed/cmds"
 	"snipeshed/conf"
@@ -104,6 +105,7 @@
 		{"conflict", "ticket apply --base 0 FILE", raised, []string{"snipeshed: conflict: ticket 1 of piret changed rank/urgent after the base 0", "ticket show 1"}, true},
 		{"unknown field", "ticket apply FILE", `{"itemz":[]}`, []string{"ticket.json is not a valid Ticket", `unknown field "itemz"`}, true},
 		{"number given", "ticket apply FILE", `{"number":"3"}`, []string{"leave them out"}, true},
+		{"format given", "ticket apply FILE", `{"format":1}`, []string{"leave them out"}, true},
 		{"bad reference", "ticket apply FILE", `{"items":[{"team":{"name":"t","services":["x"]}}]}`, []string{"items[0].team.services[0]", `"x"`, "no such service"}, true},
 		{"edit", "ticket apply FILE", edited, []string{"ticket 3 accepted"}, false},
 		{"list", "ticket list", "", []string{"NUMBER", "1 ", "piret", "rank/urgent", "kenji"}, false},
@@ -193,3 +195,25 @@
 	code, _, stderr = w.run(t, "ticket show 3", "")
 	is.True(code != 0 && strings.Contains(stderr, "ticket 3 was accepted, but is no longer kept") && strings.Contains(stderr, "the oldest kept one is 6"))
 }
+
+// newer is an instance of a newer version; its items have fields that this version does not know.
+type newer struct{ wire.Operator }
+
+func (newer) Show(context.Context, *wire.ShowRequest) (*wire.ShowResponse, error) {
+	r := &wire.Rank{Name: "urgent"}
+	r.ProtoReflect().SetUnknown(protowire.AppendVarint(protowire.AppendTag(nil, 1000, protowire.VarintType), 7))
+	item := &wire.Item{Body: &wire.Item_Rank{Rank: r}}
+	return &wire.ShowResponse{Configuration: &wire.Snapshot{Number: 1, Entries: []*wire.Entry{{Item: item, SetBy: 1}}}}, nil
+}
+
+// Guards against a draft by an older command that would take back what a newer ticket set.
+func TestDraftOfANewerItem(t *testing.T) {
+	is := is.New(t)
+	srv := httptest.NewServer(wire.NewOperatorServer(newer{}))
+	defer srv.Close()
+	w := &world{address: strings.TrimPrefix(srv.URL, "http://")}
+	code, out, errs := w.run(t, "ticket show --draft rank/urgent", "")
+	is.True(code != 0)
+	is.Equal(out, "")
+	is.True(strings.Contains(errs, "fields that this version of snipeshed does not know"))
+}
--- a/cmds/file.go
+++ b/cmds/file.go
@@ -19,8 +19,8 @@
 	if err := readJSON(path, stdin, t); err != nil {
 		return nil, err
 	}
-	if t.GetNumber() != 0 || t.GetAcceptedUnixMs() != 0 {
-		return nil, fmt.Errorf("%s: fields number and accepted_unix_ms are set on acceptance; leave them out", path)
+	if t.GetNumber() != 0 || t.GetAcceptedUnixMs() != 0 || t.GetFormat() != 0 {
+		return nil, fmt.Errorf("%s: fields number, format and accepted_unix_ms are set on acceptance; leave them out", path)
 	}
 	return t, nil
 }
--- a/io/oper/error.go
+++ b/io/oper/error.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"strings"
 
 	"github.com/twitchtv/twirp"
 
 	"snipeshed/core"
+	"snipeshed/wire"
 )
 
 // Names of the metadata of a Twirp error that carry the fields of a core.Error.
@@ -80,6 +82,12 @@
 			Remedy: "keep a ticket below max_body_bytes of the settings and use the same version of snipeshed on both sides",
 		}
 	case twirp.BadRoute:
+		if strings.Contains(e.Meta("twirp_invalid_route"), " "+wire.OperatorPathPrefix) {
+			return &core.Error{
+				Kind: core.KindOldVersion, Run: core.RunNot, Message: "the instance's version does not serve this request: " + e.Msg(),
+				Remedy: "ask an instance of this command's version, or use the command of the instance's version",
+			}
+		}
 		return &core.Error{
 			Kind: core.KindNotFound, Run: core.RunNot, Message: "there is no operators' API at this address: " + e.Msg(),
 			Remedy: "use the operator_address of an instance",
--- a/io/oper/format_test.go
+++ b/io/oper/format_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -75,6 +77,38 @@
 	}
 }
 
+// Guards against a newer command that takes an older instance for a wrong address.
+func TestMethodOfANewerVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		path string
+		kind core.Kind
+	}{
+		"unknown method":        {wire.OperatorPathPrefix + "Rename", core.KindOldVersion},
+		"not an operators' API": {"/other", core.KindNotFound},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o, _ := start(newFake())
+			mux := http.NewServeMux()
+			mux.Handle(wire.OperatorPathPrefix, o.Handler())
+			srv := httptest.NewServer(mux)
+			defer srv.Close()
+			// The client calls Status; the server sees another path.
+			client := &http.Client{Transport: moved{c.path}}
+			defer client.CloseIdleConnections()
+			_, err := wire.NewOperatorProtobufClient(srv.URL, client).Status(t.Context(), &wire.StatusRequest{})
+			refused(t, oper.ErrorFrom(err), step{kind: c.kind, run: core.RunNot})
+		})
+	}
+}
+
+// moved sends each request to another path.
+type moved struct{ path string }
+
+func (m moved) RoundTrip(r *http.Request) (*http.Response, error) {
+	r.URL.Path, r.Close = m.path, true
+	return http.DefaultTransport.RoundTrip(r)
+}
+
 // Guards against accepting a ticket of a newer command without the part that this version does not know, and against
 // extending a log that this version cannot read.
 func TestUnknownParts(t *testing.T) {
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -85,8 +85,14 @@
 }
 
 func fromFrame(f *core.FrameError) *core.Error {
+	run := f.Run
+	switch run {
+	case core.RunNot, core.RunYes:
+	default:
+		run = core.RunUnknown // also a value of a newer version, which proves nothing here
+	}
 	return &core.Error{
-		Kind: f.Kind, Message: f.Message, Remedy: f.Remedy, Run: f.Run,
+		Kind: f.Kind, Message: f.Message, Remedy: f.Remedy, Run: run,
 		RetryAfter: time.Duration(f.RetryAfterMS) * time.Millisecond, TokensDelivered: f.Tokens,
 	}
 }
@@ -112,6 +118,13 @@
 		return lost(ctx, err)
 	}
 	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotFound || resp.StatusCode == http.StatusMethodNotAllowed {
+		return &core.Error{
+			// The entry treats the instance as one that takes no calls: it tries the next owner and does not suspect this one.
+			Kind: core.KindLeaving, Run: core.RunNot, Message: "the instance's version does not serve forwarded calls under " + CallPath,
+			Remedy: "retry; replace the instances of the older version", RetryAfter: time.Second,
+		}
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("%w: instance answered %s", ErrUnreachable, resp.Status)
 	}
--- a/io/relay/block_test.go
+++ b/io/relay/block_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/twitchtv/twirp"
 	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
@@ -142,3 +143,26 @@
 		})
 	}
 }
+
+// Guards against suspecting instances, which moves their pools, because their version lacks a method or answers with
+// fields that are unknown here.
+func TestOtherVersionsAreNotSuspected(t *testing.T) {
+	for name, c := range map[string]struct {
+		err     error
+		suspect bool
+	}{
+		"method is not served":   {twirp.NewError(twirp.BadRoute, "no handler for path").WithMeta("twirp_invalid_route", "POST /x"), false},
+		"another server answers": {twirp.NewError(twirp.BadRoute, "404"), true},
+		"no answer":              {errCut, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, w *world) {
+				is, nodes := is.New(t), w.fleet(2, 1)
+				time.Sleep(3 * time.Second)
+				p := nodes[1].peer
+				is.Equal(nodes[0].call(t.Context(), p, func(context.Context, wire.Peer) error { return c.err }), c.err)
+				is.Equal(!slices.Contains(nodes[0].members.Peers(time.Now()), p), c.suspect)
+			})
+		})
+	}
+}
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"snipeshed/core"
 	"snipeshed/wire"
 )
@@ -51,7 +54,7 @@
 	defer cancel()
 	c, fresh := r.client(p.Address)
 	err := fn(callCtx, c)
-	if err != nil {
+	if err != nil && !unserved(err) {
 		r.drop(p.Address, c)
 		if !fresh && callCtx.Err() == nil {
 			// The peer may have closed the connection because it was idle or started again.
@@ -64,7 +67,7 @@
 	}
 	switch {
 	case p.ID == "" || ctx.Err() != nil:
-	case err == nil:
+	case err == nil || unserved(err):
 		r.members.Trust(p.ID)
 	default:
 		r.members.Suspect(r.Clock.Now(), p.ID)
@@ -73,6 +76,13 @@
 	return err
 }
 
+// unserved reports whether a peer answered that its version does not have the method; it is alive, so suspecting it would
+// take its pools away during an upgrade. Something else that answers at its address does not say so.
+func unserved(err error) bool {
+	var e twirp.Error
+	return errors.As(err, &e) && e.Code() == twirp.BadRoute && e.Meta("twirp_invalid_route") != ""
+}
+
 func (r *Relay) drop(address string, c *client) {
 	r.mu.Lock()
 	if r.clients[address] == c {
