Move the harness of the end-to-end tests into the stand-ins

Change: stand/caller has Load, Balancer, Group, Result and the client and check of protected actions; stand/fleet starts a configured fleet or one of two sides that a partition separates, applies tickets and sums its state; stand/procs reads platform and application. The tests use them. The partition test also compares the ticket in force for equality after healing, takes a second ticket at the end of the partition and waits until all are ready.

--- a/proof/action_test.go
+++ b/proof/action_test.go
@@ -18,44 +18,6 @@
 	"snipeshed/stand/objs"
 )
 
-// act sends a protected action.
-func (w *world) act(n *fleet.Node, key string, timeout time.Duration) answer {
-	return act(w.client, n.ClientAddress(), key, timeout)
-}
-
-func act(c *http.Client, address, key string, timeout time.Duration) answer {
-	resp, err := caller.Post(c, address, fleet.UrgentKey, "/services/"+fleet.AppService+"/orders/paint", []byte(`{"liters":4}`), map[string]string{
-		"Idempotency-Key": key, "Snipeshed-Timeout-Ms": strconv.FormatInt(timeout.Milliseconds(), 10),
-	})
-	if err != nil {
-		return answer{Broken: err}
-	}
-	defer resp.Body.Close()
-	return caller.ReadWhole(resp)
-}
-
-// verify checks the answers to one key's calls against the runs that the application counted.
-func verify(key string, runs int64, answers []answer) error {
-	told, notRun := 0, 0
-	for _, a := range answers {
-		switch {
-		case a.Broken == nil && a.Status == http.StatusOK:
-			told++
-		case a.NotRun():
-			notRun++
-		}
-	}
-	switch {
-	case runs > 1:
-		return fmt.Errorf("key %s ran %d times: %v", key, runs, answers)
-	case told > 0 && runs == 0:
-		return fmt.Errorf("key %s has a result but did not run: %v", key, answers)
-	case len(answers) > 0 && notRun == len(answers) && runs > 0:
-		return fmt.Errorf("key %s ran although every client was told that it did not: %v", key, answers)
-	}
-	return nil
-}
-
 // TestProtectedActions guards against a second run of a protected action, and against not_run told for one that ran.
 func TestProtectedActions(t *testing.T) {
 	t.Parallel()
@@ -139,7 +101,7 @@
 				t.Logf("call %d: %s %s", i, a, a.Body)
 			}
 			runs := w.Services[0].Runs(key)
-			if err := verify(key, runs, answers); err != nil {
+			if err := caller.CheckRuns(key, runs, answers); err != nil {
 				t.Error(err)
 			}
 			if tt.runs >= 0 && runs != tt.runs {
@@ -247,7 +209,7 @@
 		}
 		// What runs late must still be found by the check below.
 		t.Cleanup(func() {
-			if err := verify(key, w.Services[0].Runs(key), answers); err != nil {
+			if err := caller.CheckRuns(key, w.Services[0].Runs(key), answers); err != nil {
 				t.Error(err)
 			}
 		})
--- a/proof/answer_test.go
+++ b/proof/answer_test.go
@@ -116,7 +116,7 @@
 		{name: "unknown service", path: "/services/none/orders", body: "{}", status: 404, kind: core.KindUnknownService},
 		{name: "protected action without a key", path: "/services/" + fleet.AppService + "/orders/a", body: "{}", status: 400, kind: core.KindBadRequest},
 	}
-	before := w.total()
+	before := w.Started()
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -140,7 +140,7 @@
 			}
 		})
 	}
-	if w.total() != before || w.Services[0].Counts().Total != 0 {
+	if w.Started() != before || w.Services[0].Counts().Total != 0 {
 		t.Error("a refused request was run")
 	}
 }
@@ -150,17 +150,17 @@
 func TestQueueRefusals(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	w := startWith(t, []runner.Option{runner.WithBatch(batch.Config{KVCapacity: 1500})}) // few answers fit
+	w := start(t, fleet.WithRunners(runner.WithBatch(batch.Config{KVCapacity: 1500}))) // few answers fit
 	_, entry := w.owner()
-	l := startLoad(t, 60, 400, func(int) (*http.Client, string) { return w.client, entry.ClientAddress() })
+	l := startLoad(t, caller.At(w.client, entry.ClientAddress()), caller.WithClients(60), caller.WithOutput(400))
 	time.Sleep(time.Second)
-	started := w.total()
+	started := w.Started()
 	queued := w.chat(entry, ask{Key: fleet.SlowKey, Output: 3, Timeout: 400 * time.Millisecond})
 	t.Logf("deadline while queued: %s", queued)
 	is.True(queued.NotRun())
 	is.True(queued.Err.Kind == core.KindDeadline || queued.Err.Kind == core.KindOverloaded)
 	is.True(queued.Took < 400*time.Millisecond+resumeSlack)
-	is.Equal(w.starts(core.RequestID(queued.Err.RequestID)), 0)
+	is.Equal(w.Starts(core.RequestID(queued.Err.RequestID)), 0)
 	urgent := w.chat(entry, ask{Output: 3, Timeout: 10 * time.Second})
 	t.Logf("overload: %s", urgent)
 	if urgent.Err != nil {
@@ -168,24 +168,22 @@
 		is.Equal(urgent.Status, http.StatusTooManyRequests)
 		is.Equal(urgent.Err.Run, core.RunNot)
 		is.True(urgent.Err.RetryAfterMS > 0)
-		is.Equal(w.starts(core.RequestID(urgent.Err.RequestID)), 0)
+		is.Equal(w.Starts(core.RequestID(urgent.Err.RequestID)), 0)
 	}
-	l.mu.Lock()
 	kinds := map[core.Kind]int{}
-	for _, a := range l.answers {
+	for _, a := range l.Results() {
 		if a.Err == nil {
 			continue
 		}
 		kinds[a.Err.Kind]++
-		if a.NotRun() && w.starts(core.RequestID(a.Err.RequestID)) > 0 {
+		if a.NotRun() && w.Starts(core.RequestID(a.Err.RequestID)) > 0 {
 			t.Errorf("told not_run, but an engine got it: %s", a)
 		}
 	}
-	l.mu.Unlock()
 	t.Logf("%d started, refusals of the load %v", started, kinds)
 	is.True(kinds[core.KindOverloaded] > 0)
 	for _, r := range w.Runners {
 		r.Reset() // ends the long answers
 	}
-	l.once.Do(func() { close(l.stop) })
+	l.Stop()
 }
--- a/proof/cross_test.go
+++ b/proof/cross_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"sync"
 	"testing"
 	"time"
 
@@ -58,56 +57,27 @@
 			is := is.New(t)
 			w := start(t)
 			tt.before(w)
-			var calls sync.WaitGroup
-			answers, asks := make([]answer, 12), make([]ask, 12)
-			var running sync.WaitGroup // streams that have got tokens
-			for i := range asks {
-				running.Add(1)
-				reads := sync.OnceFunc(running.Done)
-				asks[i] = ask{Output: 150, Mark: caller.NewMark(), Whole: i%2 == 0, Timeout: 40 * time.Second, At: 5, Then: reads}
-				if asks[i].Whole {
-					reads()
-				}
-				calls.Go(func() {
-					defer reads() // also when it failed early
-					answers[i] = w.chat(w.Nodes[i%len(w.Nodes)], asks[i])
-				})
+			var calls caller.Group
+			for i := range 12 {
+				calls.Go(w.client, w.Nodes[i%len(w.Nodes)].ClientAddress(), ask{Output: 150, Whole: i%2 == 0, Timeout: 40 * time.Second, At: 5})
 			}
 			if tt.running {
-				running.Wait()
+				calls.AwaitTokens()
 			}
 			tt.then(w)
-			calls.Wait()
-			completed, kinds, longest := 0, map[string]int{}, time.Duration(0)
-			for i, a := range answers {
-				if err := a.Honest(asks[i]); err != nil {
-					t.Error(err)
-				}
-				longest = max(longest, a.Took)
-				if a.Err != nil {
-					kinds[string(a.Err.Kind)+" "+string(a.Err.Run)]++
-				} else {
-					completed++
-				}
+			results := calls.Wait()
+			for _, err := range results.Check(caller.IsHonest) {
+				t.Error(err)
 			}
-			count, resumed := int64(0), int64(0)
-			for _, n := range w.Nodes {
-				count += n.Meter().Value(tt.counter)
-			}
-			for _, r := range w.Runners {
-				resumed += r.State().Resumed
-			}
-			t.Logf("%d of %d complete, errors %v, %s %d, %d resumes, the longest took %s", completed, len(answers), kinds, tt.counter, count, resumed, longest)
+			completed, count, resumed := results.Kinds()["complete"], w.Counted(tt.counter), w.Resumed()
+			_, longest := results.Longest()
+			t.Logf("%d of %d complete, %v, %s %d, %d resumes, the longest took %s", completed, len(results), results.Kinds(), tt.counter, count, resumed, longest)
 			is.True(count > 0)
-			is.True(resumed <= 40*int64(len(answers))) // backoff: not as fast as the engine answers wrongly
-			is.True(!tt.allComplete || completed == len(answers))
+			is.True(resumed <= 40*len(results)) // backoff: not as fast as the engine answers wrongly
+			is.True(!tt.allComplete || completed == len(results))
 			is.NoErr(fleet.Wait(startLimit, "streams ended", func() bool {
-				open := int64(0)
-				for _, r := range w.Runners {
-					r.Swap(0)
-					open += r.State().OpenStreams
-				}
-				return open == 0
+				swap(w, 0)
+				return w.OpenStreams() == 0
 			}))
 		})
 	}
--- a/proof/partition_test.go
+++ b/proof/partition_test.go
@@ -1,9 +1,6 @@
 package proof
 
 import (
-	"fmt"
-	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -13,195 +10,153 @@
 	"snipeshed/core"
 	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
-	"snipeshed/stand/runner"
 )
 
 // partitionTime is longer than the vouch limit, so that a side without the store must vouch for itself.
 const partitionTime = 12 * time.Second
 
-// sides is a world of two sides. Runners with even numbers are on side 0, and each nth instance. Each side has its own source address.
-type sides struct {
-	*world
-	nth int
-}
-
-func (w sides) side(i int) int { return min(i%w.nth, 1) }
-
-func sourceOf(side int) string { return fmt.Sprintf("127.0.0.%d", 2+side%2) }
-
-func startSides(t *testing.T, regions [2]string, nth int, change func(*conf.Settings)) sides {
-	t.Helper()
-	is := is.New(t)
-	w := sides{empty(t, append(defaultIntervals(), fleet.WithSettings(change))...), nth}
-	for range 4 {
-		_, err := w.AddRunner(runner.WithLoadLag(100 * time.Millisecond))
-		is.NoErr(err)
-	}
-	for i := range 6 {
-		_, err := w.AddNode(func(s *conf.Settings) {
-			s.Region, s.FailureDomain, s.SourceAddress = regions[w.side(i)], string(fleet.Domains[w.side(i)]), sourceOf(w.side(i))
-		})
-		is.NoErr(err)
-	}
-	is.NoErr(w.WaitReady(startLimit))
-	ticket := w.Ticket()
-	for i, item := range ticket.GetItems()[len(ticket.GetItems())-4:] {
-		e := item.GetEndpoint()
-		e.Region, e.FailureDomain = regions[i%2], string(fleet.Domains[i%2])
-	}
-	w.configure(ticket)
-	return w
-}
-
-// partition cuts all links between the sides, and those of side 1 to the store.
-func (w sides) partition() {
-	for i, l := range w.RunnerLinks {
-		l.Partition(sourceOf(i + 1))
-	}
-	for i, n := range w.Nodes {
-		n.PeerLink.Partition(sourceOf(w.side(i) + 1))
-		if w.side(i) == 1 {
-			n.PlatformLink.Partition()
-		}
-	}
-}
-
-// heal resets what was open in the partition: a push that the link held back would bring the news at once, which
-// after a partition of minutes no real connection does.
-func (w sides) heal() {
-	is := is.New(w.t)
-	links := slices.Clone(w.RunnerLinks)
-	for _, n := range w.Nodes {
-		links = append(links, n.PeerLink, n.PlatformLink)
-	}
-	for _, l := range links {
-		l.Cut()
-		is.NoErr(l.Restore())
-	}
-}
-
 // neverBack reports a configuration that goes back at any instance until the test ends.
-func (w sides) neverBack() {
-	last := make([]core.TicketNumber, len(w.Nodes))
+func (w *world) neverBack() {
+	ended := make(chan struct{})
 	go func() {
-		for ; w.t.Context().Err() == nil; time.Sleep(5 * time.Millisecond) {
-			for i, n := range w.Nodes {
-				if now := n.Ticket(); now < last[i] {
-					w.t.Errorf("%s went back from ticket %d to %d", n.ID, last[i], now)
-				} else {
-					last[i] = now
-				}
-			}
-		}
+		defer close(ended)
+		w.Watch(func() bool { return w.t.Context().Err() != nil }, func(n *fleet.Node, from, to core.TicketNumber) {
+			w.t.Errorf("%s went back from ticket %d to %d", n.ID, from, to)
+		})
 	}()
+	w.t.Cleanup(func() { <-ended })
 }
 
-// TestPartition guards against streams that end without an honest error, a side that stops serving, tickets accepted on
-// the side without the store, and tickets that are not in force soon after the partition has healed.
+// TestPartition guards against streams that end without an honest error, a side that stops serving although it holds half
+// of the instances, one that serves on although it holds fewer and has no store, tickets accepted on the side without the
+// store, and tickets that are not in force soon after the partition has healed.
 func TestPartition(t *testing.T) {
 	t.Parallel()
+	regions, domains := [2]string{"south", "north"}, [2]string{"north", "north"}
 	tests := []struct {
 		name    string
 		regions [2]string
-		nth     int
+		of      []int
+		output  int
 		change  func(*conf.Settings)
+		// limit is the vouch limit of a side 1 that must stop taking calls; 0 stands for one that goes on.
+		limit time.Duration
 	}{
-		{name: "regions", regions: [2]string{"south", "north"}, nth: 2, change: func(*conf.Settings) {}},
+		{name: "regions", regions: regions, of: []int{0, 1, 0, 1, 0, 1}, output: 400, change: func(*conf.Settings) {}},
 		// Suspicions and the breaker's delay are at their limits, as after some minutes. Two thirds of the instances are
 		// without the store; they vouch for each other and so have no other reason to ask suspects.
-		{name: "regions, for long", regions: [2]string{"south", "north"}, nth: 3, change: func(s *conf.Settings) {
+		{name: "regions, for long", regions: regions, of: []int{0, 1, 1, 0, 1, 1}, output: 400, change: func(s *conf.Settings) {
 			s.SuspectMs, s.BreakerRetryMs = 40_000, 16_000
 		}},
-		{name: "failure domains of one region", regions: [2]string{"north", "north"}, nth: 2, change: func(s *conf.Settings) { s.PoolSize = 2 }},
+		{name: "failure domains of one region", regions: domains, of: []int{0, 1, 0, 1, 0, 1}, output: 400, change: func(s *conf.Settings) {
+			s.PoolSize = 2
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			w := startSides(t, tt.regions, tt.nth, tt.change)
+			s, err := fleet.StartSides(tt.regions, tt.of, options(t, []fleet.Option{fleet.WithListLag(time.Second), fleet.WithSettings(tt.change)})...)
+			var f *fleet.Fleet
+			if s != nil {
+				f = s.Fleet
+			}
+			w := newWorld(t, f, err)
 			w.neverBack()
 			// Streams cross the partition on the way to the owner or from it to the engine.
 			across := tt.regions[0] == tt.regions[1]
 			for i, n := range w.Nodes {
-				across = across || n.ID == n.Owner(core.PoolID(fleet.Model+"@"+tt.regions[1-w.side(i)]+"/0"))
+				across = across || n.ID == n.Owner(core.PoolID(fleet.Model+"@"+tt.regions[1-s.Of[i]]+"/0"))
 			}
 			is.True(across)
 
 			// Streams that run while the partition begins, two at each instance.
-			type result struct {
-				a answer
-				q ask
+			var streams caller.Group
+			began := w.Started()
+			for i := range 2 * len(w.Nodes) {
+				streams.Go(w.client, w.Nodes[i%len(w.Nodes)].ClientAddress(), ask{Output: tt.output})
 			}
-			running := make([]result, 2*len(w.Nodes))
-			var side sync.WaitGroup
-			began := w.total()
-			for i := range running {
-				running[i].q = ask{Output: 400, Mark: caller.NewMark()}
-				side.Go(func() { running[i].a = w.chat(w.Nodes[i%len(w.Nodes)], running[i].q) })
-			}
-			is.NoErr(fleet.Wait(startLimit, "streams run", func() bool { return w.total() == began+len(running) }))
-			w.partition()
+			is.NoErr(fleet.Wait(startLimit, "streams run", func() bool { return w.Started() == began+2*len(w.Nodes) }))
+			s.Partition()
 			cut := time.Now()
 			base := uint64(w.Nodes[0].Ticket())
 
 			// New requests on both sides, and tickets.
-			counts := make([]map[string]int, len(w.Nodes))
-			var load sync.WaitGroup
+			pause := time.Duration(0)
+			if tt.limit > 0 {
+				pause = 20 * time.Millisecond // refusals are immediate
+			}
+			loads := make([]*caller.Load, len(w.Nodes))
 			for i, n := range w.Nodes {
-				counts[i] = map[string]int{}
-				load.Go(func() {
-					for j := 0; time.Since(cut) < partitionTime; j++ {
-						q := ask{Output: 20, Mark: caller.NewMark(), Whole: j%2 == 0, Timeout: 10 * time.Second}
-						a := w.chat(n, q)
-						switch err := a.Honest(q); {
-						case err != nil:
-							t.Errorf("%s: %v", n.ID, err)
-						case a.Err != nil:
-							counts[i][string(a.Err.Kind)+" "+string(a.Err.Run)]++
-						default:
-							counts[i]["complete"]++
-						}
-					}
-				})
+				loads[i] = startLoad(t, caller.At(w.client, n.ClientAddress()), caller.WithOutput(20), caller.WithTimeout(10*time.Second), caller.WithPause(pause))
 			}
-			number, terr := try(w.Nodes[0], team("nagasaki", "morning", base, 11))
+			large, small := s.Side(0), s.Side(1)
+			first, terr := large[0].Try(fleet.TeamTicket("nagasaki", "morning", base, 11))
 			is.True(terr == nil) // the side with the store takes tickets
+			var stale time.Time  // when all of side 1 refused
+			if tt.limit > 0 {
+				for _, n := range small {
+					is.NoErr(fleet.Wait(tt.limit+resumeSlack, "refuses new calls", func() bool { return !n.Ready() }))
+				}
+				stale = time.Now()
+				is.True(w.Runners[1].State().OpenStreams+w.Runners[3].State().OpenStreams > 0) // streams of side 1 still run
+			}
 			for time.Since(cut) < partitionTime {
-				_, terr = try(w.Nodes[1], team("oita", "afternoon", base, 12))
+				_, terr = small[0].Try(fleet.TeamTicket("oita", "afternoon", base, 12))
 				is.True(terr != nil) // the other side refuses them
 				is.Equal(terr.Kind, core.KindStoreDown)
 				is.Equal(terr.Run, core.RunNot)
 				time.Sleep(200 * time.Millisecond)
 			}
-			load.Wait()
-			for i, n := range w.Nodes {
-				is.True(n.Ready()) // also the side that must vouch for itself
-				is.Equal(n.Ticket() >= core.TicketNumber(number), w.side(i) == 0)
-			}
-			side.Wait()
-			kinds := map[string]int{}
-			for _, r := range running {
-				if err := r.a.Honest(r.q); err != nil {
-					t.Error(err)
+			last, terr := large[0].Try(fleet.TeamTicket("omuta", "morning", first, 13))
+			is.True(terr == nil)
+			for i, l := range loads {
+				results := l.Close()
+				kinds := results.Kinds()
+				t.Logf("new requests at instance %d on side %d: %v", i, s.Of[i], kinds)
+				for _, err := range results.Check(caller.IsHonest) {
+					t.Errorf("instance %d: %v", i, err)
 				}
-				if r.a.Err != nil {
-					kinds[string(r.a.Err.Kind)]++
+				switch {
+				case tt.limit == 0:
+					if kinds["complete"]*10 < len(results)*9 {
+						t.Errorf("instance %d completed only %d of %d new requests", i, kinds["complete"], len(results))
+					}
+				case s.Of[i] == 0:
+					is.Equal(kinds["complete"], len(results)) // nothing fails on the large side
+				default:
+					refused := results.Since(stale)
+					is.True(len(refused) > 0)
+					for _, r := range refused {
+						if r.Err == nil || r.Err.Kind != core.KindStaleState || !r.NotRun() || w.Starts(core.RequestID(r.Err.RequestID)) > 0 {
+							t.Errorf("instance %d has neither the store nor half of the instances: %s", i, r)
+						}
+					}
 				}
 			}
-			w.heal()
+			for i, n := range w.Nodes {
+				is.Equal(n.Ready(), tt.limit == 0 || s.Of[i] == 0) // also a side that must vouch for itself
+				is.Equal(n.Ticket() >= core.TicketNumber(first), s.Of[i] == 0)
+			}
+			results := streams.Wait()
+			check := caller.IsHonest
+			if tt.limit > 0 {
+				check = caller.IsComplete
+			}
+			for _, err := range results.Check(check) {
+				t.Error(err)
+			}
+			is.NoErr(s.Heal())
 			healed := time.Now()
-			is.NoErr(w.WaitTicket(ticketBound, number))
-			t.Logf("running streams that broke: %v; new requests by instance: %v; ticket in force everywhere %s after healing", kinds, counts, time.Since(healed))
-			for i, c := range counts {
-				total := 0
-				for _, n := range c {
-					total += n
-				}
-				if c["complete"]*10 < total*9 {
-					t.Errorf("instance %d completed only %d of %d new requests", i, c["complete"], total)
-				}
+			is.NoErr(w.WaitTicket(ticketBound, last))
+			inForce := time.Since(healed)
+			is.NoErr(w.WaitReady(ticketBound - inForce))
+			t.Logf("running streams: %v; ticket in force everywhere %s and all ready %s after healing", results.Kinds(), inForce, time.Since(healed))
+			for _, n := range w.Nodes {
+				is.Equal(n.Ticket(), core.TicketNumber(last))
 			}
 			is.Equal(len(w.weights("nagasaki")), len(w.Nodes))
+			is.Equal(len(w.weights("omuta")), len(w.Nodes))
 			is.Equal(len(w.weights("oita")), 0) // what the other side refused is in force nowhere
 		})
 	}
--- a/proof/process_test.go
+++ b/proof/process_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/matryer/is"
 
-	"snipeshed/stand/apprun"
 	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/procs"
@@ -30,30 +29,12 @@
 	return &processes{Fleet: f, t: t}
 }
 
-func getJSON(t *testing.T, url string, v any) {
-	t.Helper()
-	is.New(t).NoErr(procs.GetJSON(url, v))
-}
-
 // runs returns how often the application ran a key.
 func (p *processes) runs(key string) int64 {
 	p.t.Helper()
-	var counts apprun.Counts
-	getJSON(p.t, "http://"+p.Application+"/admin/counts", &counts)
-	return counts.Runs[key]
-}
-
-// awaitAnswers waits until each instance answers.
-func (p *processes) awaitAnswers(c *http.Client) {
-	is.New(p.t).NoErr(fleet.Wait(startLimit, "first answers", func() bool {
-		for _, in := range p.Instances {
-			q := ask{Output: 3, Mark: caller.NewMark()}
-			if caller.Chat(c, in.Client, &q).Complete(q) != nil {
-				return false
-			}
-		}
-		return true
-	}))
+	n, err := p.Runs(key)
+	is.New(p.t).NoErr(err)
+	return n
 }
 
 // TestProcesses guards against faults that only show between processes: a killed instance, and one that is paused while
@@ -63,34 +44,31 @@
 	p := startProcesses(t, procs.WithDelay(1500*time.Millisecond))
 	ins := p.Instances
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	p.awaitAnswers(c)
+	is.NoErr(p.AwaitAnswers(c, startLimit))
 
 	// Under load: one instance is killed, another is paused for longer than a silent connection may stay unnoticed.
 	// Clients keep to instance 0. By the hash, instance 2 owns the pool and instance 1 is the next owner.
-	l := startLoad(t, 6, 150, func(int) (*http.Client, string) { return c, ins[0].Client })
+	l := startLoad(t, caller.At(c, ins[0].Client), caller.WithClients(6), caller.WithOutput(150))
 	time.Sleep(500 * time.Millisecond)
 	is.NoErr(ins[2].Process.Kill())
 	time.Sleep(2500 * time.Millisecond)
 	var paused, after answer
 	var side sync.WaitGroup
-	side.Go(func() { paused = act(c, ins[1].Client, "paused-holder", 2*time.Second) })
+	side.Go(func() { paused = caller.Act(c, ins[1].Client, "paused-holder", 2*time.Second) })
 	time.Sleep(500 * time.Millisecond) // the claim is written and the call sent, the answer still to come
 	is.NoErr(ins[1].Process.Signal(syscall.SIGSTOP))
-	side.Go(func() { after = act(c, ins[0].Client, "paused-holder", 2*time.Second) })
+	side.Go(func() { after = caller.Act(c, ins[0].Client, "paused-holder", 2*time.Second) })
 	time.Sleep(3500 * time.Millisecond)
 	is.NoErr(ins[1].Process.Signal(syscall.SIGCONT))
 	side.Wait()
 	time.Sleep(time.Second)
-	completed, _ := l.end(t)
+	completed, _ := end(t, l)
 	is.True(completed > 10)
-	longest := time.Duration(0)
-	for _, a := range l.answers {
-		longest = max(longest, a.Gap)
-	}
+	longest, _ := l.Results().Longest()
 	t.Logf("longest gap between two tokens %s", longest)
 	is.True(longest <= detect+resumeSlack)
 
-	last := act(c, ins[0].Client, "paused-holder", 2*time.Second)
+	last := caller.Act(c, ins[0].Client, "paused-holder", 2*time.Second)
 	runs := p.runs("paused-holder")
 	t.Logf("paused holder: %s; second client: %s; third: %s; runs %d", paused, after, last, runs)
 	is.Equal(runs, int64(1))
--- a/proof/silent_test.go
+++ b/proof/silent_test.go
@@ -1,7 +1,6 @@
 package proof
 
 import (
-	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -13,23 +12,6 @@
 	"snipeshed/stand/fleet"
 )
 
-// get makes an idempotent call of the application service.
-func (w *world) get(n *fleet.Node, timeout time.Duration) answer {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ClientAddress()+"/services/"+fleet.AppService+"/free", nil)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	r.Header.Set("Authorization", "Bearer "+fleet.UrgentKey)
-	resp, err := w.client.Do(r)
-	if err != nil {
-		return answer{Broken: err}
-	}
-	defer resp.Body.Close()
-	return caller.ReadWhole(resp)
-}
-
 // TestSilentApplication guards against calls of application services that wait for their deadline on a dead connection,
 // against a second run of a protected action for that reason, and against taking a slow application for a dead connection.
 func TestSilentApplication(t *testing.T) {
@@ -55,7 +37,7 @@
 			got := make(chan answer, 1)
 			go func() {
 				if tt.key == "" {
-					got <- w.get(w.Nodes[0], timeout)
+					got <- caller.Get(w.client, w.Nodes[0].ClientAddress(), timeout)
 					return
 				}
 				got <- w.act(w.Nodes[0], tt.key, timeout)
--- a/proof/slow_test.go
+++ b/proof/slow_test.go
@@ -32,7 +32,7 @@
 		// heapPerStream bounds what all instances together keep for a stream whose client stopped reading.
 		heapPerStream = 3 << 20
 	)
-	w := startWith(t, []runner.Option{runner.WithSpeed(5), runner.WithKeep(100 * time.Millisecond), runner.WithBatch(batch.Config{KVCapacity: 1 << 20})}, fleet.WithoutLinks(),
+	w := start(t, fleet.WithRunners(runner.WithSpeed(5), runner.WithKeep(100*time.Millisecond), runner.WithBatch(batch.Config{KVCapacity: 1 << 20})), fleet.WithoutLinks(),
 		fleet.WithSettings(func(s *conf.Settings) { s.WriteTimeoutMs = writeTimeout.Milliseconds() }))
 	_, entry := w.owner()
 	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
@@ -45,12 +45,6 @@
 	defer client.CloseIdleConnections()
 	// At least 16 MB each, more than the kernel's buffers hold.
 	long := func(output int) ask { return ask{Output: output, Mark: caller.NewMark() + strings.Repeat("x", 16_000)} }
-	canceled := func() (n int64) {
-		for _, r := range w.Runners {
-			n += r.State().Canceled
-		}
-		return n
-	}
 	heap := func() int64 {
 		var m runtime.MemStats
 		runtime.GC()
@@ -95,14 +89,14 @@
 		}
 	})
 	began, longest := time.Now(), time.Duration(0)
-	for canceled() < stopped && time.Since(began) < 2*startLimit {
+	for w.Canceled() < stopped && time.Since(began) < 2*startLimit {
 		q := ask{Output: 1000, Mark: caller.NewMark()}
 		a := w.chat(entry, q)
 		is.NoErr(a.Complete(q))
 		longest = max(longest, a.Gap)
 	}
 	took := time.Since(began)
-	is.Equal(canceled(), int64(stopped))
+	is.Equal(w.Canceled(), stopped)
 	free()
 	calls.Wait()
 	t.Logf("%d clients stopped reading: longest gap of others %s, heap at most %d KiB for each, generations canceled after %s; paused client: %s",
@@ -111,6 +105,6 @@
 	is.True(longest < resumeSlack)
 	is.True(most/stopped < heapPerStream)
 	is.NoErr(fleet.Wait(startLimit, "streams ended", func() bool {
-		return w.Runners[0].State().OpenStreams+w.Runners[1].State().OpenStreams+w.Runners[2].State().OpenStreams == 0
+		return w.OpenStreams() == 0
 	}))
 }
--- a/proof/stream_test.go
+++ b/proof/stream_test.go
@@ -103,22 +103,13 @@
 			if a.Gap > tt.gap {
 				t.Errorf("longest gap %s exceeds the bound %s", a.Gap, tt.gap)
 			}
-			if n := w.starts(a.ID); n != 1 {
+			if n := w.Starts(a.ID); n != 1 {
 				t.Errorf("%d generations were started for one stream", n)
 			}
 		})
 	}
 }
 
-// starts returns how many generations the runners started for a request.
-func (w *world) starts(id core.RequestID) int {
-	n := 0
-	for _, r := range w.Runners {
-		n += r.Starts(id)
-	}
-	return n
-}
-
 // burst sends n short requests at once and waits for them.
 func (w *world) burst(entry *fleet.Node, n int) {
 	w.t.Helper()
@@ -158,7 +149,7 @@
 				t.Log(a)
 				if whole {
 					is.NoErr(a.Complete(q))
-					is.True(w.starts(a.ID) == 2) // regenerated once
+					is.True(w.Starts(a.ID) == 2) // regenerated once
 					continue
 				}
 				n, err := a.Check(q)
@@ -167,7 +158,7 @@
 				is.Equal(a.Err.Kind, core.KindStreamBroken)
 				is.Equal(a.Err.TokensDelivered, int64(n))
 				is.True(a.Err.Run != core.RunNot)
-				is.Equal(w.starts(a.ID), 1)
+				is.Equal(w.Starts(a.ID), 1)
 			}
 		})
 	}
--- a/proof/ticket_test.go
+++ b/proof/ticket_test.go
@@ -1,8 +1,6 @@
 package proof
 
 import (
-	"context"
-	"errors"
 	"strings"
 	"sync"
 	"testing"
@@ -12,67 +10,21 @@
 
 	"snipeshed/conf"
 	"snipeshed/core"
-	"snipeshed/io/oper"
 	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
-	"snipeshed/wire"
 )
 
-// team returns a ticket that sets one team's weight, with a key of that name.
-func team(name, author string, base uint64, weight int64) *wire.Ticket {
-	return &wire.Ticket{Id: core.NewRandomID(), Author: author, Base: base, Items: []*wire.Item{{
-		Body: &wire.Item_Team{Team: &wire.Team{
-			Name: name, Weight: weight, Keys: []*wire.Key{{Sha256: fleet.KeyDigest("key-" + name), Rank: "urgent"}},
-		}},
-	}}}
-}
-
-// try applies a ticket and returns the number, or the typed error.
-func try(n *fleet.Node, t *wire.Ticket) (uint64, *core.Error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Second)
-	defer cancel()
-	got, err := n.Apply(ctx, t)
-	if err == nil {
-		return got.GetNumber(), nil
-	}
-	var typed *core.Error
-	if errors.As(oper.ErrorFrom(err), &typed) {
-		return 0, typed
-	}
-	return 0, &core.Error{Kind: core.KindInternal, Message: err.Error(), Run: core.RunUnknown}
-}
-
-// weights returns a team's weight in force at each instance.
-func (w *world) weights(name string) []int64 {
-	var out []int64
-	for _, n := range w.Nodes {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		r, err := wire.NewOperatorProtobufClient("http://"+n.OperatorAddress(), w.client).Show(ctx, &wire.ShowRequest{})
-		cancel()
-		if err != nil {
-			w.t.Error(err)
-			continue
-		}
-		for _, item := range r.GetConfiguration().GetEntries() {
-			if item.GetItem().GetTeam().GetName() == name {
-				out = append(out, item.GetItem().GetTeam().GetWeight())
-			}
-		}
-	}
-	return out
-}
-
 // TestTicketWithRelayKilled guards against instances that stay behind when the relay of their failure domain is gone:
 // each instance is the only one of its domain, so each is a relay; all but one lose their link to the platform.
 func TestTicketWithRelayKilled(t *testing.T) {
 	t.Parallel()
 	is := is.New(t)
-	w := start(t, defaultIntervals()...)
+	w := start(t, fleet.WithListLag(time.Second))
 	is.NoErr(w.Nodes[0].Kill())
 	w.Nodes[1].PlatformLink.Partition() // learns of tickets only from the other
 	began := time.Now()
-	number, err := try(w.Nodes[2], team("nagasaki", "morning", 1, 3))
+	number, err := w.Nodes[2].Try(fleet.TeamTicket("nagasaki", "morning", 1, 3))
 	is.True(err == nil)
 	for _, n := range w.Nodes[1:] {
 		is.NoErr(fleet.Wait(ticketBound, "ticket in force", func() bool { return n.Ticket() == core.TicketNumber(number) }))
@@ -95,8 +47,8 @@
 			t.Parallel()
 			is := is.New(t)
 			w := start(t, fleet.WithSettings(func(s *conf.Settings) { s.StoreTimeoutMs, s.VouchLimitMs = 500, 3000 }))
-			number := w.apply(w.Nodes[1], team("nagasaki", "morning", 1, 3))
-			l := startLoad(t, 3, 20, w.fresh())
+			number := w.apply(w.Nodes[1], fleet.TeamTicket("nagasaki", "morning", 1, 3))
+			l := w.load(caller.WithClients(3), caller.WithOutput(20))
 			w.Platform.SetOutage(mode)
 			time.Sleep(4 * time.Second) // longer than the vouch limit
 			// A claim that is sent before the circuit breaker has seen 3 calls fail has an unknown effect.
@@ -116,16 +68,14 @@
 			t.Logf("%d actions of unknown outcome before the store was known to be down", unknown)
 			is.Equal(known, 2)
 			is.Equal(w.Services[0].Counts().Total, int64(0))
-			_, err := try(w.Nodes[2], team("omuta", "morning", number, 1))
+			_, err := w.Nodes[2].Try(fleet.TeamTicket("omuta", "morning", number, 1))
 			t.Logf("ticket: %v", err)
 			is.True(err != nil)
 			is.Equal(err.Kind, core.KindStoreDown)
 			is.Equal(err.Run, core.RunNot)
 
 			seeds := []string{w.Nodes[0].PeerLink.Addr(), w.Nodes[1].PeerLink.Addr()}
-			w.mu.Lock()
 			late, lerr := w.AddNode(func(s *conf.Settings) { s.Seeds = seeds })
-			w.mu.Unlock()
 			is.NoErr(lerr)
 			is.NoErr(fleet.Wait(startLimit, "new instance ready", late.Ready))
 			is.Equal(uint64(late.Ticket()), number) // ready, so not older than its peers
@@ -135,7 +85,7 @@
 			w.Platform.SetOutage(objs.OutageNone)
 			back := time.Now()
 			is.NoErr(fleet.Wait(ticketBound, "ticket accepted after the outage", func() bool {
-				n, err := try(w.Nodes[2], team("omuta", "afternoon", number, 2))
+				n, err := w.Nodes[2].Try(fleet.TeamTicket("omuta", "afternoon", number, 2))
 				return err == nil && n == number+1
 			}))
 			is.NoErr(w.WaitTicket(ticketBound, number+1))
@@ -143,7 +93,7 @@
 			is.NoErr(fleet.Wait(ticketBound, "action accepted after the outage", func() bool {
 				return w.act(w.Nodes[0], "after-outage", 5*time.Second).Status == 200
 			}))
-			completed, _ := l.end(t)
+			completed, _ := end(t, l)
 			is.True(completed > 20)
 		})
 	}
@@ -156,12 +106,12 @@
 	w := start(t)
 	for i := range 4 {
 		base := uint64(w.Nodes[0].Ticket())
-		ticket := team("nagasaki", "morning", base, int64(10+i))
+		ticket := fleet.TeamTicket("nagasaki", "morning", base, int64(10+i))
 		w.Platform.LoseAnswers(1+i%2, "tickets/")
-		first, err := try(w.Nodes[i%3], ticket)
+		first, err := w.Nodes[i%3].Try(ticket)
 		is.True(err == nil)
 		is.Equal(first, base+1)
-		again, err := try(w.Nodes[(i+1)%3], ticket) // a retry with the same id at another instance
+		again, err := w.Nodes[(i+1)%3].Try(ticket) // a retry with the same id at another instance
 		is.True(err == nil)
 		is.Equal(again, first)
 		is.NoErr(w.WaitTicket(ticketBound, first))
@@ -182,7 +132,7 @@
 		var both sync.WaitGroup
 		for i, author := range authors {
 			both.Go(func() {
-				numbers[i], errs[i] = try(w.Nodes[(round+i)%3], team("nagasaki", author, base, int64(100*round+i+1)))
+				numbers[i], errs[i] = w.Nodes[(round+i)%3].Try(fleet.TeamTicket("nagasaki", author, base, int64(100*round+i+1)))
 			})
 		}
 		both.Wait()
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -1,23 +1,18 @@
 package proof
 
 import (
-	"context"
 	"net/http"
 	"os"
-	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"snipeshed/conf"
-	"snipeshed/core"
 	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/stand/objs"
-	"snipeshed/stand/runner"
 	"snipeshed/wire"
 )
 
@@ -36,146 +31,128 @@
 	stopLimit = 20 * time.Second
 )
 
-const pool = core.PoolID(fleet.Model + "/0")
-
 // Short names of the client's types.
 type (
 	ask    = caller.Ask
 	answer = caller.Answer
 )
 
-// world is one fleet of 3 instances, 3 model runners and 1 application runner.
+// world is a fleet, by default of 3 instances, 3 model runners and 1 application runner, that ends with its test.
 type world struct {
 	*fleet.Fleet
 	t      *testing.T
 	client *http.Client
-	// mu guards Nodes where a test adds instances.
-	mu sync.Mutex
-}
-
-func (w *world) nodes() []*fleet.Node {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return slices.Clone(w.Nodes)
 }
 
-func start(t *testing.T, opts ...fleet.Option) *world {
+// options returns the options of all fleets here, with those of the test after them.
+func options(t *testing.T, opts []fleet.Option) []fleet.Option {
 	t.Helper()
-	return startWith(t, nil, opts...)
-}
-
-// empty returns a world with a platform only.
-func empty(t *testing.T, opts ...fleet.Option) *world {
-	t.Helper()
-	is := is.New(t)
-	// The instances find each other sooner than by default; tests of the instance list's lag set their own.
-	opts = append([]fleet.Option{
-		fleet.WithLinks(), fleet.WithPlatform(objs.WithListLag(100 * time.Millisecond)),
-		fleet.WithSettings(func(s *conf.Settings) {
-			s.LeaveDelayMs, s.ListPollMs, s.GossipIntervalMs, s.LoadPollMs = new(int64(300)), 200, 200, 200
-			s.StopTimeoutMs = new(stopLimit.Milliseconds())
-		}),
-	}, opts...)
+	base := []fleet.Option{
+		fleet.WithLinks(), fleet.WithShortIntervals(),
+		fleet.WithSettings(func(s *conf.Settings) { s.StopTimeoutMs = new(stopLimit.Milliseconds()) }),
+	}
 	if path := os.Getenv("E2E_LOGS"); path != "" {
 		f, err := os.Create(path + "/" + strings.ReplaceAll(t.Name(), "/", "_") + ".log")
-		is.NoErr(err)
+		is.New(t).NoErr(err)
 		t.Cleanup(func() { f.Close() })
-		opts = append(opts, fleet.WithLogs(f))
+		base = append(base, fleet.WithLogs(f))
 	}
-	f, err := fleet.New(opts...)
-	is.NoErr(err)
-	w := &world{Fleet: f, t: t, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
-	t.Cleanup(func() {
-		w.client.CloseIdleConnections()
-		f.Platform.SetOutage(objs.OutageNone) // outcomes that wait for the store can be recorded
-		if err := f.Close(); err != nil {
-			t.Errorf("close fleet: %v", err)
-		}
-	})
-	return w
+	return append(base, opts...)
 }
 
-// startWith also sets options of the runners.
-func startWith(t *testing.T, runners []runner.Option, opts ...fleet.Option) *world {
+func start(t *testing.T, opts ...fleet.Option) *world {
 	t.Helper()
-	is := is.New(t)
-	w := empty(t, opts...)
-	f := w.Fleet
-	for range 3 {
-		_, err := f.AddRunner(append(runners, runner.WithLoadLag(100*time.Millisecond))...)
-		is.NoErr(err)
-	}
-	_, err := f.AddService()
-	is.NoErr(err)
-	for range 3 {
-		_, err := f.AddNode()
-		is.NoErr(err)
-	}
-	is.NoErr(f.WaitReady(startLimit))
-	w.configure(f.Ticket())
-	return w
+	f, err := fleet.Start(options(t, opts)...)
+	return newWorld(t, f, err)
 }
 
-// configure waits until all instances know each other, applies the first ticket and waits until all runners take work.
-func (w *world) configure(t *wire.Ticket) {
-	w.t.Helper()
-	is := is.New(w.t)
-	is.NoErr(fleet.Wait(startLimit, "every instance knows the others", func() bool {
-		for _, n := range w.Nodes {
-			if n.Owner(pool) != w.Nodes[0].Owner(pool) || n.Others() < len(w.Nodes)-1 {
-				return false
+// newWorld takes a fleet that has started, or has failed to.
+func newWorld(t *testing.T, f *fleet.Fleet, err error) *world {
+	t.Helper()
+	w := &world{Fleet: f, t: t, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
+	if f != nil {
+		t.Cleanup(func() {
+			w.client.CloseIdleConnections()
+			f.Platform.SetOutage(objs.OutageNone) // outcomes that wait for the store can be recorded
+			if err := f.Close(); err != nil {
+				t.Errorf("close fleet: %v", err)
 			}
-		}
-		return true
-	}))
-	w.apply(w.Nodes[0], t)
-	is.NoErr(w.WaitAccepting(startLimit, len(w.Runners)))
+		})
+	}
+	is.New(t).NoErr(err)
+	return w
 }
 
 // apply applies a ticket and waits until it is in force at every instance.
 func (w *world) apply(n *fleet.Node, t *wire.Ticket) uint64 {
 	w.t.Helper()
-	is := is.New(w.t)
-	ctx, cancel := context.WithTimeout(context.Background(), ticketBound)
-	defer cancel()
-	got, err := n.Apply(ctx, t)
-	is.NoErr(err)
-	is.NoErr(w.WaitTicket(ticketBound, got.GetNumber()))
-	return got.GetNumber()
+	number, err := w.Enforce(n, t, ticketBound)
+	is.New(w.t).NoErr(err)
+	return number
 }
 
 // owner returns the pool's owner and an instance that is not.
 func (w *world) owner() (owner, other *fleet.Node) {
-	for _, n := range w.Nodes {
-		if n.ID == n.Owner(pool) {
-			owner = n
-		} else {
-			other = n
-		}
-	}
+	owner, other = w.Owner()
 	if owner == nil {
 		w.t.Fatal("no instance owns the pool")
 	}
 	return owner, other
 }
 
-// serving returns the runner with the given mark's open stream; there must be exactly one open stream.
+// serving returns the runner with an open stream.
 func (w *world) serving() int {
 	w.t.Helper()
-	found := -1
-	for i, r := range w.Runners {
-		if r.State().OpenStreams > 0 {
-			found = i
-		}
-	}
+	found := w.Serving()
 	if found < 0 {
 		w.t.Error("no runner has an open stream")
-		return 0
 	}
-	return found
+	return max(found, 0)
+}
+
+// weights returns a team's weight in force at each instance.
+func (w *world) weights(team string) []int64 {
+	w.t.Helper()
+	out, err := w.Weights(team)
+	if err != nil {
+		w.t.Error(err)
+	}
+	return out
 }
 
 // chat sends a request and reads its answer to the end.
 func (w *world) chat(n *fleet.Node, a ask) answer {
 	return caller.Chat(w.client, n.ClientAddress(), &a)
 }
+
+// act sends a protected action.
+func (w *world) act(n *fleet.Node, key string, timeout time.Duration) answer {
+	return caller.Act(w.client, n.ClientAddress(), key, timeout)
+}
+
+// load starts a load over all ready instances that ends with the test, also when that ends early.
+func (w *world) load(opts ...caller.LoadOption) *caller.Load {
+	b := caller.StartBalancer(w.client, w.List)
+	w.t.Cleanup(b.Close)
+	return startLoad(w.t, b.Pick, opts...)
+}
+
+func startLoad(t *testing.T, pick caller.Pick, opts ...caller.LoadOption) *caller.Load {
+	l := caller.StartLoad(pick, opts...)
+	t.Cleanup(func() { l.Close() })
+	return l
+}
+
+// end waits for the open requests and returns the counts; a request that failed without the proof of not_run is an error.
+func end(t *testing.T, l *caller.Load) (completed, refused int) {
+	t.Helper()
+	rs := l.Close()
+	failed := rs.Check(caller.Result.Verify)
+	for _, err := range failed {
+		t.Error(err)
+	}
+	refused = rs.Refused()
+	completed = len(rs) - refused - len(failed)
+	t.Logf("%d requests: %d completed, %d refused as not_run, %d failed; %v", len(rs), completed, refused, len(failed), rs.Kinds())
+	return completed, refused
+}
--- a/stand/fleet/fleet.go
+++ b/stand/fleet/fleet.go
@@ -40,6 +40,10 @@
 	platform []objs.Option
 	linked   bool
 	links    []*link.Link
+	size     size
+
+	// mu guards Nodes for List while an instance is added.
+	mu sync.Mutex
 }
 
 // Option changes a Fleet.
@@ -69,7 +73,7 @@
 
 // New returns a Fleet whose platform runs.
 func New(opts ...Option) (*Fleet, error) {
-	f := &Fleet{logs: io.Discard}
+	f := &Fleet{logs: io.Discard, size: size{runners: 3, services: 1, nodes: 3}}
 	for _, o := range opts {
 		o(f)
 	}
@@ -205,6 +209,8 @@
 	}
 	go func() { node.done <- a.Run(ctx) }()
 	f.register(cfg.GetInstance(), address, core.FailureDomain(cfg.GetFailureDomain()), member.KindInstance)
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.Nodes = append(f.Nodes, node)
 	return node, nil
 }
--- /dev/null
+++ b/stand/fleet/operate.go
@@ -0,0 +1,117 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/core/member"
+	"snipeshed/io/oper"
+	"snipeshed/stand/objs"
+	"snipeshed/wire"
+)
+
+const (
+	// operatorTimeout is longer than an instance takes to answer an operator while the store hangs.
+	operatorTimeout = 15 * time.Second
+	showTimeout     = 5 * time.Second
+	// watchLimit ends a Watch whose test never ends it.
+	watchLimit = 10 * time.Minute
+)
+
+// TeamTicket returns a ticket that sets one team's weight, with the key "key-" and its name.
+func TeamTicket(name, author string, base uint64, weight int64) *wire.Ticket {
+	return &wire.Ticket{Id: core.NewRandomID(), Author: author, Base: base, Items: []*wire.Item{{
+		Body: &wire.Item_Team{Team: &wire.Team{
+			Name: name, Weight: weight, Keys: []*wire.Key{{Sha256: KeyDigest("key-" + name), Rank: "urgent"}},
+		}},
+	}}}
+}
+
+// RemovalTicket returns a ticket that removes one item, such as "endpoint/runner-0".
+func RemovalTicket(item, author string, base uint64) *wire.Ticket {
+	return &wire.Ticket{Id: core.NewRandomID(), Author: author, Base: base, Items: []*wire.Item{{
+		Body: &wire.Item_Remove{Remove: &wire.Removal{Item: item}},
+	}}}
+}
+
+// Try applies a ticket and returns its number, or the typed error.
+func (n *Node) Try(t *wire.Ticket) (uint64, *core.Error) {
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	got, err := n.Apply(ctx, t)
+	if err == nil {
+		return got.GetNumber(), nil
+	}
+	var typed *core.Error
+	if errors.As(oper.ErrorFrom(err), &typed) {
+		return 0, typed
+	}
+	return 0, &core.Error{Kind: core.KindInternal, Message: err.Error(), Run: core.RunUnknown}
+}
+
+// Enforce applies a ticket at an instance and waits until it is in force everywhere; the bound holds for each of the two.
+func (f *Fleet) Enforce(n *Node, t *wire.Ticket, bound time.Duration) (uint64, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	got, err := n.Apply(ctx, t)
+	if err != nil {
+		return 0, err
+	}
+	return got.GetNumber(), f.WaitTicket(bound, got.GetNumber())
+}
+
+// Weights returns a team's weight in force at each instance that has the team.
+func (f *Fleet) Weights(team string) ([]int64, error) {
+	var out []int64
+	var errs []error
+	for _, n := range f.List() {
+		ctx, cancel := context.WithTimeout(context.Background(), showTimeout)
+		r, err := wire.NewOperatorProtobufClient("http://"+n.OperatorAddress(), http.DefaultClient).Show(ctx, &wire.ShowRequest{})
+		cancel()
+		if err != nil {
+			errs = append(errs, fmt.Errorf("show at %s: %w", n.ID, err))
+			continue
+		}
+		for _, item := range r.GetConfiguration().GetEntries() {
+			if t := item.GetItem().GetTeam(); t.GetName() == team {
+				out = append(out, t.GetWeight())
+			}
+		}
+	}
+	return out, errors.Join(errs...)
+}
+
+// ListRunner changes a runner's state in the instance list.
+func (f *Fleet) ListRunner(i int, state string) {
+	f.Platform.SetInstance(objs.Instance{
+		ID: fmt.Sprintf("runner-%d", i), Address: f.runnerAddress(i), FailureDomain: domain(i), Kind: member.KindEndpoint, State: state,
+	})
+}
+
+// Replace adds an instance, waits until it is ready and stops the old one as planned. The pause between the two lets the
+// balancer and the other instances notice the new one.
+func (f *Fleet) Replace(old *Node, limit, pause time.Duration) error {
+	next, err := f.AddNode()
+	if err != nil {
+		return err
+	}
+	if err := Wait(limit, "replacement ready", next.Ready); err != nil {
+		return err
+	}
+	time.Sleep(pause)
+	if err := old.Stop(); err != nil {
+		return err
+	}
+	address := old.PeerAddress()
+	if old.PeerLink != nil {
+		address = old.PeerLink.Addr()
+	}
+	f.Platform.SetInstance(objs.Instance{
+		ID: string(old.ID), Address: address, FailureDomain: Domains[0], Kind: member.KindInstance, State: member.StateGone,
+	})
+	return nil
+}
--- /dev/null
+++ b/stand/fleet/start.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"time"
+
+	"snipeshed/conf"
+	"snipeshed/stand/objs"
+	"snipeshed/stand/runner"
+	"snipeshed/wire"
+)
+
+// startLimit bounds each step of a start.
+const startLimit = 20 * time.Second
+
+// size is what Start adds.
+type size struct {
+	runners, services, nodes int
+	runnerOptions            []runner.Option
+}
+
+// WithSize sets how many model runners, application runners and instances Start adds (default 3, 1, 3).
+func WithSize(runners, services, nodes int) Option {
+	return func(f *Fleet) { f.size.runners, f.size.services, f.size.nodes = runners, services, nodes }
+}
+
+// WithRunners passes options to each runner that Start adds.
+func WithRunners(opts ...runner.Option) Option {
+	return func(f *Fleet) { f.size.runnerOptions = append(f.size.runnerOptions, opts...) }
+}
+
+// WithShortIntervals lets the instances find each other, and the balancer a stopping one, sooner than by default.
+func WithShortIntervals() Option {
+	return func(f *Fleet) {
+		WithPlatform(objs.WithListLag(100 * time.Millisecond))(f)
+		WithSettings(func(s *conf.Settings) {
+			s.LeaveDelayMs, s.ListPollMs, s.GossipIntervalMs, s.LoadPollMs = new(int64(300)), 200, 200, 200
+		})(f)
+	}
+}
+
+// WithListLag sets the lag of the instance list and restores the intervals from which the bounds of leaving follow.
+func WithListLag(lag time.Duration) Option {
+	return func(f *Fleet) {
+		WithPlatform(objs.WithListLag(lag))(f)
+		WithSettings(func(s *conf.Settings) { s.ListPollMs, s.GossipIntervalMs, s.LoadPollMs = 1000, 1000, 1000 })(f)
+	}
+}
+
+// Start returns a Fleet with endpoints and instances that are configured and take work. It must be closed also after an
+// error, unless it is nil.
+func Start(opts ...Option) (*Fleet, error) {
+	f, err := New(opts...)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.AddEndpoints(); err != nil {
+		return f, err
+	}
+	for range f.size.nodes {
+		if _, err := f.AddNode(); err != nil {
+			return f, err
+		}
+	}
+	return f, f.Configure(f.Ticket())
+}
+
+// AddEndpoints adds the model and application runners of WithSize.
+func (f *Fleet) AddEndpoints() error {
+	for range f.size.runners {
+		if _, err := f.AddRunner(append(f.size.runnerOptions, runner.WithLoadLag(100*time.Millisecond))...); err != nil {
+			return err
+		}
+	}
+	for range f.size.services {
+		if _, err := f.AddService(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Configure waits until all instances are ready and know each other, applies the first ticket and waits until all runners take work.
+func (f *Fleet) Configure(t *wire.Ticket) error {
+	if err := f.WaitReady(startLimit); err != nil {
+		return err
+	}
+	err := Wait(startLimit, "every instance knows the others", func() bool {
+		for _, n := range f.Nodes {
+			if n.Owner(Pool) != f.Nodes[0].Owner(Pool) || n.Others() < len(f.Nodes)-1 {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		return err
+	}
+	if _, err := f.Enforce(f.Nodes[0], t, startLimit/2); err != nil {
+		return err
+	}
+	return f.WaitAccepting(startLimit, len(f.Runners))
+}
