Test an endpoint that leaves while the list lags 5 s

Cause: the bound with a list lag above 1 s was stated, not measured, and the case of an engine's own word could not fail, since that engine refuses new generations by itself.

Change: cases of TestEndpointLeaves with a lag of 5 s: by the list only (bound: lag + list_poll_ms + gossip_interval_ms = 7 s), by refusals, and by the mark in answers of an engine that still takes calls; of the last two at most the calls on their way (6 clients) may reach it. The stand-in engine counts its refusals and can take calls while it leaves.

--- a/proof/leave_test.go
+++ b/proof/leave_test.go
@@ -17,34 +17,49 @@
 // TestEndpointLeaves guards against new work at an endpoint that has been leaving for 3 s, and against running work that is cut off.
 func TestEndpointLeaves(t *testing.T) {
 	t.Parallel()
+	const clients = 6
+	byWord := func(w *world, i int) { w.Runners[i].SetLeaving(true) }
+	byList := func(w *world, i int) { w.ListRunner(i, member.StateLeaving) }
 	tests := []struct {
 		name  string
 		leave func(w *world, i int)
+		opts  []fleet.Option
+		// bound is the time from which on nothing new may start there; lag is that of the instance list.
+		bound, lag time.Duration
+		// atOnce limits what is sent there after it left to the calls that were on their way when its first answer said so.
+		atOnce bool
 	}{
-		{name: "by its own word", leave: func(w *world, i int) { w.Runners[i].SetLeaving(true) }},
-		{name: "by the instance list", leave: func(w *world, i int) { w.ListRunner(i, member.StateLeaving) }},
-		{name: "by a ticket that removes it", leave: func(w *world, i int) {
+		{name: "by its own word", leave: byWord, bound: leaveBound, lag: time.Second},
+		{name: "by the instance list", leave: byList, bound: leaveBound, lag: time.Second},
+		{name: "by a ticket that removes it", bound: leaveBound, lag: time.Second, leave: func(w *world, i int) {
 			w.apply(w.Nodes[1], fleet.RemovalTicket(fmt.Sprintf("endpoint/runner-%d", i), "morning", 1))
 		}},
+		// The list alone cannot be faster than its lag, one poll of it by a relay and one exchange of digests.
+		{name: "by a list that lags 5 s", leave: byList, bound: 5*time.Second + listPoll + gossip, lag: 5 * time.Second},
+		{name: "by its refusals, list lags 5 s", leave: byWord, bound: leaveBound, lag: 5 * time.Second, atOnce: true},
+		{
+			name: "by the mark of its answers, list lags 5 s", leave: byWord, bound: leaveBound, lag: 5 * time.Second, atOnce: true,
+			opts: []fleet.Option{fleet.WithRunners(runner.WithLeavingTaken())},
+		},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			w := start(t, fleet.WithListLag(time.Second))
+			w := start(t, append(tt.opts, fleet.WithListLag(tt.lag))...)
 			_, entry := w.owner()
 			// One long answer at each runner, so that new work would go to all of them.
 			var long caller.Group
 			for k := range w.Runners {
-				long.Go(w.client, entry.ClientAddress(), ask{Output: 800}) // over 6 s, longer than the bound
+				long.Go(w.client, entry.ClientAddress(), ask{Output: int((tt.bound + 4*time.Second) / stepTime)}) // longer than the bound
 				is.NoErr(fleet.Wait(startLimit, "long answer runs", func() bool { return w.Started() == k+1 }))
 			}
-			l := w.load(caller.WithClients(6))
+			l := w.load(caller.WithClients(clients))
 			is.NoErr(fleet.Wait(startLimit, "a runner takes work", func() bool { return w.Runners[w.Busiest()].State().Started > 10 }))
 			i := w.Busiest() // the runner that takes most of the work
 			left, had := time.Now(), w.Runners[i].State().Started
 			tt.leave(w, i)
-			time.Sleep(time.Until(left.Add(leaveBound)))
+			time.Sleep(time.Until(left.Add(tt.bound)))
 			before := w.Runners[i].State().Started
 			time.Sleep(1500 * time.Millisecond)
 			after := w.Runners[i].State().Started
@@ -53,10 +68,12 @@
 			is.True(had > 10)       // it took work before
 			is.True(completed > 50) // the others took the work
 			is.Equal(after, before) // no new work after the bound
+			sent := after - had + w.Runners[i].State().Refused
+			is.True(!tt.atOnce || sent <= clients)
 			for _, err := range running.Check(caller.IsComplete) {
 				t.Error(err) // running work was to be finished
 			}
-			t.Logf("the runner started %d generations before it left, %d within the bound and %d after it", had, before-had, after-before)
+			t.Logf("the runner started %d generations before it left, %d within %s and %d after it, and refused %d", had, before-had, tt.bound, after-before, w.Runners[i].State().Refused)
 		})
 	}
 }
--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -26,7 +26,11 @@
 	leaveBound = 3 * time.Second
 	// ticketBound is the time in which a ticket is in force everywhere (design 1.2).
 	ticketBound = 10 * time.Second
-	startLimit  = 20 * time.Second
+	// listPoll and gossip are the intervals of fleet.WithListLag, from which the bound of a list that lags follows.
+	listPoll, gossip = time.Second, time.Second
+	// stepTime is the time for a token at a stand-in engine that runs little else.
+	stepTime   = 8 * time.Millisecond
+	startLimit = 20 * time.Second
 	// stopLimit ends a test that failed midway; a stop that takes as long cuts requests off and so fails the test.
 	stopLimit = 20 * time.Second
 )
--- a/stand/runner/option.go
+++ b/stand/runner/option.go
@@ -22,6 +22,7 @@
 	loadTime    time.Duration
 	keep        time.Duration
 	checkOrders bool
+	takes       bool
 	output      func(core.GenerateRequest) core.Tokens
 }
 
@@ -69,6 +70,9 @@
 // WithOrderCheck sets whether orders with an old number are rejected (default true).
 func WithOrderCheck(on bool) Option { return func(s *settings) { s.checkOrders = on } }
 
+// WithLeavingTaken lets a leaving runner take new generations; its answers still say that it leaves.
+func WithLeavingTaken() Option { return func(s *settings) { s.takes = true } }
+
 // WithOutput sets the number of output tokens of each request in place of the prompt's directive and the seed; 0 falls back to them.
 func WithOutput(f func(core.GenerateRequest) core.Tokens) Option {
 	return func(s *settings) { s.output = f }
--- a/stand/runner/runner.go
+++ b/stand/runner/runner.go
@@ -51,6 +51,8 @@
 	OpenStreams int64 `json:"open_streams"`
 	// Duplicates counts generations whose request id had been generated before.
 	Duplicates int64 `json:"duplicates"`
+	// Refused counts new generations that were refused because the runner leaves.
+	Refused int64 `json:"refused"`
 }
 
 // New returns a runner that is not yet started.
@@ -211,7 +213,8 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.leaving {
+	if r.leaving && !r.set.takes {
+		r.state.Refused++
 		return nil, http.StatusServiceUnavailable, "the runner is leaving"
 	}
 	if m := r.order.loaded(now); req.Model == "" || req.Model != m {
