--- a/proof/world_test.go
+++ b/proof/world_test.go
@@ -114,10 +114,10 @@
 	return max(found, 0)
 }
 
-// weights returns a team's weight in force at each instance.
-func (w *world) weights(team string) []int64 {
+// weights returns a team's weight in force at each of the instances, by default all.
+func (w *world) weights(team string, nodes ...*fleet.Node) []int64 {
 	w.t.Helper()
-	out, err := w.Weights(team)
+	out, err := w.Weights(team, nodes...)
 	if err != nil {
 		w.t.Error(err)
 	}
--- a/stand/fleet/operate.go
+++ b/stand/fleet/operate.go
@@ -64,11 +64,14 @@
 	return got.GetNumber(), f.WaitTicket(bound, got.GetNumber())
 }
 
-// Weights returns a team's weight in force at each instance that has the team.
-func (f *Fleet) Weights(team string) ([]int64, error) {
+// Weights returns a team's weight in force at each of the instances that has the team; without instances it asks all.
+func (f *Fleet) Weights(team string, nodes ...*Node) ([]int64, error) {
 	var out []int64
 	var errs []error
-	for _, n := range f.List() {
+	if len(nodes) == 0 {
+		nodes = f.List()
+	}
+	for _, n := range nodes {
 		ctx, cancel := context.WithTimeout(context.Background(), showTimeout)
 		r, err := wire.NewOperatorProtobufClient("http://"+n.OperatorAddress(), http.DefaultClient).Show(ctx, &wire.ShowRequest{})
 		cancel()
