--- a/proof/upgrade_test.go
+++ b/proof/upgrade_test.go
@@ -17,6 +17,7 @@
 	"snipeshed/io/link"
 	"snipeshed/io/oper"
 	"snipeshed/io/peer"
+	"snipeshed/stand/caller"
 	"snipeshed/stand/fleet"
 	"snipeshed/wire"
 )
@@ -42,12 +43,12 @@
 		}
 		return true
 	}))
-	plain, err := try(w.Nodes[3], team("nagasaki", "morning", 1, 2))
+	plain, err := w.Nodes[3].Try(fleet.TeamTicket("nagasaki", "morning", 1, 2))
 	is.True(err == nil) // the upgrade stops no ticket of the old format
 	is.NoErr(w.WaitTicket(ticketBound, plain))
 
 	format := func(t *wire.Ticket) *wire.Ticket { t.Format = 1; return t }
-	_, err = try(w.Nodes[3], format(team("nagasaki", "morning", plain, 3)))
+	_, err = w.Nodes[3].Try(format(fleet.TeamTicket("nagasaki", "morning", plain, 3)))
 	is.True(err != nil)
 	is.Equal(err.Kind, core.KindOldVersion)
 	is.Equal(err.Run, core.RunNot)
@@ -56,10 +57,9 @@
 	}
 
 	// An older instance that the accepting one did not know of, or that starts later, meets the ticket all the same.
-	pick := w.fresh()
-	l := startLoad(t, 10, 40, pick)
+	l := w.load(caller.WithClients(10), caller.WithOutput(40))
 	time.Sleep(time.Second)
-	w.force(format(team("nagasaki", "evening", plain, 4)), plain+1)
+	w.force(format(fleet.TeamTicket("nagasaki", "evening", plain, 4)), plain+1)
 	for _, n := range w.Nodes[3:] {
 		is.NoErr(fleet.Wait(ticketBound, "ticket in force", func() bool { return n.Ticket() == core.TicketNumber(plain+1) }))
 	}
@@ -77,7 +77,7 @@
 	defer client.CloseIdleConnections()
 	for _, n := range w.Nodes[:3] {
 		// An entry that has not heard of it yet gets its call back; the owner would run it by the state before the ticket.
-		late := &core.CallRequest{RequestID: core.RequestID("late-" + n.ID), Pool: pool, Service: fleet.Service, Model: fleet.Model, Rank: "urgent", Team: "fukuoka", MaxTokens: 3}
+		late := &core.CallRequest{RequestID: core.RequestID("late-" + n.ID), Pool: fleet.Model + "/0", Service: fleet.Service, Model: fleet.Model, Rank: "urgent", Team: "fukuoka", MaxTokens: 3}
 		err := peer.New(client, 1<<20).Call(w.t.Context(), n.PeerAddress(), late, func(*core.Frame) error { return nil })
 		is.Equal(core.KindOf(err), core.KindLeaving)
 	}
@@ -85,7 +85,7 @@
 		is.Equal(w.blocked(n), []string{"instance-0", "instance-1", "instance-2"})
 	}
 	time.Sleep(time.Second)
-	completed, refused := l.end(t) // fails for a request that was cut off
+	completed, refused := end(t, l) // fails for a request that was cut off
 	is.True(completed > refused)
 	for _, n := range w.Nodes[3:] {
 		a := w.chat(n, ask{Output: 3})
--- a/stand/runner/option.go
+++ b/stand/runner/option.go
@@ -23,6 +23,7 @@
 	keep        time.Duration
 	checkOrders bool
 	quietLeave  bool
+	takes       bool
 	output      func(core.GenerateRequest) core.Tokens
 }
 
@@ -73,6 +74,9 @@
 // WithQuietLeave makes a leaving runner say so in its load reports only: it takes new generations and does not mark answers.
 func WithQuietLeave(on bool) Option { return func(s *settings) { s.quietLeave = on } }
 
+// WithLeavingTaken lets a leaving runner take new generations; its answers still say that it leaves.
+func WithLeavingTaken() Option { return func(s *settings) { s.takes = true } }
+
 // WithOutput sets the number of output tokens of each request in place of the prompt's directive and the seed; 0 falls back to them.
 func WithOutput(f func(core.GenerateRequest) core.Tokens) Option {
 	return func(s *settings) { s.output = f }
