Read and write lines of plain tokens without reflection

Change: io/line reads and writes token lines in their usual form directly and leaves all other lines to encoding/json. The frames between instances keep their form, so that versions mix. The host and the peer client use one frame and one event again for the tokens of a stream, and the peer client has no decoder buffer beside its line buffer.

--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -66,6 +66,9 @@
 	req  *core.CallRequest
 	call core.Call
 	send func(*core.Frame) error
+	// event and frame are used again for each event of the stream.
+	event core.Event
+	frame core.Frame
 }
 
 // start admits the call and opens its stream, at another endpoint when one does not take it.
@@ -208,7 +211,9 @@
 		j.pool.Answered(ep, ev.Leaving)
 		return j.send(&core.Frame{Started: &core.ResumePoint{Endpoint: ep, Generation: ev.GenerationID, From: f.Received(), Waiting: ev.Accepted}})
 	}
-	return j.send(&core.Frame{Event: &ev})
+	j.event = ev
+	j.frame = core.Frame{Event: &j.event}
+	return j.send(&j.frame)
 }
 
 // abandon ends the work on a call that did not reach its end here.
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -1,7 +1,6 @@
 package peer
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -13,12 +12,13 @@
 	"time"
 
 	"snipeshed/core"
+	"snipeshed/io/line"
 	"snipeshed/io/reply"
 )
 
 // Owner runs calls of pools; *host.Host is one.
 type Owner interface {
-	// Serve runs a call and sends its frames.
+	// Serve runs a call and sends its frames; send keeps no frame of a token and no token.
 	Serve(ctx context.Context, req *core.CallRequest, send func(*core.Frame) error) error
 	// Cancel ends a call because its client is gone.
 	Cancel(ctx context.Context, id core.RequestID)
@@ -60,9 +60,12 @@
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	flush := http.NewResponseController(w)
 	_ = flush.Flush() // tells the entry that the call has arrived
-	enc := json.NewEncoder(w)
-	send := func(f *core.Frame) error {
-		if err := enc.Encode(f); err != nil {
+	var buf []byte
+	send := func(f *core.Frame) (err error) {
+		if buf, err = line.AppendFrame(buf[:0], f); err != nil {
+			return fmt.Errorf("encode frame: %w", err)
+		}
+		if _, err = w.Write(buf); err != nil {
 			return fmt.Errorf("send frame to entry: %w", err)
 		}
 		return flush.Flush()
@@ -131,14 +134,20 @@
 
 // receive reads frames until the owner's error or the end of a complete answer.
 func receive(ctx context.Context, body io.Reader, recv func(*core.Frame) error) error {
-	dec := json.NewDecoder(bufio.NewReaderSize(body, readBuffer))
+	lines := line.NewReader(body)
 	done := false
+	var f core.Frame
+	var token core.Event
 	for {
-		var f core.Frame
-		if err := dec.Decode(&f); err != nil {
-			if done && errors.Is(err, io.EOF) {
-				return nil
-			}
+		b, err := lines.Next()
+		if done && errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err == nil {
+			f = core.Frame{}
+			err = line.Frame(b, &f, &token)
+		}
+		if err != nil {
 			return lost(ctx, err)
 		}
 		if f.Error != nil {
@@ -151,8 +160,6 @@
 	}
 }
 
-const readBuffer = 2048 // bytes; one buffer is kept per open stream
-
 // Cancel tells the instance at address that a call's client is gone.
 func (p *Peer) Cancel(ctx context.Context, address string, id core.RequestID) error {
 	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+CancelPath+"?request_id="+string(id), http.NoBody)
