Flush tokens that have arrived together once

Cause: each token was a write and a flush at the owner and at the entry, also when the engine's answer already held the next ones: engines that send several tokens in one step, a resumed stream, a busy machine.

Change: an event tells whether another whole line has already arrived (More); owner and entry then leave its flush to the next frame. When that one does not come (duplicate, preemption, broken or skipping stream, end of the attempt), what was written is flushed before anything waits. A token that comes alone is flushed at once, as before. More is not sent; each instance finds it in its own buffer, so versions mix.

--- a/core/frame.go
+++ b/core/frame.go
@@ -29,7 +29,7 @@
 	Waiting bool `json:"waiting,omitempty"`
 }
 
-// Frame is one line of a pool owner's answer to an entry; exactly one field is set.
+// Frame is one line of a pool owner's answer to an entry; exactly one field beside More is set.
 type Frame struct {
 	Started *ResumePoint `json:"started,omitempty"`
 	Event   *Event       `json:"event,omitempty"`
@@ -37,6 +37,9 @@
 	Error   *FrameError  `json:"error,omitempty"`
 	// Admitted tells that the owner had queued the call that it now hands back because it is leaving.
 	Admitted bool `json:"admitted,omitempty"`
+	// More tells that another frame follows without waiting, so that this one need not be flushed on its own. A frame
+	// without any field only flushes.
+	More bool `json:"-"`
 }
 
 // FrameError carries an Error between instances.
--- a/core/runner.go
+++ b/core/runner.go
@@ -28,6 +28,8 @@
 	Tokens       Tokens       `json:"tokens,omitempty"`
 	// Leaving is set on the first event when the answer's headers say that the engine leaves.
 	Leaving bool `json:"-"`
+	// More tells that another line of the stream has already arrived, so that its reader need not wait for the next event.
+	More bool `json:"-"`
 	// Accepted is set on the event that stands for the answer's headers: the engine has the call but may not have begun it.
 	Accepted bool `json:"-"`
 }
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -36,6 +36,7 @@
 		return ev, fmt.Errorf("decode stream line: %w", err)
 	}
 	ev.Leaving = s.leaving && ev.GenerationID != ""
+	ev.More = s.lines.Ready()
 	return ev, nil
 }
 
--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -11,9 +11,11 @@
 	"snipeshed/io/peer"
 )
 
-// sink takes the events of one generation; reset drops what it holds and reports whether it could.
+// sink takes the events of one generation; flush hands on what it has written, and reset drops what it holds and reports
+// whether it could.
 type sink interface {
 	event(ev *core.Event) error
+	flush() error
 	reset() bool
 }
 
@@ -83,6 +85,7 @@
 
 // attempt runs the call once at one owner.
 func (e *Entry) attempt(ctx context.Context, p *progress, owner core.Peer) error {
+	defer func() { _ = p.sink.flush() }() // the frame that More promised did not come; a lost client shows in what follows
 	req := p.g.call
 	req.Pool = p.pool
 	req.Resume = p.at
@@ -102,6 +105,9 @@
 	defer stop()
 	recv := func(f *core.Frame) error {
 		err := e.receive(p, f)
+		if err == nil && !f.More {
+			err = clientError(p.sink.flush())
+		}
 		if errors.Is(err, errClient) {
 			e.cancelAt(owner, req.RequestID)
 		}
@@ -184,7 +190,11 @@
 	default:
 		p.next++
 	}
-	if err := p.sink.event(ev); err != nil {
+	return clientError(p.sink.event(ev))
+}
+
+func clientError(err error) error {
+	if err != nil {
 		return fmt.Errorf("%w: %w", errClient, err)
 	}
 	return nil
--- a/io/entry/stream.go
+++ b/io/entry/stream.go
@@ -14,21 +14,23 @@
 // sse writes a generation as server-sent events in the chat-completions format.
 type sse struct {
 	w     http.ResponseWriter
-	flush *http.ResponseController
+	conn  *http.ResponseController
 	meter Meter
 	g     *generation
 
 	head  []byte // start of every chunk, up to the content
 	buf   []byte
 	begun bool
-	last  time.Time
+	// pending tells that something was written and not flushed.
+	pending bool
+	last    time.Time
 
 	writeTimeout time.Duration
 	renewed      time.Time // when the write deadline was last set
 }
 
 func newSSE(w http.ResponseWriter, g *generation, meter Meter, writeTimeout time.Duration) *sse {
-	s := &sse{w: w, flush: http.NewResponseController(w), meter: meter, g: g, writeTimeout: writeTimeout}
+	s := &sse{w: w, conn: http.NewResponseController(w), meter: meter, g: g, writeTimeout: writeTimeout}
 	s.head = chunkHead(g, "chat.completion.chunk")
 	return s
 }
@@ -114,16 +116,24 @@
 // renewEvery bounds how often the write deadline is moved, which costs more than writing a token.
 const renewEvery = time.Second
 
-// write sends the buffer; a client that stops reading fails it after the write timeout.
+// write hands the buffer to the connection; a client that stops reading fails it or the flush after the write timeout.
 func (s *sse) write() error {
 	if now := time.Now(); now.Sub(s.renewed) > renewEvery {
 		s.renewed = now
-		_ = s.flush.SetWriteDeadline(now.Add(s.writeTimeout)) // not every writer has deadlines
+		_ = s.conn.SetWriteDeadline(now.Add(s.writeTimeout)) // not every writer has deadlines
 	}
-	if _, err := s.w.Write(s.buf); err != nil {
-		return err
+	s.pending = true
+	_, err := s.w.Write(s.buf)
+	return err
+}
+
+// flush sends what has been written; several tokens that had already arrived share one write to the connection.
+func (s *sse) flush() error {
+	if !s.pending {
+		return nil
 	}
-	return s.flush.Flush()
+	s.pending = false
+	return s.conn.Flush()
 }
 
 // reset reports whether nothing has reached the client.
@@ -135,6 +145,7 @@
 	s.buf = append(s.buf, reply.Marshal(s.g.id, err)...)
 	s.buf = append(s.buf, "\n\n"...)
 	_ = s.write() // the client may be gone
+	_ = s.flush() // as above
 }
 
 func appendUsage(b []byte, g *generation, completion core.Tokens) []byte {
--- a/io/entry/whole.go
+++ b/io/entry/whole.go
@@ -29,6 +29,8 @@
 	return nil
 }
 
+func (c *whole) flush() error { return nil }
+
 // reset drops the collected text; nothing has reached the client.
 func (c *whole) reset() bool {
 	*c = whole{}
--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -23,6 +23,9 @@
 	silence    time.Duration
 	giveUp     time.Duration
 	counters   Counters
+	flush      func()
+	// more tells that the last event was returned with More, so that its receiver may not have flushed it.
+	more bool
 	// confirmed tells that a line of the stream has named the generation together with the request.
 	confirmed bool
 	// notStarted tells that the wait for the start of the generation was given up.
@@ -62,6 +65,9 @@
 // WithCounters sets where dropped events and resumes are counted.
 func WithCounters(c Counters) Option { return func(f *Follow) { f.counters = c } }
 
+// WithFlush sets what is called when the event that More promised does not come at once.
+func WithFlush(fn func()) Option { return func(f *Follow) { f.flush = fn } }
+
 const (
 	defaultSilence = time.Second
 	defaultGiveUp  = 5 * time.Second
@@ -78,7 +84,7 @@
 func New(runner core.Runner, stream core.Stream, request core.RequestID, generation core.GenerationID, from core.Tokens, opts ...Option) *Follow {
 	f := &Follow{
 		runner: runner, stream: stream, request: request, generation: generation, confirmed: generation != "", next: from,
-		silence: defaultSilence, giveUp: defaultGiveUp, counters: noCounters{},
+		silence: defaultSilence, giveUp: defaultGiveUp, counters: noCounters{}, flush: func() {},
 	}
 	for _, o := range opts {
 		o(f)
@@ -119,8 +125,10 @@
 			keep, kerr := f.accept(ev)
 			if kerr == nil && keep {
 				f.wrong = time.Time{}
+				f.more = ev.More
 				return ev, nil
 			}
+			f.flushed()
 			if kerr == nil {
 				continue
 			}
@@ -129,6 +137,7 @@
 			}
 			err = kerr
 		}
+		f.flushed()
 		if ctx.Err() != nil {
 			return core.Event{}, ctx.Err()
 		}
@@ -138,6 +147,14 @@
 	}
 }
 
+// flushed makes the receiver flush what it was given.
+func (f *Follow) flushed() {
+	if f.more {
+		f.more = false
+		f.flush()
+	}
+}
+
 // delay spaces the resumes after streams that are not this generation's, and gives up when they go on: an engine that
 // answered each resume at once with another generation was asked 1,500 times a second until the call's deadline.
 func (f *Follow) delay(ctx context.Context, cause error) error {
--- a/io/follow/follow_test.go
+++ b/io/follow/follow_test.go
@@ -250,6 +250,39 @@
 	is.Equal(ev.CachedTokens, core.Tokens(16))
 }
 
+// Guards against tokens that wait in a buffer of the client's connection while the stream after them is resumed.
+func TestFlushWhenNoEventFollows(t *testing.T) {
+	more := func(s step) step {
+		s.ev.More = true
+		return s
+	}
+	for _, tt := range []struct {
+		name    string
+		first   []step
+		resumed []step
+		flushes int
+	}{
+		{"the next event follows", []step{more(token(0)), token(1), done(2)}, nil, 0},
+		{"a duplicate follows", []step{more(token(0)), token(0), token(1), done(2)}, nil, 1},
+		{"two duplicates follow", []step{more(token(0)), more(token(0)), token(0), token(1), done(2)}, nil, 1},
+		{"the stream breaks", []step{more(token(0))}, []step{token(1), done(2)}, 1},
+		{"the stream skips a token", []step{more(token(0)), token(2)}, []step{token(1), done(2)}, 1},
+		{"the stream breaks after a flushed token", []step{token(0)}, []step{token(1), done(2)}, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			flushes := 0
+			f := follow.New(&engine{resumes: [][]step{tt.resumed}}, &connection{steps: tt.first, closed: make(chan struct{})},
+				request, generation, 0, follow.WithFlush(func() { flushes++ }))
+			defer f.Close()
+			n, err := read(f)
+			is.NoErr(err)
+			is.Equal(n, 2)
+			is.Equal(flushes, tt.flushes)
+		})
+	}
+}
+
 // read returns how many tokens came, in order, before the end or an error.
 func read(f *follow.Follow) (int, error) {
 	n := 0
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -136,7 +136,10 @@
 }
 
 func (j *job) followOptions() []follow.Option {
-	return []follow.Option{follow.WithSilence(ms(j.cfg.GetSilenceProbeMs())), follow.WithCounters(j.counters)}
+	return []follow.Option{
+		follow.WithSilence(ms(j.cfg.GetSilenceProbeMs())), follow.WithCounters(j.counters),
+		follow.WithFlush(func() { _ = j.send(&core.Frame{}) }), // the next frame meets the same error
+	}
 }
 
 // resume goes on with a generation that another owner started.
@@ -212,7 +215,7 @@
 		return j.send(&core.Frame{Started: &core.ResumePoint{Endpoint: ep, Generation: ev.GenerationID, From: f.Received(), Waiting: ev.Accepted}})
 	}
 	j.event = ev
-	j.frame = core.Frame{Event: &j.event}
+	j.frame = core.Frame{Event: &j.event, More: ev.More}
 	return j.send(&j.frame)
 }
 
--- a/io/line/token.go
+++ b/io/line/token.go
@@ -40,7 +40,7 @@
 
 // AppendFrame appends the line of a frame.
 func AppendFrame(b []byte, f *core.Frame) ([]byte, error) {
-	if ev := f.Event; ev != nil && *f == (core.Frame{Event: ev}) && plainToken(ev) {
+	if ev := f.Event; ev != nil && *f == (core.Frame{Event: ev, More: f.More}) && plainToken(ev) {
 		b = append(b, eventMark+indexMark...)
 		b = strconv.AppendInt(b, int64(ev.Index), 10)
 		b = append(b, textMark...)
@@ -55,7 +55,7 @@
 }
 
 func plainToken(ev *core.Event) bool {
-	return ev.Text != "" && ev.Index >= 0 && *ev == (core.Event{Index: ev.Index, Text: ev.Text}) && plainString(ev.Text)
+	return ev.Text != "" && ev.Index >= 0 && *ev == (core.Event{Index: ev.Index, Text: ev.Text, More: ev.More}) && plainString(ev.Text)
 }
 
 // token reads a token in the one form that engines usually write; it reports false for everything else, which may be valid JSON.
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -62,12 +62,18 @@
 	_ = flush.Flush() // tells the entry that the call has arrived
 	var buf []byte
 	send := func(f *core.Frame) (err error) {
+		if *f == (core.Frame{}) {
+			return flush.Flush()
+		}
 		if buf, err = line.AppendFrame(buf[:0], f); err != nil {
 			return fmt.Errorf("encode frame: %w", err)
 		}
 		if _, err = w.Write(buf); err != nil {
 			return fmt.Errorf("send frame to entry: %w", err)
 		}
+		if f.More {
+			return nil
+		}
 		return flush.Flush()
 	}
 	if err := o.Serve(r.Context(), &req, send); err != nil {
@@ -146,6 +152,7 @@
 		if err == nil {
 			f = core.Frame{}
 			err = line.Frame(b, &f, &token)
+			f.More = lines.Ready()
 		}
 		if err != nil {
 			return lost(ctx, err)
