Use smaller buffers for streams of engines

Cause: each open stream of an engine had 4 KiB each for reading and writing in its transport and 2 KiB for lines; heap profiles of a trial show buffers as the largest part of a stream's memory.

Change: 1 KiB for reading (over a dozen token lines), 512 bytes for writing (a request's headers; the rest of a longer body bypasses the buffer), 1 KiB for lines, also at the entry's side of a forwarded call.

--- a/io/line/reader.go
+++ b/io/line/reader.go
@@ -8,7 +8,7 @@
 )
 
 // bufferBytes holds several token lines; one buffer is kept per open stream.
-const bufferBytes = 2048
+const bufferBytes = 1 << 10
 
 // Reader splits a stream into lines of any length.
 type Reader struct {
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -69,9 +69,18 @@
 func (l *Link) EngineClient() *http.Client {
 	t := l.transport()
 	t.DisableKeepAlives = true
+	t.ReadBufferSize = engineReadBuffer
+	t.WriteBufferSize = engineWriteBuffer
 	return &http.Client{Transport: t}
 }
 
+const (
+	// engineReadBuffer holds over a dozen token lines; each open stream has one.
+	engineReadBuffer = 1 << 10
+	// engineWriteBuffer holds the headers of a request; the rest of a longer body bypasses it.
+	engineWriteBuffer = 512
+)
+
 // ApplicationClient returns a client that speaks HTTP/1.1 and whose calls fail with ErrSilent when their connection is dead.
 func (l *Link) ApplicationClient() *http.Client {
 	t := l.transport()
