Release a prompt once its call has started

Cause: an open stream at its owner held the prompt twice, decoded in the call's request and encoded in the request to the engine, which net/http keeps until the end of the answer.

Change: the body of a request to an engine lets go of what has been read (such requests are never repeated: the client opens a connection for each and follows no redirect in the runner protocol), and the host drops the prompt of a call when the engine has answered. The entry keeps it, since it may have to start the call again.

--- a/io/engine/engine.go
+++ b/io/engine/engine.go
@@ -122,10 +122,13 @@
 }
 
 func (e *Engine) do(ctx context.Context, method, path string, body []byte) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, method, e.base+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, method, e.base+path, http.NoBody)
 	if err != nil {
 		return nil, fmt.Errorf("make request for %s: %w", path, err)
 	}
+	if len(body) > 0 {
+		req.Body, req.ContentLength = &sentBody{rest: body}, int64(len(body))
+	}
 	// net/http would add a User-Agent of 32 bytes, a tenth of a poll.
 	req.Header["User-Agent"] = []string{""}
 	if body != nil {
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -88,6 +88,7 @@
 		}
 		stream, err := j.generate(ctx, runner)
 		if err == nil {
+			j.req.Prompt = "" // the engine has it; a long one would be held until the end of the answer
 			f := follow.New(runner, stream, j.req.RequestID, "", 0, j.followOptions()...)
 			return j.relay(ctx, f, ep, runner)
 		}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -18,7 +18,8 @@
 
 // Owner runs calls of pools; *host.Host is one.
 type Owner interface {
-	// Serve runs a call and sends its frames; send keeps no frame of a token and no token.
+	// Serve runs a call and sends its frames; send keeps no frame of a token and no token. The prompt is dropped once the
+	// call has started.
 	Serve(ctx context.Context, req *core.CallRequest, send func(*core.Frame) error) error
 	// Cancel ends a call because its client is gone.
 	Cancel(ctx context.Context, id core.RequestID)
