--- a/stand/bench/bench.go
+++ b/stand/bench/bench.go
@@ -156,10 +156,10 @@
 			direct = got
 		}
 		fmt.Fprintf(b.out, "bench=latency path=%s streams=%d first_token_p50_us=%d first_token_p99_us=%d gap_p50_us=%d gap_p99_us=%d "+
-			"added_first_token_p50_us=%d added_first_token_p99_us=%d added_gap_p50_us=%d added_gap_p99_us=%d gap_p99_ratio=%.3f\n",
+			"added_first_token_p50_us=%d added_first_token_p99_us=%d added_gap_p50_us=%d added_gap_p99_us=%d gap_p99_ratio=%.3f refused=%d\n",
 			p.name, b.latencyStreams, got.first(50), got.first(99), got.gap(50), got.gap(99),
 			got.first(50)-direct.first(50), got.first(99)-direct.first(99),
-			got.gap(50)-direct.gap(50), got.gap(99)-direct.gap(99), float64(got.gap(99))/float64(direct.gap(99)))
+			got.gap(50)-direct.gap(50), got.gap(99)-direct.gap(99), float64(got.gap(99))/float64(direct.gap(99)), got.refused)
 	}
 	return nil
 }
@@ -184,18 +184,19 @@
 		}
 		added := u.perToken() - direct.perToken()
 		fmt.Fprintf(b.out, "bench=load path=%s streams=%d tokens=%d cpu_us_per_token=%.3f added_cpu_us_per_token=%.3f "+
-			"tokens_per_core_second=%.0f added_bytes_per_stream=%d cpu_ratio=%.2f\n",
+			"tokens_per_core_second=%.0f added_bytes_per_stream=%d cpu_ratio=%.2f refused=%d\n",
 			p.name, b.loadStreams, u.tokens, u.perToken(), added, 1e6/added,
-			(u.bytes-direct.bytes)/int64(b.loadStreams), u.perToken()/direct.perToken())
+			(u.bytes-direct.bytes)/int64(b.loadStreams), u.perToken()/direct.perToken(), u.refused)
 	}
 	return nil
 }
 
 // usage is what a load phase cost the whole process.
 type usage struct {
-	tokens int64
-	cpu    time.Duration
-	bytes  int64
+	tokens  int64
+	refused int64
+	cpu     time.Duration
+	bytes   int64
 }
 
 func (u usage) perToken() float64 { return float64(u.cpu.Nanoseconds()) / 1e3 / float64(u.tokens) }
@@ -206,7 +207,7 @@
 	probe := time.AfterFunc(time.Duration(b.loadTokens)*loadStep/2, func() { during = memory() })
 	begin := processorTime()
 	got, err := measure(ctx, p, b.loadStreams, b.loadTokens, false)
-	u := usage{tokens: got.tokens, cpu: processorTime() - begin}
+	u := usage{tokens: got.tokens, refused: got.refused, cpu: processorTime() - begin}
 	probe.Stop()
 	u.bytes = during - before
 	return u, err
