--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -91,6 +91,9 @@
 	req  *core.CallRequest
 	call core.Call
 	send func(*core.Frame) error
+	// event and frame are used again for each event of the stream.
+	event core.Event
+	frame core.Frame
 }
 
 // start admits the call and opens its stream, at another endpoint when one does not take it.
@@ -110,6 +113,7 @@
 		}
 		stream, err := j.generate(ctx, runner)
 		if err == nil {
+			j.req.Prompt = "" // the engine has it; a long one would be held until the end of the answer
 			f := follow.New(runner, stream, j.req.RequestID, "", 0, j.followOptions()...)
 			return j.relay(ctx, f, ep, runner)
 		}
@@ -158,7 +162,10 @@
 }
 
 func (j *job) followOptions() []follow.Option {
-	return []follow.Option{follow.WithSilence(ms(j.cfg.GetSilenceProbeMs())), follow.WithCounters(j.counters)}
+	return []follow.Option{
+		follow.WithSilence(ms(j.cfg.GetSilenceProbeMs())), follow.WithCounters(j.counters),
+		follow.WithFlush(func() { _ = j.send(&core.Frame{}) }), // the next frame meets the same error
+	}
 }
 
 // resume goes on with a generation that another owner started.
@@ -233,7 +240,9 @@
 		j.pool.Answered(ep, ev.Leaving)
 		return j.send(&core.Frame{Started: &core.ResumePoint{Endpoint: ep, Generation: ev.GenerationID, From: f.Received(), Waiting: ev.Accepted}})
 	}
-	return j.send(&core.Frame{Event: &ev})
+	j.event = ev
+	j.frame = core.Frame{Event: &j.event, More: ev.More}
+	return j.send(&j.frame)
 }
 
 // abandon ends the work on a call that did not reach its end here.
