Give the room of a prompt back once its call has started

Cause: the owner now drops a prompt when the engine has it, but went on counting its bytes until the end of the answer, so that long streams would have kept other calls out.

Change: the room is given back together with the prompt.

Result: tests of io/host pass, TestPromptsOfQueuedCalls among them.

--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"snipeshed/core"
@@ -40,7 +41,7 @@
 	if err != nil {
 		return err
 	}
-	j := &job{Host: h, pool: p, req: req, call: h.call(req), send: send}
+	j := &job{Host: h, pool: p, req: req, call: h.call(req), send: send, leave: leave}
 	defer func() {
 		load := p.Load()
 		_ = send(&core.Frame{Load: &load}) // the load is only a hint
@@ -66,7 +67,7 @@
 			Remedy: "send the request again after the stated time, with fewer open requests",
 		}
 	}
-	return func() { h.prompts.Leave(holder, n) }, nil
+	return sync.OnceFunc(func() { h.prompts.Leave(holder, n) }), nil
 }
 
 func (h *Host) call(req *core.CallRequest) core.Call {
@@ -91,6 +92,8 @@
 	req  *core.CallRequest
 	call core.Call
 	send func(*core.Frame) error
+	// leave gives the room of the prompt back.
+	leave func()
 	// event and frame are used again for each event of the stream.
 	event core.Event
 	frame core.Frame
@@ -113,6 +116,7 @@
 		}
 		stream, err := j.generate(ctx, runner)
 		if err == nil {
+			j.leave()
 			j.req.Prompt = "" // the engine has it; a long one would be held until the end of the answer
 			f := follow.New(runner, stream, j.req.RequestID, "", 0, j.followOptions()...)
 			return j.relay(ctx, f, ep, runner)
