Measure the memory of an open stream without the stand-in

Cause: TestOpenStreamHoldsNoPrompt failed with 5.5 and 10.1 MB held: the stand-in runner in the same process holds parts of the prompt, at times until its stream ends.

Change: a handler that discards the body takes its place.

--- a/io/engine/engine_test.go
+++ b/io/engine/engine_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"runtime"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -13,7 +15,6 @@
 	"snipeshed/core"
 	"snipeshed/io/engine"
 	"snipeshed/io/link"
-	"snipeshed/stand/batch"
 	"snipeshed/stand/runner"
 )
 
@@ -37,18 +38,21 @@
 // Guards against open streams that hold their prompts, which can be far longer than all else of a stream.
 func TestOpenStreamHoldsNoPrompt(t *testing.T) {
 	is := is.New(t)
-	r := runner.New(runner.WithModel("m", "1"), runner.WithBatch(batch.Config{
-		KVCapacity: 1 << 30, MaxRunning: 1, MaxStepTokens: 1 << 30, StepBase: time.Millisecond, StepPerSequence: 1, StepPerPromptToken: 1,
+	// The stand-in would hold the prompt's parts in this process, too.
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // only the client's memory counts
+		_, _ = io.WriteString(w, `{"generation_id":"g","request_id":"r"}`+"\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
 	}))
-	is.NoErr(r.Start())
-	defer r.Close()
+	defer srv.Close()
 	cfg := &conf.Settings{}
 	conf.SetDefaults(cfg)
-	e := engine.New(r.Addr(), link.New(cfg).EngineClient())
+	e := engine.New(strings.TrimPrefix(srv.URL, "http://"), link.New(cfg).EngineClient())
 	const size = 8 << 20
 	before := heap()
 	s, err := e.Generate(t.Context(), core.GenerateRequest{
-		RequestID: "r", Model: "m", MaxTokens: 1 << 20, Prompt: "[output=1000000] " + strings.Repeat("x", size),
+		RequestID: "r", Model: "m", MaxTokens: 1 << 20, Prompt: strings.Repeat("x", size),
 	})
 	is.NoErr(err)
 	defer s.Close()
