Learn the number of sequences that an engine runs

Cause: admission took 64 for every engine's limit of running sequences. Calls beyond the real limit waited at the engine, which serves by priority only, so a flood of urgent calls kept less urgent ones there until their deadlines and the floor of their rank was not kept. Ruled out: memory (engines limited by memory kept the floor) and the policy's own floors (the calls were admitted).

Change: two load reports in a row with waiting calls, free memory and the same number of running ones give the limit; reports of a full engine without waiting calls raise it by a quarter.

Conclusion: the limit is learned only from reports, 4 to 20 s by the default intervals; floors are not kept before that.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -320,7 +320,7 @@
 // took the places, and background calls may run where only urgent streams stall. It does not hold for a prompt that
 // would delay the streams of a full endpoint: that goes where it delays least.
 func (a *Admit) full(e *endpoint, gap time.Duration, prompt core.Tokens) bool {
-	if len(e.running)+e.foreign >= a.runningLimit {
+	if !a.place(e) {
 		return true
 	}
 	t := e.target(gap)
@@ -361,7 +361,16 @@
 
 // Free reports whether any endpoint may run one more call.
 func (a *Admit) Free() bool {
-	return slices.ContainsFunc(a.order, func(e *endpoint) bool { return e.info.Accepting && len(e.running)+e.foreign < a.runningLimit })
+	return slices.ContainsFunc(a.order, func(e *endpoint) bool { return e.info.Accepting && a.place(e) })
+}
+
+// place reports whether an endpoint has a place for one more running call.
+func (a *Admit) place(e *endpoint) bool {
+	limit := a.runningLimit
+	if e.sequences.limit > 0 {
+		limit = min(limit, e.sequences.limit)
+	}
+	return len(e.running)+e.foreign < limit
 }
 
 func (a *Admit) end(id core.EndpointID) *endpoint {
--- a/core/admit/endpoint.go
+++ b/core/admit/endpoint.go
@@ -37,6 +37,7 @@
 	// foreign is the number of calls of other owners at the endpoint, foreignHeld the memory that they held.
 	foreign     int
 	foreignHeld core.Tokens
+	sequences   sequences
 }
 
 type gapTarget struct {
--- a/core/admit/foreign.go
+++ b/core/admit/foreign.go
@@ -11,6 +11,7 @@
 	if !fresh {
 		return
 	}
+	e.sequences.report(info.Load)
 	total := info.Load.Running + info.Load.Waiting
 	e.foreign = max(total-max(e.most, e.mostBefore), 0)
 	e.mostBefore, e.most = e.most, len(e.running)
--- a/core/admit/foreign_test.go
+++ b/core/admit/foreign_test.go
@@ -10,6 +10,36 @@
 	"snipeshed/core/length"
 )
 
+// Guards against calls that wait at an engine which runs fewer sequences than usual, against a limit learned from a call
+// that only waited for the next step or for memory, and against one that stays when the engine takes more.
+func TestSequences(t *testing.T) {
+	report := func(running, waiting int, used core.Tokens) core.RunnerLoad {
+		return core.RunnerLoad{Running: running, Waiting: waiting, KVUsed: used, KVCapacity: 100}
+	}
+	for _, tc := range []struct {
+		name    string
+		reports []core.RunnerLoad
+		limit   int
+	}{
+		{"two reports of a full engine", []core.RunnerLoad{report(4, 6, 40), report(4, 2, 40)}, 4},
+		{"one report", []core.RunnerLoad{report(4, 6, 40)}, 0},
+		{"another number runs each time", []core.RunnerLoad{report(4, 1, 40), report(7, 1, 70), report(5, 1, 50)}, 0},
+		{"nothing waited in between", []core.RunnerLoad{report(4, 1, 40), report(4, 0, 40), report(4, 1, 40)}, 0},
+		{"calls wait for memory", []core.RunnerLoad{report(4, 6, 95), report(4, 6, 95)}, 0},
+		{"the engine stands still", []core.RunnerLoad{report(0, 6, 0), report(0, 6, 0)}, 0},
+		{"a full engine without waiting calls may take more", []core.RunnerLoad{report(8, 1, 40), report(8, 1, 40), report(8, 0, 40)}, 10},
+		{"the limit stays while places are free", []core.RunnerLoad{report(8, 1, 40), report(8, 1, 40), report(5, 0, 40)}, 8},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var s sequences
+			for _, l := range tc.reports {
+				s.report(l)
+			}
+			is.New(t).Equal(s.limit, tc.limit)
+		})
+	}
+}
+
 // Guards against a new owner that fills engines which still run the calls of the former one, and against own calls that
 // are taken for others' because reports lag.
 func TestForeignCalls(t *testing.T) {
