Take no slot on a report from before the denial

An owner that was denied a slot because another one held one for the same endpoint tried again after its pause without a new report: by then the other owner had loaded the endpoint and released the slot, so the second slot was taken and given back for nothing.

Change: after a denial the next slot waits for a report that comes at least report_lag_ms later.

--- a/core/order/order.go
+++ b/core/order/order.go
@@ -35,6 +35,7 @@
 
 	slotUntil time.Time // zero without a slot
 	slotRetry time.Time
+	denied    time.Time
 }
 
 // New returns the state of an endpoint without wanted state and report.
@@ -116,8 +117,10 @@
 // Granted notes a slot that is held until a time.
 func (o *Order) Granted(until time.Time) { o.slotUntil = until }
 
-// Denied notes that no slot was free.
-func (o *Order) Denied(now time.Time) { o.slotRetry = now.Add(o.jitter(o.settings.slotRetry)) }
+// Denied notes that no slot was free, or that another owner held one for this endpoint.
+func (o *Order) Denied(now time.Time) {
+	o.denied, o.slotRetry = now, now.Add(o.jitter(o.settings.slotRetry))
+}
 
 // Released notes that the slot was given back or lost.
 func (o *Order) Released() { o.slotUntil = time.Time{} }
@@ -165,6 +168,8 @@
 		return step
 	case load && !now.Before(o.slotUntil) && now.Before(o.slotRetry):
 		return Step{Kind: Wait, At: o.slotRetry}
+	case load && !now.Before(o.slotUntil) && o.reported.Before(o.denied.Add(o.reportLag)):
+		return Step{} // another owner may have loaded it since the denial; the next report shows that
 	case load && !now.Before(o.slotUntil):
 		return Step{Kind: Acquire}
 	}
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -76,6 +76,16 @@
 			{50 * s, reports(2, "m", "2", "a"), order.Release},
 			{50 * s, released, order.Nothing},
 		},
+		"no slot is taken again on a report from before the denial, since another owner may have loaded the endpoint": {
+			{0, want(2, "2", "a", true), order.Nothing},
+			{0, reports(1, "m", "1", "a"), order.Acquire},
+			{0, deny, order.Wait},
+			{s / 2, reports(1, "m", "1", "a"), order.Wait}, // may still show the state before the denial
+			{3 * s, func(*order.Order, time.Time) {}, order.Nothing},
+			{3 * s, reports(1, "m", "1", "a"), order.Acquire},
+			{3 * s, deny, order.Wait},
+			{6 * s, reports(2, "m", "2", "a"), order.Nothing},
+		},
 		"lagged report is no deviation": {
 			{0, want(2, "1", "b", true), order.Nothing},
 			{0, reports(1, "m", "1", "a"), order.Send},
