Learn an engine's limit from reports between steps, too

A report between two steps shows one sequence less, so two reports with the same number took long; and each report of a full engine raised the limit, which sent calls that wait at the engine and take places by priority.

Change: two reports may differ by one sequence, and a limit grows after four reports in a row without waiting calls. The test waits until few calls wait at the engines in place of 4 s; its bound is as it was.

--- a/core/admit/foreign_test.go
+++ b/core/admit/foreign_test.go
@@ -22,12 +22,19 @@
 		limit   int
 	}{
 		{"two reports of a full engine", []core.RunnerLoad{report(4, 6, 40), report(4, 2, 40)}, 4},
+		{"two reports, one of them between two steps", []core.RunnerLoad{report(3, 6, 30), report(4, 2, 40)}, 4},
 		{"one report", []core.RunnerLoad{report(4, 6, 40)}, 0},
 		{"another number runs each time", []core.RunnerLoad{report(4, 1, 40), report(7, 1, 70), report(5, 1, 50)}, 0},
 		{"nothing waited in between", []core.RunnerLoad{report(4, 1, 40), report(4, 0, 40), report(4, 1, 40)}, 0},
 		{"calls wait for memory", []core.RunnerLoad{report(4, 6, 95), report(4, 6, 95)}, 0},
 		{"the engine stands still", []core.RunnerLoad{report(0, 6, 0), report(0, 6, 0)}, 0},
-		{"a full engine without waiting calls may take more", []core.RunnerLoad{report(8, 1, 40), report(8, 1, 40), report(8, 0, 40)}, 10},
+		{"a full engine without waiting calls may take more, after some reports", []core.RunnerLoad{
+			report(8, 1, 40), report(8, 1, 40), report(8, 0, 40), report(8, 0, 40), report(8, 0, 40), report(8, 0, 40),
+		}, 10},
+		{"it may not when calls wait in between", []core.RunnerLoad{
+			report(8, 1, 40), report(8, 1, 40), report(8, 0, 40), report(8, 0, 40), report(8, 1, 40), report(8, 0, 40), report(8, 0, 40),
+		}, 8},
+		{"the engine runs more", []core.RunnerLoad{report(8, 1, 40), report(8, 1, 40), report(12, 0, 40)}, 12},
 		{"the limit stays while places are free", []core.RunnerLoad{report(8, 1, 40), report(8, 1, 40), report(5, 0, 40)}, 8},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/proof/floor_test.go
+++ b/proof/floor_test.go
@@ -20,7 +20,17 @@
 	const clients, longest = 4, 36
 	w := start(t, fleet.WithRunners(runner.WithBatch(batch.Config{KVCapacity: 1500, MaxRunning: 4, StepBase: 20 * time.Millisecond})))
 	flood := w.load(caller.WithClients(30), caller.WithOutput(20), caller.WithTimeout(3*time.Second), caller.WithPause(50*time.Millisecond))
-	time.Sleep(4 * time.Second) // an owner learns an engine's limit from its load reports
+	var learned time.Time
+	is.NoErr(fleet.Wait(startLimit, "few calls wait at the engines", func() bool {
+		waiting := 0
+		for _, r := range w.Runners {
+			waiting += r.State().Waiting
+		}
+		if waiting > len(w.Runners) || learned.IsZero() {
+			learned = time.Now()
+		}
+		return w.Waiting() > 0 && time.Since(learned) > time.Second
+	}))
 	calls := w.load(caller.WithClients(clients), caller.WithOutput(longest-6), caller.WithKeys(fleet.SlowKey))
 	tokens := func(l *caller.Load) (n int) {
 		for _, r := range l.Results() {
