Split the choice of an endpoint into its steps

Cause: Choose was one function of 59 lines with nine variables for four kinds of candidates.

Change: core/admit/choice.go has the candidates and one function each for considering an endpoint, its load, its cached prefix and the result.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -252,67 +252,15 @@
 // endpoint with the least delay is chosen; while that one computes another prompt and the call may wait, it is returned
 // with false. When the call fits nowhere, the endpoint with the lowest forecast is returned with false.
 func (a *Admit) Choose(c *core.Call, reserve int64, held []core.EndpointID, mayWait bool) (core.EndpointID, bool) {
-	est := a.length.For(c)
+	ch := choice{Admit: a, call: c, more: a.length.For(c).Expected(0), gap: a.gaps[c.Rank], reserve: reserve}
 	onlyAvoided := a.onlyAvoided(c)
-	var best, lowest, full, slow, least *endpoint
-	var bestLoad, lowestLoad, fullLoad float64
-	var slowStall, leastStall time.Duration
-	bestMatch := 0
 	for _, e := range a.order {
-		if !e.info.Accepting || c.PromptTokens >= e.info.KVCapacity || slices.Contains(held, e.info.ID) || (!onlyAvoided && c.Avoids(e.info.ID)) {
-			continue
+		if e.info.Accepting && c.PromptTokens < e.info.KVCapacity && !slices.Contains(held, e.info.ID) &&
+			(onlyAvoided || !c.Avoids(e.info.ID)) {
+			ch.consider(e)
 		}
-		prompt := e.uncached(c)
-		stall := e.stall(prompt)
-		busy := e.prompts > 0 && a.tooMuch(e, e.prompts+prompt)
-		if a.full(e, a.gaps[c.Rank], prompt) || e.crowded(a.gaps[c.Rank]) || (busy && stall == 0) {
-			if load := 1 + float64(e.held)/float64(e.info.KVCapacity); full == nil || load < fullLoad {
-				full, fullLoad = e, load
-			}
-			continue
-		}
-		peak, during := e.forecast(c, est.Expected(0))
-		load := float64(peak) / float64(e.info.KVCapacity)
-		need := during
-		if reserve > 0 {
-			need = peak
-		}
-		if need > e.limit(a.headroom-reserve) && len(e.running)+e.foreign > 0 {
-			if full == nil || load < fullLoad {
-				full, fullLoad = e, load
-			}
-			continue
-		}
-		if stall > 0 {
-			if least == nil || stall < leastStall {
-				least, leastStall = e, stall
-			}
-			if !busy && (slow == nil || stall < slowStall) {
-				slow, slowStall = e, stall
-			}
-			continue
-		}
-		if lowest == nil || load < lowestLoad {
-			lowest, lowestLoad = e, load
-		}
-		m := e.cached(c)
-		if m > bestMatch || (best != nil && m == bestMatch && load < bestLoad) {
-			best, bestLoad, bestMatch = e, load, m
-		}
-	}
-	switch {
-	case lowest == nil && slow != nil && (slow == least || !mayWait):
-		return slow.info.ID, true
-	case lowest == nil && least != nil:
-		return least.info.ID, false
-	case lowest == nil && full == nil:
-		return "", false
-	case lowest == nil:
-		return full.info.ID, false
-	case best != nil && bestLoad <= lowestLoad+float64(a.slack)/percent:
-		return best.info.ID, true
 	}
-	return lowest.info.ID, true
+	return ch.result(mayWait)
 }
 
 // full reports whether as many calls run as an endpoint may run next to a new one. Each token gap target has a
