--- a/io/follow/follow.go
+++ b/io/follow/follow.go
@@ -312,68 +312,6 @@
 	return keep, err
 }
 
-// probe asks the engine after a silence and closes the connection if it proves dead.
-func (f *Follow) probe() {
-	f.mu.Lock()
-	quiet := time.Since(f.heard)
-	s, closed, id := f.stream, f.closed, f.generation
-	if closed {
-		f.mu.Unlock()
-		return
-	}
-	if id == "" && quiet >= f.giveUp {
-		_ = f.stream.Close() // an engine that never names its generation cannot be asked about it
-		f.mu.Unlock()
-		return
-	}
-	if !f.waiting {
-		f.timer.Reset(f.silence)
-		f.mu.Unlock()
-		return
-	}
-	if quiet < f.silence || id == "" {
-		f.timer.Reset(max(f.silence-quiet, firstBackoff))
-		f.mu.Unlock()
-		return
-	}
-	seen := f.heard
-	f.mu.Unlock()
-
-	ctx, cancel := context.WithTimeout(context.Background(), f.silence)
-	st, err := f.runner.Status(ctx, id)
-	cancel()
-
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.closed || f.stream != s {
-		return
-	}
-	f.timer.Reset(f.silence)
-	if f.heard != seen || !f.waiting {
-		return
-	}
-	switch {
-	case err != nil && !errors.Is(err, core.ErrGone):
-		f.failures++
-		if f.failures < maxFailedProbes {
-			return
-		}
-	case err == nil && st.Tokens <= f.next && !st.Done:
-		f.failures = 0
-		if f.confirmed || quiet < startLimit {
-			return
-		}
-		f.notStarted = true
-	}
-	if f.notStarted {
-		f.counters.Count("generations_not_started")
-		_ = s.Close()
-		return
-	}
-	f.counters.Count("silent_connections")
-	_ = s.Close() // makes the reader's Next return
-}
-
 // Close ends reading; it does not cancel the generation.
 func (f *Follow) Close() error {
 	f.mu.Lock()
