Name the limits of open requests and of polls by their usual terms

Cause: core/gate and core/ration were words of their own; a reader looks for a quota and a token bucket.

Change: core/quota with Acquire and Release, core/bucket, and a reservation in io/entry. Names and comments only.

--- a/core/ration/ration.go
+++ b/core/bucket/bucket.go
@@ -1,4 +1,4 @@
-package ration
+package bucket
 
 import (
 	"sync"
@@ -19,11 +19,11 @@
 	maxDebt = time.Minute
 )
 
-// Ration divides an instance's bytes for polls among its pools; it is safe for concurrent use.
+// Bucket is a token bucket that divides an instance's bytes for polls among its pools; it is safe for concurrent use.
 //
 // Polls that cannot wait are only counted. The others are granted while bytes are left, the most overdue first, so that
 // the intervals of all endpoints stretch by the same factor.
-type Ration struct {
+type Bucket struct {
 	rate  float64 // bytes per second
 	meter func() int64
 
@@ -37,88 +37,88 @@
 	waiting map[core.PoolID]float64
 }
 
-// Option changes a Ration.
-type Option func(*Ration)
+// Option changes a Bucket.
+type Option func(*Bucket)
 
 // WithRate sets the bytes per second, sent and received.
-func WithRate(n int64) Option { return func(r *Ration) { r.rate = float64(n) } }
+func WithRate(n int64) Option { return func(b *Bucket) { b.rate = float64(n) } }
 
 // WithMeter sets how the bytes of all polls up to now are found; without it each poll counts as the usual size.
-func WithMeter(fn func() int64) Option { return func(r *Ration) { r.meter = fn } }
+func WithMeter(fn func() int64) Option { return func(b *Bucket) { b.meter = fn } }
 
-// New returns a Ration.
-func New(opts ...Option) *Ration {
-	r := &Ration{rate: defaultRate, waiting: map[core.PoolID]float64{}}
+// New returns a Bucket.
+func New(opts ...Option) *Bucket {
+	b := &Bucket{rate: defaultRate, waiting: map[core.PoolID]float64{}}
 	for _, o := range opts {
-		o(r)
+		o(b)
 	}
-	return r
+	return b
 }
 
 // Round begins a round of polls of a pool, or ends its last one when the pool is closed.
-func (r *Ration) Round(id core.PoolID) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.waiting, id)
+func (b *Bucket) Round(id core.PoolID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	delete(b.waiting, id)
 }
 
 // Begin counts a poll that cannot wait.
-func (r *Ration) Begin(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.settle(now)
-	r.open++
+func (b *Bucket) Begin(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settle(now)
+	b.open++
 }
 
 // Grant reports whether a poll that can wait may begin. Overdue is the time since the endpoint's last poll as a multiple
 // of its interval; a pool asks for its most overdue endpoint first and ends its round at the first refusal.
-func (r *Ration) Grant(now time.Time, id core.PoolID, overdue float64) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.settle(now)
-	granted := r.left > float64(r.open)*r.cost()
-	for _, other := range r.waiting {
+func (b *Bucket) Grant(now time.Time, id core.PoolID, overdue float64) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settle(now)
+	granted := b.left > float64(b.open)*b.cost()
+	for _, other := range b.waiting {
 		granted = granted && other <= overdue
 	}
 	if !granted {
-		r.waiting[id] = overdue
+		b.waiting[id] = overdue
 		return false
 	}
-	r.open++
+	b.open++
 	return true
 }
 
 // End counts the end of a poll.
-func (r *Ration) End(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.settle(now)
-	r.open--
-	r.ended++
-	if r.meter == nil {
-		r.left -= defaultCost
+func (b *Bucket) End(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.settle(now)
+	b.open--
+	b.ended++
+	if b.meter == nil {
+		b.left -= defaultCost
 	}
 }
 
 // cost returns the bytes that a poll takes in the mean.
-func (r *Ration) cost() float64 {
-	if r.meter == nil || r.ended == 0 {
+func (b *Bucket) cost() float64 {
+	if b.meter == nil || b.ended == 0 {
 		return defaultCost
 	}
-	return float64(r.metered) / float64(r.ended)
+	return float64(b.metered) / float64(b.ended)
 }
 
-// settle adds the bytes of the time that passed and subtracts those that were used; r.mu is held.
-func (r *Ration) settle(now time.Time) {
-	if !r.at.IsZero() {
-		r.left += r.rate * max(now.Sub(r.at), 0).Seconds()
+// settle adds the bytes of the time that passed and subtracts those that were used; b.mu is held.
+func (b *Bucket) settle(now time.Time) {
+	if !b.at.IsZero() {
+		b.left += b.rate * max(now.Sub(b.at), 0).Seconds()
 	}
-	r.at = now
-	r.left = min(r.left, r.rate*maxSaved.Seconds())
-	if r.meter != nil {
-		n := r.meter()
-		r.left -= float64(n - r.metered)
-		r.metered = n
+	b.at = now
+	b.left = min(b.left, b.rate*maxSaved.Seconds())
+	if b.meter != nil {
+		n := b.meter()
+		b.left -= float64(n - b.metered)
+		b.metered = n
 	}
-	r.left = max(r.left, -r.rate*maxDebt.Seconds())
+	b.left = max(b.left, -b.rate*maxDebt.Seconds())
 }
--- a/core/ration/ration_test.go
+++ b/core/bucket/bucket_test.go
@@ -1,4 +1,4 @@
-package ration_test
+package bucket_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 
 	"github.com/matryer/is"
 
-	"snipeshed/core/ration"
+	"snipeshed/core/bucket"
 )
 
 // Guards against a ration that takes polls for as large as the stand-in's, and against polls that could not wait and
@@ -26,7 +26,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			var used int64
-			r := ration.New(ration.WithRate(rate), ration.WithMeter(func() int64 { return used }))
+			r := bucket.New(bucket.WithRate(rate), bucket.WithMeter(func() int64 { return used }))
 			now := time.Unix(0, 0)
 			for range tt.urgent {
 				r.Begin(now)
--- a/core/gate/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package gate bounds what the open requests of one instance hold, so that no team or rank takes the room of the others.
-package gate
--- a/core/gate/gate_test.go
+++ b/core/quota/quota_test.go
@@ -1,4 +1,4 @@
-package gate_test
+package quota_test
 
 import (
 	"testing"
@@ -7,17 +7,17 @@
 	"pgregory.net/rapid"
 
 	"snipeshed/core"
-	"snipeshed/core/gate"
+	"snipeshed/core/quota"
 )
 
-// TestEnter guards against one holder that fills the limit, or that is refused while there is room for it.
-func TestEnter(t *testing.T) {
-	a, b, urgent := gate.Holder{Team: "a", Rank: "routine"}, gate.Holder{Team: "b", Rank: "routine"}, gate.Holder{Team: "a", Rank: "urgent"}
+// TestAcquire guards against one holder that fills the limit, or that is refused while there is room for it.
+func TestAcquire(t *testing.T) {
+	a, b, urgent := quota.Holder{Team: "a", Rank: "routine"}, quota.Holder{Team: "b", Rank: "routine"}, quota.Holder{Team: "a", Rank: "urgent"}
 	type step struct {
-		holder    gate.Holder
+		holder    quota.Holder
 		n, weight int64
 		above     int
-		most      int // entries until the first refusal
+		most      int // acquisitions until the first refusal
 	}
 	for _, tt := range []struct {
 		name  string
@@ -33,10 +33,10 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			g := gate.New(100)
+			g := quota.New(100)
 			for _, s := range tt.steps {
 				n := 0
-				for g.Enter(s.holder, s.n, s.weight, s.above) {
+				for g.Acquire(s.holder, s.n, s.weight, s.above) {
 					n++
 				}
 				is.Equal(n, s.most)
@@ -49,13 +49,13 @@
 // TestAdd guards against admitted work that is refused, or that is not counted for the work after it.
 func TestAdd(t *testing.T) {
 	is := is.New(t)
-	g, h := gate.New(10), gate.Holder{Team: "a"}
+	g, h := quota.New(10), quota.Holder{Team: "a"}
 	g.Add(h, 12)
-	is.True(!g.Enter(h, 1, 1, 0))
-	is.True(g.Enter(h, 0, 1, 0)) // a request without a body
-	g.Leave(h, 12)
+	is.True(!g.Acquire(h, 1, 1, 0))
+	is.True(g.Acquire(h, 0, 1, 0)) // a request without a body
+	g.Release(h, 12)
 	is.Equal(g.Used(), int64(0))
-	is.True(g.Enter(h, 5, 1, 0))
+	is.True(g.Acquire(h, 5, 1, 0))
 }
 
 // TestNewcomer guards against holders that take the last room while they have some already, and against a holder
@@ -64,16 +64,16 @@
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Int64Range(8, 500).Draw(t, "limit")
 		teams := rapid.Int64Range(1, 30).Draw(t, "teams")
-		g := gate.New(limit)
-		held := map[gate.Holder]int64{}
+		g := quota.New(limit)
+		held := map[quota.Holder]int64{}
 		for range rapid.IntRange(0, 400).Draw(t, "steps") {
-			h := gate.Holder{Team: core.TeamName(rune('a' + rapid.Int64Range(0, teams-1).Draw(t, "team")))}
+			h := quota.Holder{Team: core.TeamName(rune('a' + rapid.Int64Range(0, teams-1).Draw(t, "team")))}
 			free := limit - g.Used()
 			switch {
 			case held[h] > 0 && rapid.IntRange(0, 3).Draw(t, "leave") == 0:
-				g.Leave(h, 1)
+				g.Release(h, 1)
 				held[h]--
-			case g.Enter(h, 1, 1, 0):
+			case g.Acquire(h, 1, 1, 0):
 				held[h]++
 				if held[h] > free {
 					t.Fatalf("team %q has %d units and took one of the last %d", h.Team, held[h], free)
--- a/core/ration/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package ration keeps the polls of one instance within a number of bytes per second.
-package ration
--- a/io/entry/body.go
+++ b/io/entry/body.go
@@ -14,10 +14,10 @@
 type timedBody struct {
 	io.ReadCloser
 
-	conn    *http.ResponseController
-	timeout time.Duration
-	room    *room
-	started bool
+	conn     *http.ResponseController
+	timeout  time.Duration
+	reserved *reservation
+	started  bool
 }
 
 // Read sets the deadline at the first read and removes it at the end.
@@ -27,7 +27,7 @@
 		_ = b.conn.SetReadDeadline(time.Now().Add(b.timeout)) // not every writer has deadlines
 	}
 	n, err := b.ReadCloser.Read(p)
-	if full := b.room.read(int64(n)); full != nil {
+	if full := b.reserved.read(int64(n)); full != nil {
 		return 0, full
 	}
 	if errors.Is(err, io.EOF) {
--- a/io/entry/entry.go
+++ b/io/entry/entry.go
@@ -8,7 +8,7 @@
 
 	"snipeshed/conf"
 	"snipeshed/core"
-	"snipeshed/core/gate"
+	"snipeshed/core/quota"
 	"snipeshed/core/shard"
 	"snipeshed/io/peer"
 	"snipeshed/io/pool"
@@ -61,7 +61,7 @@
 	mux   *http.ServeMux
 	loads loads
 
-	requests, bodies *gate.Gate
+	requests, bodies *quota.Quota
 
 	mu      sync.Mutex
 	leaving bool
@@ -72,7 +72,7 @@
 func New(parts Parts) *Entry {
 	e := &Entry{
 		Parts: parts, mux: http.NewServeMux(), loads: loads{seen: map[core.PoolID]seenLoad{}},
-		requests: gate.New(parts.Settings.GetOpenRequestLimit()), bodies: gate.New(parts.Settings.GetOpenBodyBytes()),
+		requests: quota.New(parts.Settings.GetOpenRequestLimit()), bodies: quota.New(parts.Settings.GetOpenBodyBytes()),
 	}
 	e.mux.HandleFunc("POST /v1/chat/completions", e.guard(e.chat))
 	e.mux.HandleFunc("GET /v1/models", e.guard(e.models))
@@ -123,14 +123,14 @@
 			return
 		}
 		q.cred = cred
-		room, err := e.reserve(q, r.ContentLength)
+		res, err := e.reserve(q, r.ContentLength)
 		if err != nil {
 			e.refuse(w, q.id, err)
 			return
 		}
-		defer room.release()
+		defer res.release()
 		r.Body = &timedBody{
-			ReadCloser: r.Body, conn: http.NewResponseController(w), timeout: ms(e.Settings.GetBodyTimeoutMs()), room: room,
+			ReadCloser: r.Body, conn: http.NewResponseController(w), timeout: ms(e.Settings.GetBodyTimeoutMs()), reserved: res,
 		}
 		next(w, r, q)
 	}
--- a/io/host/host.go
+++ b/io/host/host.go
@@ -8,9 +8,9 @@
 
 	"snipeshed/conf"
 	"snipeshed/core"
-	"snipeshed/core/gate"
+	"snipeshed/core/bucket"
 	"snipeshed/core/order"
-	"snipeshed/core/ration"
+	"snipeshed/core/quota"
 	"snipeshed/core/shard"
 	"snipeshed/io/driver"
 	"snipeshed/io/engine"
@@ -29,8 +29,8 @@
 	newPolicy func() core.Policy
 	newRunner func(address string) core.Runner
 	slots     core.Slots
-	prompts   *gate.Gate
-	ration    *ration.Ration
+	prompts   *quota.Quota
+	bucket    *bucket.Bucket
 
 	mu       sync.Mutex
 	current  *core.Config
@@ -77,25 +77,25 @@
 		Shared: shared, cfg: cfg, config: config, members: members, newPolicy: newPolicy, counters: noCounters{},
 		pools:   map[core.PoolID]*pool.Pool{},
 		cancels: map[core.RequestID]context.CancelCauseFunc{},
-		prompts: gate.New(cfg.GetOpenBodyBytes()),
+		prompts: quota.New(cfg.GetOpenBodyBytes()),
 		life:    ctx, stop: cancel,
 	}
 	for _, o := range opts {
 		o(h)
 	}
-	limits := []ration.Option{ration.WithRate(cfg.GetPollBytesPerS())}
+	limits := []bucket.Option{bucket.WithRate(cfg.GetPollBytesPerS())}
 	if h.newRunner == nil {
 		polls := link.New(cfg)
 		client, pollClient := link.New(cfg).EngineClient(), polls.EngineClient()
 		h.newRunner = func(address string) core.Runner {
 			return engine.New(address, client, engine.WithPollClient(pollClient))
 		}
-		limits = append(limits, ration.WithMeter(func() int64 {
+		limits = append(limits, bucket.WithMeter(func() int64 {
 			sent, received := polls.Bytes()
 			return sent + received
 		}))
 	}
-	h.ration = ration.New(limits...)
+	h.bucket = bucket.New(limits...)
 	h.Configure(config.Config())
 	return h
 }
@@ -179,7 +179,7 @@
 	}
 	p := pool.New(h.Shared, id, h.newPolicy(), h.newRunner,
 		pool.WithPollInterval(ms(h.cfg.GetLoadPollMs())), pool.WithListLeaving(h.members.EndpointLeaving),
-		pool.WithRation(h.ration), pool.WithDriver(h.driverOptions(id)...))
+		pool.WithBucket(h.bucket), pool.WithDriver(h.driverOptions(id)...))
 	p.Configure(h.current, h.shard.Endpoints(id))
 	h.pools[id] = p
 	return p, nil
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -9,8 +9,8 @@
 	"time"
 
 	"snipeshed/core"
-	"snipeshed/core/gate"
 	"snipeshed/core/prefix"
+	"snipeshed/core/quota"
 	"snipeshed/io/follow"
 	"snipeshed/io/pool"
 )
@@ -55,10 +55,10 @@
 // hold takes room for the prompt of a call. A call that was admitted before, or that already runs, is not refused.
 func (h *Host) hold(req *core.CallRequest) (leave func(), err error) {
 	cfg, n := h.config.Config(), int64(len(req.Prompt))
-	holder := gate.Holder{Team: req.Team, Rank: req.Rank}
+	holder := quota.Holder{Team: req.Team, Rank: req.Rank}
 	if req.Admitted || req.Resume != nil {
 		h.prompts.Add(holder, n)
-	} else if !h.prompts.Enter(holder, n, cfg.Teams[req.Team].GetWeight(), cfg.RanksAbove(req.Rank)) {
+	} else if !h.prompts.Acquire(holder, n, cfg.Teams[req.Team].GetWeight(), cfg.RanksAbove(req.Rank)) {
 		h.counters.Count("instance_full")
 		return nil, &core.Error{
 			Kind: core.KindOverloaded, Run: core.RunNot, RetryAfter: time.Second + rand.N(time.Second),
@@ -67,7 +67,7 @@
 			Remedy: "send the request again after the stated time, with fewer open requests",
 		}
 	}
-	return sync.OnceFunc(func() { h.prompts.Leave(holder, n) }), nil
+	return sync.OnceFunc(func() { h.prompts.Release(holder, n) }), nil
 }
 
 func (h *Host) call(req *core.CallRequest) core.Call {
--- a/io/pool/call.go
+++ b/io/pool/call.go
@@ -94,7 +94,7 @@
 	}
 	ch := make(chan struct{})
 	e.checking, e.polled = ch, p.Clock.Now()
-	p.ration.Begin(e.polled)
+	p.bucket.Begin(e.polled)
 	p.mu.Unlock()
 	p.poll(p.ctx, e) // not ended by this call's end, since others wait for it
 	p.mu.Lock()
--- a/io/pool/endpoint.go
+++ b/io/pool/endpoint.go
@@ -49,7 +49,7 @@
 }
 
 // Poll intervals between two polls of an endpoint that is in the wanted state; they are longer when the instance's
-// ration of bytes for polls is used up. A poll is about 370 bytes, so that polls of 8 idle endpoints at each interval of
+// byte budget for polls is used up. A poll is about 370 bytes, so that polls of 8 idle endpoints at each interval of
 // 2 s cost an instance 1.5 KB/s of its 2 KB/s.
 const (
 	// idlePolls holds without calls: a poll only tells early what the first call would find out. An engine that
@@ -60,7 +60,7 @@
 	skipPolls = 5
 )
 
-// longestWait bounds how far the ration of bytes stretches the interval of an endpoint. 48 endpoints, three pools, cost
+// longestWait bounds how far the byte budget stretches the interval of an endpoint. 48 endpoints, three pools, cost
 // 290 B/s at this interval.
 const longestWait = time.Minute
 
@@ -109,11 +109,11 @@
 	return e
 }
 
-// poll asks the endpoint for its load, which its driver compares with the wanted state; the ration was asked before.
+// poll asks the endpoint for its load, which its driver compares with the wanted state; the byte budget was asked before.
 func (p *Pool) poll(ctx context.Context, e *endpoint) {
 	asked := p.Clock.Now()
 	l, err := e.runner.Load(ctx)
-	p.ration.End(p.Clock.Now())
+	p.bucket.End(p.Clock.Now())
 	if ctx.Err() != nil {
 		return
 	}
--- a/io/pool/loop.go
+++ b/io/pool/loop.go
@@ -46,17 +46,17 @@
 }
 
 // due returns the endpoints to poll now: those that are not in the wanted state, and the most overdue of the others
-// while the ration lasts.
+// while the byte budget lasts.
 func (p *Pool) due() []*endpoint {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.Clock.Now()
-	p.ration.Round(p.id)
+	p.bucket.Round(p.id)
 	var polled []*endpoint
 	waiting := map[*endpoint]float64{}
 	for _, e := range p.endpoints {
 		if !e.settled(now) || now.Sub(e.polled) >= longestWait {
-			p.ration.Begin(now)
+			p.bucket.Begin(now)
 			polled = append(polled, e)
 		} else if overdue := e.overdue(now, p.pollEvery); overdue >= 1 {
 			waiting[e] = overdue
@@ -64,7 +64,7 @@
 	}
 	order := slices.SortedFunc(maps.Keys(waiting), func(a, b *endpoint) int { return cmp.Compare(waiting[b], waiting[a]) })
 	for _, e := range order {
-		if !p.ration.Grant(now, p.id, waiting[e]) {
+		if !p.bucket.Grant(now, p.id, waiting[e]) {
 			break
 		}
 		polled = append(polled, e)
--- a/io/pool/poll_test.go
+++ b/io/pool/poll_test.go
@@ -15,8 +15,8 @@
 	"github.com/sirupsen/logrus"
 
 	"snipeshed/core"
+	"snipeshed/core/bucket"
 	"snipeshed/core/fifo"
-	"snipeshed/core/ration"
 	"snipeshed/io/pool"
 	"snipeshed/wire"
 )
@@ -146,7 +146,7 @@
 }
 
 // Guards against polls of several pools that exceed the bytes that the other control traffic leaves, also after the pools
-// were opened, against endpoints that the ration starves, and against a ration that holds back polls of endpoints that
+// were opened, against endpoints that the byte budget starves, and against one that holds back polls of endpoints that
 // fail, leave or lack their wanted state.
 func TestPollsOfManyPools(t *testing.T) {
 	const (
@@ -177,7 +177,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				shared := ration.New()
+				shared := bucket.New()
 				var pools []*pool.Pool
 				var runners []*polledRunner
 				for i := range tt.pools {
@@ -193,7 +193,7 @@
 						n, err := strconv.Atoi(address)
 						is.NoErr(err)
 						return mine[n]
-					}, pool.WithRation(shared))
+					}, pool.WithBucket(shared))
 					defer p.Close()
 					p.Configure(cfg, ids)
 					pools = append(pools, p)
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"snipeshed/core"
+	"snipeshed/core/bucket"
 	"snipeshed/core/order"
-	"snipeshed/core/ration"
 	"snipeshed/io/driver"
 )
 
@@ -20,7 +20,7 @@
 	listLeaving func(address string) bool
 	newRunner   func(address string) core.Runner
 	driverOpts  []driver.Option
-	ration      *ration.Ration
+	bucket      *bucket.Bucket
 
 	mu        sync.Mutex
 	policy    core.Policy
@@ -49,8 +49,8 @@
 	return func(p *Pool) { p.driverOpts = append(p.driverOpts, opts...) }
 }
 
-// WithRation sets the bytes for polls, which the pools of an instance share.
-func WithRation(r *ration.Ration) Option { return func(p *Pool) { p.ration = r } }
+// WithBucket sets the bytes for polls, which the pools of an instance share.
+func WithBucket(b *bucket.Bucket) Option { return func(p *Pool) { p.bucket = b } }
 
 const defaultPollInterval = 2 * time.Second
 
@@ -73,7 +73,7 @@
 		listLeaving: func(string) bool { return false },
 		waiting:     map[core.RequestID]chan core.Action{},
 		endpoints:   map[core.EndpointID]*endpoint{},
-		ration:      ration.New(),
+		bucket:      bucket.New(),
 	}
 	for _, o := range opts {
 		o(p)
@@ -88,7 +88,7 @@
 	p.Drain()
 	p.cancel()
 	p.done.Wait()
-	p.ration.Round(p.id)
+	p.bucket.Round(p.id)
 }
 
 // Configure sets rules and endpoints from a configuration.
--- a/stand/scale/polls.go
+++ b/stand/scale/polls.go
@@ -13,7 +13,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/fifo"
-	"snipeshed/core/ration"
+	"snipeshed/core/bucket"
 	"snipeshed/io/engine"
 	"snipeshed/io/link"
 	"snipeshed/io/pool"
@@ -107,7 +107,7 @@
 	cfg := settings("")
 	o.link = link.New(cfg)
 	client := o.link.EngineClient()
-	limit := ration.New(ration.WithRate(cfg.GetPollBytesPerS()), ration.WithMeter(o.bytes))
+	limit := bucket.New(bucket.WithRate(cfg.GetPollBytesPerS()), bucket.WithMeter(o.bytes))
 	o.config = &core.Config{Endpoints: map[core.EndpointID]*wire.Endpoint{}}
 	o.ids = make([][]core.EndpointID, o.pools)
 	for i := range o.endpoints {
@@ -123,7 +123,7 @@
 	for i := range o.pools {
 		o.open = append(o.open, pool.New(shared, core.PoolID(fmt.Sprintf("model/%d", i)), fifo.New(),
 			func(address string) core.Runner { return engine.New(address, client) },
-			pool.WithPollInterval(time.Duration(cfg.GetLoadPollMs())*time.Millisecond), pool.WithRation(limit)))
+			pool.WithPollInterval(time.Duration(cfg.GetLoadPollMs())*time.Millisecond), pool.WithBucket(limit)))
 	}
 	return nil
 }
