--- a/stand/scale/polls.go
+++ b/stand/scale/polls.go
@@ -12,8 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"snipeshed/core"
-	"snipeshed/core/fifo"
 	"snipeshed/core/bucket"
+	"snipeshed/core/fifo"
 	"snipeshed/io/engine"
 	"snipeshed/io/link"
 	"snipeshed/io/pool"
