--- a/cmds/apply.go
+++ b/cmds/apply.go
@@ -9,6 +9,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"snipeshed/cmds/root"
 	"snipeshed/core"
 	"snipeshed/wire"
 )
@@ -40,7 +41,7 @@
 
 func apply(ctx context.Context, c *cli.Command) error {
 	if c.Args().Len() != 1 {
-		return usageError(c, "one ticket file is needed")
+		return root.UsageError(c, "one ticket file is needed")
 	}
 	cl, err := newClient(c)
 	if err != nil {
--- a/cmds/check.go
+++ b/cmds/check.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"snipeshed/cmds/root"
 	"snipeshed/conf"
 	"snipeshed/core"
 	"snipeshed/core/check"
@@ -27,7 +28,7 @@
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
 			if !c.IsSet("settings") && !c.IsSet("ticket") {
-				return usageError(c, "nothing to check; give --settings or --ticket")
+				return root.UsageError(c, "nothing to check; give --settings or --ticket")
 			}
 			if path := c.String("settings"); path != "" {
 				if _, err := conf.Load(path); err != nil {
--- a/cmds/compare.go
+++ b/cmds/compare.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 	"google.golang.org/protobuf/encoding/protojson"
 
+	"snipeshed/cmds/root"
 	"snipeshed/wire"
 )
 
@@ -24,7 +25,7 @@
 
 func compare(ctx context.Context, c *cli.Command) error {
 	if n := c.Args().Len(); n < 1 || n > 2 {
-		return usageError(c, "one or two ticket numbers are needed")
+		return root.UsageError(c, "one or two ticket numbers are needed")
 	}
 	from, err := numberArg(c, 0)
 	if err != nil {
--- a/cmds/list.go
+++ b/cmds/list.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"snipeshed/cmds/root"
 	"snipeshed/core/state"
 	"snipeshed/wire"
 )
@@ -33,7 +34,7 @@
 	}
 	after, limit := c.Uint64("after"), c.Int32("limit")
 	if limit < 1 {
-		return usageError(c, fmt.Sprintf("--limit has the value %d; use 1 to 100", limit))
+		return root.UsageError(c, fmt.Sprintf("--limit has the value %d; use 1 to 100", limit))
 	}
 	if !c.IsSet("after") {
 		resp, err := cl.Show(ctx, &wire.ShowRequest{})
--- /dev/null
+++ b/cmds/root/doc.go
@@ -0,0 +1,2 @@
+// Package root runs a command line with one-line errors and ends it at SIGTERM or SIGINT.
+package root
--- a/cmds/show.go
+++ b/cmds/show.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"snipeshed/cmds/root"
 	"snipeshed/core/state"
 	"snipeshed/wire"
 )
@@ -72,7 +73,7 @@
 	}
 	n, err := strconv.ParseUint(s, 10, 64)
 	if err != nil {
-		return 0, usageError(c, fmt.Sprintf("%q is not a ticket number", s))
+		return 0, root.UsageError(c, fmt.Sprintf("%q is not a ticket number", s))
 	}
 	return n, nil
 }
--- a/stand/cmds/app.go
+++ b/stand/cmds/app.go
@@ -16,7 +16,6 @@
 
 Admin calls: GET /admin/counts; POST /admin/refuse?on=true|false,
 /admin/slow?ms=n and /admin/lose_answers?count=n.`,
-		OnUsageError: usageError,
 		Flags: []cli.Flag{
 			addressFlag(),
 			&cli.DurationFlag{Name: "delay", Usage: "duration of each call", Validator: notNegativeDuration},
--- a/stand/cmds/platform.go
+++ b/stand/cmds/platform.go
@@ -18,7 +18,6 @@
 Admin calls: GET /admin/counts; POST /admin/outage?mode=none|refuse|hang,
 /admin/slow?ms=n, /admin/lose_answers?count=n&prefix=p, and /admin/instances
 with {"id","address","failure_domain","kind","state"}.`,
-		OnUsageError: usageError,
 		Flags: []cli.Flag{
 			addressFlag(),
 			&cli.FloatFlag{Name: "reads", Usage: "reads per second, 0 for no limit", Value: 2000, Validator: notNegative},
--- a/stand/cmds/runner.go
+++ b/stand/cmds/runner.go
@@ -22,7 +22,6 @@
 /admin/leaving?on=true|false and
 /admin/freeze?scope=engine|streams|all&on=true|false.
 A prompt with [output=120] gets 120 tokens; otherwise the seed decides.`,
-		OnUsageError: usageError,
 		Flags: []cli.Flag{
 			addressFlag(),
 			&cli.StringFlag{Name: "model", Usage: "model loaded at the start; without it an order has to load one"},
--- a/stand/cmds/scale.go
+++ b/stand/cmds/scale.go
@@ -13,10 +13,9 @@
 
 func scaleCommand() *cli.Command {
 	return &cli.Command{
-		Name:         "bench-scale",
-		Usage:        "measures the control plane of growing fleets in this process and prints key=value lines",
-		Description:  "Example: standin bench-scale --largest 64",
-		OnUsageError: usageError,
+		Name:        "bench-scale",
+		Usage:       "measures the control plane of growing fleets in this process and prints key=value lines",
+		Description: "Example: standin bench-scale --largest 64",
 		Flags: []cli.Flag{
 			&cli.IntFlag{Name: "largest", Usage: "instances of the largest fleet to measure", Value: 350, Validator: notNegativeInt},
 			&cli.IntSliceFlag{Name: "instances", Usage: "measure only the fleets of these sizes, such as 64,350"},
