--- /dev/null
+++ b/cmds/edge.go
@@ -0,0 +1,25 @@
+package cmds
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"snipeshed/edge"
+	"snipeshed/platform"
+)
+
+func edgeCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "edge",
+		Usage:       "runs one entry instance on the users' platform until SIGTERM, then stops gracefully",
+		Description: "Example: snipeshed edge --settings /etc/snipeshed/settings.json",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "settings", Usage: "path of the settings file", Required: true,
+			Sources: cli.EnvVars(platform.SettingsVariable),
+		}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return edge.Run(ctx, c.String("settings"), c.Root().Writer)
+		},
+	}
+}
--- a/conf/load.go
+++ b/conf/load.go
@@ -16,34 +16,47 @@
 
 // Load reads settings from a JSON file, fills in defaults and checks every value.
 func Load(path string) (*Settings, error) {
+	s := &Settings{}
+	if err := load(path, s); err != nil {
+		return nil, err
+	}
+	return s, checkLimits(path, s)
+}
+
+// load reads the settings of a message's fields from a JSON file, fills in defaults and checks every value.
+func load(path string, m proto.Message) error {
 	b, err := os.ReadFile(path)
 	if err != nil {
-		return nil, &core.Error{
+		return &core.Error{
 			Kind: core.KindBadRequest, Message: fmt.Sprintf("settings file %q cannot be read", path),
 			Remedy: "give the path of a readable JSON file with --settings", Run: core.RunNot, Cause: err,
 		}
 	}
-	return Parse(path, b)
+	return parse(path, b, m)
 }
 
 // Parse reads settings from JSON; name is used in errors.
 func Parse(name string, b []byte) (*Settings, error) {
 	s := &Settings{}
-	if err := protojson.Unmarshal(b, s); err != nil {
-		return nil, &core.Error{
+	if err := parse(name, b, s); err != nil {
+		return nil, err
+	}
+	return s, checkLimits(name, s)
+}
+
+func parse(name string, b []byte, m proto.Message) error {
+	if err := protojson.Unmarshal(b, m); err != nil {
+		return &core.Error{
 			Kind: core.KindBadRequest, Message: fmt.Sprintf("settings file %q is malformed", name),
 			Remedy: "run snipeshed settings for the list of settings and their types", Run: core.RunNot, Cause: err,
 		}
 	}
-	SetDefaults(s)
-	if err := Check(name, s); err != nil {
-		return nil, err
-	}
-	return s, nil
+	SetDefaults(m)
+	return checkFields(name, m)
 }
 
 // SetDefaults gives every unset field the default of its rule.
-func SetDefaults(s *Settings) {
+func SetDefaults(s proto.Message) {
 	m := s.ProtoReflect()
 	fields := m.Descriptor().Fields()
 	for i := 0; i < fields.Len(); i++ {
@@ -59,6 +72,12 @@
 				panic(fmt.Sprintf("default of setting %q is not a number", f.Name()))
 			}
 			m.Set(f, protoreflect.ValueOfInt64(n))
+		case protoreflect.DoubleKind:
+			n, err := strconv.ParseFloat(r.GetDefaultValue(), 64)
+			if err != nil {
+				panic(fmt.Sprintf("default of setting %q is not a number", f.Name()))
+			}
+			m.Set(f, protoreflect.ValueOfFloat64(n))
 		case protoreflect.StringKind:
 			m.Set(f, protoreflect.ValueOfString(r.GetDefaultValue()))
 		default:
@@ -69,6 +88,14 @@
 
 // Check verifies that required settings are given and that every value is in its range.
 func Check(name string, s *Settings) error {
+	if err := checkFields(name, s); err != nil {
+		return err
+	}
+	return checkLimits(name, s)
+}
+
+// checkFields verifies each setting by its rule.
+func checkFields(name string, s proto.Message) error {
 	m := s.ProtoReflect()
 	fields := m.Descriptor().Fields()
 	for i := 0; i < fields.Len(); i++ {
@@ -76,9 +103,11 @@
 			return err
 		}
 	}
-	if !validLevel(s.GetLogLevel()) {
-		return fieldError(name, "log_level", s.GetLogLevel(), "use debug, info, warn or error")
-	}
+	return nil
+}
+
+// checkLimits verifies settings that depend on each other.
+func checkLimits(name string, s *Settings) error {
 	if s.GetOpenBodyBytes() < s.GetMaxBodyBytes() {
 		return fieldError(name, "open_body_bytes", strconv.FormatInt(s.GetOpenBodyBytes(), 10),
 			fmt.Sprintf("use at least max_body_bytes, which is %d", s.GetMaxBodyBytes()))
@@ -94,6 +123,15 @@
 		return fieldError(name, field, "", "set it: "+r.GetDoc())
 	}
 	switch {
+	case field == levelField:
+		if !validLevel(v.String()) {
+			return fieldError(name, field, v.String(), "use debug, info, warn or error")
+		}
+	case f.Kind() == protoreflect.DoubleKind:
+		if n := v.Float(); n < float64(r.GetMin()) || (r.GetMax() > 0 && n > float64(r.GetMax())) {
+			return fieldError(name, field, strconv.FormatFloat(n, 'g', -1, 64),
+				fmt.Sprintf("use %d to %d %s", r.GetMin(), r.GetMax(), r.GetUnit()))
+		}
 	case f.Kind() == protoreflect.Int64Kind:
 		if n := v.Int(); n < r.GetMin() || (r.GetMax() > 0 && n > r.GetMax()) {
 			return fieldError(name, field, strconv.FormatInt(n, 10),
@@ -109,6 +147,7 @@
 		if v.String() != "" && net.ParseIP(v.String()) == nil {
 			return fieldError(name, field, v.String(), "use an IP number, such as 127.0.0.1, or leave it out")
 		}
+	case r.GetUnit() == addressUnit && v.String() == "" && !r.GetRequired():
 	case r.GetUnit() == addressUnit:
 		return checkAddress(name, field, v.String())
 	}
@@ -116,6 +155,7 @@
 }
 
 const (
+	levelField  = "log_level"
 	addressUnit = "host:port"
 	sourceUnit  = "IP number"
 )
--- /dev/null
+++ b/core/entry.go
@@ -0,0 +1,186 @@
+package core
+
+import (
+	"net/http"
+	"time"
+)
+
+// AttemptID names one attempt of a caller; a caller's next attempt has another.
+type AttemptID string
+
+// RouteKind says what may be repeated on a route.
+type RouteKind int
+
+// Values of RouteKind.
+const (
+	// KindProtected calls run at most once.
+	KindProtected RouteKind = iota
+	// KindIdempotent calls may run more than once.
+	KindIdempotent
+	// KindStream calls answer with a stream of events and run at most once unless the route is resumable.
+	KindStream
+)
+
+// RouteTarget is a service that takes a share of a route's calls.
+type RouteTarget struct {
+	Service ServiceName
+	Weight  int
+}
+
+// Route says where the calls of a host and path prefix go.
+type Route struct {
+	Name      string
+	Host      string
+	Prefix    string
+	Kind      RouteKind
+	Resumable bool
+	Anonymous bool
+	// Rank orders routes by urgency; 0 is the most urgent.
+	Rank        int
+	Timeout     time.Duration
+	Objective   time.Duration
+	Pause       time.Duration // longest pause between two events of an answer that is still on time
+	MaxAttempts int
+	Targets     []RouteTarget
+}
+
+// Repeatable reports whether a call of the route may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == KindIdempotent || (r.Kind == KindStream && r.Resumable)
+}
+
+// EngineLimits describes the model engines of a service.
+type EngineLimits struct {
+	Slots    int
+	Capacity Tokens // memory of one engine
+	Moves    bool   // running generations can be moved
+	Backups  bool   // engines can send the memory of a generation to a second engine as it grows
+	// TokenBytes and LinkMbps give the time that a copy of a generation's memory takes.
+	TokenBytes int64
+	LinkMbps   float64
+}
+
+// Service is a set of endpoints that serve the same calls.
+type Service struct {
+	Name           ServiceName
+	MaxConnections int
+	Engine         *EngineLimits // nil for plain services
+}
+
+// CallerLimits bounds what a caller may send.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Team is a team and its keys.
+type Team struct {
+	Name TeamName
+	Keys []string
+	// Rank takes precedence over the rank of a route when it is set.
+	Rank *int
+}
+
+// Rules is one version of the configuration that operators write.
+type Rules struct {
+	Version  Version
+	Routes   []Route
+	Services map[ServiceName]Service
+	Limits   CallerLimits
+	Teams    []Team
+}
+
+// Endpoint is what the store says of an endpoint.
+type Endpoint struct {
+	ID       EndpointID
+	Service  ServiceName
+	Address  string
+	Domain   FailureDomain
+	Slots    int
+	Draining bool
+	// Warmup is how much longer the endpoint is slow after its start.
+	Warmup time.Duration
+	// Started orders the lives of an endpoint under one id, in Unix ms.
+	Started int64
+}
+
+// Inbound is what an entry learns from the headers of a caller's request.
+type Inbound struct {
+	ID           AttemptID
+	Deadline     time.Duration // 0 when the caller names none
+	Key          string
+	Keys         int // number of key headers
+	Model        ModelName
+	PromptTokens Tokens
+	MaxTokens    Tokens
+	LengthHint   Tokens
+	LastEvent    string
+	// Parts are the ids and sizes of the prompt's parts, in order.
+	Parts []PromptPart
+}
+
+// PromptPart is a part of a prompt that other prompts may share.
+type PromptPart struct {
+	ID     string
+	Tokens Tokens
+}
+
+// Outbound is what an entry adds to a request for an endpoint.
+type Outbound struct {
+	Left      time.Duration // time until the call's deadline
+	Endpoint  EndpointID
+	Team      TeamName
+	Urgency   int
+	Backup    string // address of the engine that keeps a copy of the generation's memory
+	From      string // where the memory of the generation is: address/handle
+	LastEvent string
+}
+
+// Reply is what an entry learns from the headers of an endpoint's answer.
+type Reply struct {
+	ID AttemptID
+	// NotRun means that the endpoint states that it did not run the call and never will.
+	NotRun bool
+	// Misdirected means that another endpoint has the address.
+	Misdirected bool
+	// Sealed means that the answer carries the endpoint's digest.
+	Sealed bool
+	// IdleTimeout is how long the endpoint keeps the connection open; 0 when it does not say.
+	IdleTimeout time.Duration
+}
+
+// Codec translates the headers that callers, entries and endpoints exchange.
+type Codec interface {
+	// Inbound decodes a caller's request.
+	Inbound(r *http.Request) Inbound
+	// Outbound returns the headers that an endpoint gets.
+	Outbound(r *http.Request, out Outbound) http.Header
+	// Reply decodes an endpoint's answer.
+	Reply(resp *http.Response) Reply
+	// Refusal sets the headers of an answer that the system gives by itself.
+	Refusal(h http.Header, id AttemptID, retryAfter time.Duration)
+}
+
+// Moved is the result of copying a generation's memory.
+type Moved struct {
+	Handle string
+	Events int // events generated when the copy was complete
+}
+
+// Mover moves running generations between engines.
+type Mover interface {
+	// Move copies the memory of a generation from one engine to another; final stops the generation first.
+	Move(source, target Endpoint, id AttemptID, final bool) (Moved, error)
+	// Drop frees a copy at the engine that sent it.
+	Drop(source Endpoint, handle string)
+}
+
+// Decoder reads the objects of the store.
+type Decoder interface {
+	// Rules decodes a configuration.
+	Rules(raw []byte) (*Rules, error)
+	// Endpoint decodes the entry of an endpoint.
+	Endpoint(id EndpointID, raw []byte) (Endpoint, error)
+}
--- /dev/null
+++ b/core/place/doc.go
@@ -0,0 +1,2 @@
+// Package place chooses the endpoint of a call and the engine that keeps a copy of a generation.
+package place
--- /dev/null
+++ b/core/place/place.go
@@ -0,0 +1,144 @@
+package place
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/core/fleet"
+	"snipeshed/core/tally"
+)
+
+const (
+	// readPerMs is the speed at which a busy engine reads prompts, in tokens per ms.
+	readPerMs = 7
+	// fullShare is the share of an engine's memory up to which generations are placed.
+	fullShare = 0.92
+	// copyShare is the share of an engine's memory up to which copies of other engines' generations are placed.
+	copyShare = 0.70
+	// fullWaitMs ranks engines without room behind all others.
+	fullWaitMs = 20_000
+	// memoryWaitMs weighs a full engine's memory against the delay of prompts, so that generations spread.
+	memoryWaitMs = 900
+	warmupWaitMs = 400
+	// failureWaitMs is the cost of an endpoint that fails every call, against one that fails as often as the others.
+	failureWaitMs = 2000
+	// priorOutcomes is the number of successful calls that an endpoint is credited with, so that one failure says little.
+	priorOutcomes = 3
+	// otherDomainMs prefers an endpoint of the own failure domain between equals.
+	otherDomainMs = 2
+	// callWaitMs is the delay that one more call at a plain service adds, per slot.
+	callWaitMs = 100
+)
+
+// Demand is what a call needs at an endpoint.
+type Demand struct {
+	Tokens core.Tokens // memory, by forecast; 0 for plain services
+	Unread core.Tokens // prompt tokens
+}
+
+// Place chooses endpoints for the calls of one instance.
+type Place struct {
+	domain core.FailureDomain
+	tally  *tally.Tally
+	draw   func() float64
+}
+
+// New returns a Place for an instance of a failure domain.
+func New(domain core.FailureDomain, t *tally.Tally) *Place {
+	return &Place{domain: domain, tally: t, draw: rand.Float64}
+}
+
+// Choose returns the endpoint where a call is expected to begin first, or nil; tried ones and those that leave are left out.
+func (p *Place) Choose(now time.Time, s core.Service, all []*fleet.Status, d Demand, tried map[core.EndpointID]bool) *fleet.Status {
+	failures := p.failures(now, all)
+	var best *fleet.Status
+	var least float64
+	for i, e := range all {
+		if tried[e.ID] || e.Leaving {
+			continue
+		}
+		cost := p.cost(now, s, e, d) + failureWaitMs*failures[i] + p.draw()
+		if best == nil || cost < least {
+			best, least = e, cost
+		}
+	}
+	return best
+}
+
+// cost is the expected delay of a call in ms, and what it costs the others.
+func (p *Place) cost(now time.Time, s core.Service, e *fleet.Status, d Demand) float64 {
+	u := p.tally.Of(now, e.ID)
+	cost := 0.0
+	if e.Domain != p.domain {
+		cost += otherDomainMs
+	}
+	if s.Engine == nil {
+		return cost + callWaitMs*float64(u.Calls)/float64(max(e.Slots, 1))
+	}
+	if now.Before(e.Warm) {
+		cost += warmupWaitMs
+	}
+	share := float64(u.Tokens+d.Tokens) / float64(max(s.Engine.Capacity, 1))
+	if share > fullShare || u.Calls >= s.Engine.Slots {
+		cost += fullWaitMs * share
+	}
+	return cost + float64(u.Unread)/readPerMs + memoryWaitMs*share
+}
+
+// failures returns for each endpoint by how much it fails more often than the endpoints of its service on average.
+func (p *Place) failures(now time.Time, all []*fleet.Status) []float64 {
+	rates := make([]float64, len(all))
+	failed, ended := 0, 0
+	for i, e := range all {
+		u := p.tally.Of(now, e.ID)
+		rates[i] = float64(u.Failed) / float64(u.Ended+priorOutcomes)
+		failed += u.Failed
+		ended += u.Ended
+	}
+	mean := float64(failed) / float64(ended+priorOutcomes)
+	for i := range rates {
+		rates[i] = max(rates[i]-1.5*mean, 0)
+	}
+	return rates
+}
+
+// Copy returns the engine that shall keep a copy of a generation that runs at source, or nil when none has room.
+func (p *Place) Copy(now time.Time, s core.Service, all []*fleet.Status, source core.Endpoint, d Demand) *fleet.Status {
+	var best *fleet.Status
+	var least float64
+	for _, e := range all {
+		if e.Leaving || e.ID == source.ID || now.Before(e.Warm) {
+			continue
+		}
+		u := p.tally.Of(now, e.ID)
+		share := float64(u.Tokens+d.Tokens) / float64(max(s.Engine.Capacity, 1))
+		if share > copyShare || u.Calls >= s.Engine.Slots {
+			continue
+		}
+		if e.Domain != source.Domain {
+			share *= 1.5 // copies between failure domains take twice as long
+		}
+		if best == nil || share < least {
+			best, least = e, share
+		}
+	}
+	return best
+}
+
+// Full reports whether no endpoint that stays has room for a call.
+func (p *Place) Full(now time.Time, s core.Service, all []*fleet.Status, d Demand) bool {
+	if s.Engine == nil {
+		return false
+	}
+	for _, e := range all {
+		if e.Leaving {
+			continue
+		}
+		u := p.tally.Of(now, e.ID)
+		if float64(u.Tokens+d.Tokens) <= fullShare*float64(s.Engine.Capacity) && u.Calls < s.Engine.Slots {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/core/tally/tally.go
@@ -0,0 +1,174 @@
+package tally
+
+import (
+	"sync"
+	"time"
+
+	"snipeshed/core"
+)
+
+const (
+	// peerAge is the age at which another instance's report no longer counts.
+	peerAge = 1500 * time.Millisecond
+	// outcomeSpan is the time over which outcomes are counted, in two halves.
+	outcomeSpan = 4 * time.Second
+)
+
+// Use is what is in flight at an endpoint.
+type Use struct {
+	Calls  int
+	Tokens core.Tokens // memory, by forecast
+	Unread core.Tokens // prompt tokens of calls that have sent no event yet
+	Failed int         // calls that failed in the last seconds
+	Ended  int         // calls that ended in the last seconds
+}
+
+func (u *Use) add(v Use) {
+	u.Calls += v.Calls
+	u.Tokens += v.Tokens
+	u.Unread += v.Unread
+	u.Failed += v.Failed
+	u.Ended += v.Ended
+}
+
+// Tally is safe for concurrent use.
+type Tally struct {
+	mu    sync.Mutex
+	own   map[core.EndpointID]*own
+	peers map[core.InstanceID]peer
+	sums  map[core.EndpointID]Use // of the peers' reports, rebuilt on change
+	next  time.Time               // when the oldest report in sums expires
+
+	changes uint64
+}
+
+// own is this instance's part; outcomes are kept in two halves of outcomeSpan.
+type own struct {
+	Use
+	turned time.Time
+	before Use
+}
+
+type peer struct {
+	at   time.Time
+	uses map[core.EndpointID]Use
+}
+
+// New returns an empty Tally.
+func New() *Tally {
+	return &Tally{own: map[core.EndpointID]*own{}, peers: map[core.InstanceID]peer{}, sums: map[core.EndpointID]Use{}}
+}
+
+// Add changes this instance's calls, tokens and unread tokens at an endpoint.
+func (t *Tally) Add(id core.EndpointID, u Use) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.changes++
+	t.at(id).add(Use{Calls: u.Calls, Tokens: u.Tokens, Unread: u.Unread})
+}
+
+// End counts the outcome of a call.
+func (t *Tally) End(now time.Time, id core.EndpointID, failed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	o := t.at(id)
+	o.turn(now)
+	o.Ended++
+	if failed {
+		o.Failed++
+	}
+}
+
+func (t *Tally) at(id core.EndpointID) *own {
+	o := t.own[id]
+	if o == nil {
+		o = &own{}
+		t.own[id] = o
+	}
+	return o
+}
+
+// turn moves outcomes of the last half span to before, and drops older ones.
+func (o *own) turn(now time.Time) {
+	if now.Sub(o.turned) < outcomeSpan/2 {
+		return
+	}
+	o.before = Use{}
+	if now.Sub(o.turned) < outcomeSpan {
+		o.before = Use{Failed: o.Failed, Ended: o.Ended}
+	}
+	o.Failed, o.Ended, o.turned = 0, 0, now
+}
+
+func (o *own) total(now time.Time) Use {
+	o.turn(now)
+	u := o.Use
+	u.Failed += o.before.Failed
+	u.Ended += o.before.Ended
+	return u
+}
+
+// Changes returns a number that is higher after each change of what this instance has in flight.
+func (t *Tally) Changes() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changes
+}
+
+// Own returns this instance's uses that are not empty.
+func (t *Tally) Own(now time.Time) map[core.EndpointID]Use {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[core.EndpointID]Use, len(t.own))
+	for id, o := range t.own {
+		u := o.total(now)
+		if u == (Use{}) {
+			delete(t.own, id)
+			continue
+		}
+		out[id] = u
+	}
+	return out
+}
+
+// Report takes what another instance has in flight, in place of its report before.
+func (t *Tally) Report(now time.Time, from core.InstanceID, uses map[core.EndpointID]Use) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[from] = peer{at: now, uses: uses}
+	t.sum(now)
+}
+
+// sum adds up the reports that still count.
+func (t *Tally) sum(now time.Time) {
+	clear(t.sums)
+	t.next = now.Add(peerAge)
+	for id, p := range t.peers {
+		if now.Sub(p.at) > peerAge {
+			delete(t.peers, id)
+			continue
+		}
+		if end := p.at.Add(peerAge); end.Before(t.next) {
+			t.next = end
+		}
+		for ep, u := range p.uses {
+			s := t.sums[ep]
+			s.add(u)
+			t.sums[ep] = s
+		}
+	}
+}
+
+// Of returns what all instances have in flight at an endpoint.
+func (t *Tally) Of(now time.Time, id core.EndpointID) Use {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.After(t.next) {
+		t.sum(now)
+	}
+	u := t.sums[id]
+	if o := t.own[id]; o != nil {
+		u.add(o.total(now))
+	}
+	return u
+}
--- /dev/null
+++ b/edge/doc.go
@@ -0,0 +1,2 @@
+// Package edge runs one entry instance on the users' platform.
+package edge
--- /dev/null
+++ b/edge/run.go
@@ -0,0 +1,40 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"snipeshed/conf"
+)
+
+// Run runs an instance until ctx ends or SIGTERM arrives.
+func Run(ctx context.Context, path string, out io.Writer) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a reader of the log that went away must not end the process
+	cfg, err := conf.LoadEdge(path)
+	if err != nil {
+		return err
+	}
+	e, err := New(cfg, out)
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			e.Stop()
+			return nil
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				e.Reload(conf.LoadEdge(path))
+				continue
+			}
+			e.Stop()
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/io/dial/conn.go
@@ -0,0 +1,77 @@
+package dial
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	readBuffer = 4 << 10
+	// unackedTimeout ends a connection whose other end acknowledges nothing.
+	unackedTimeout = 1500 * time.Millisecond
+)
+
+// conn is a connection to an endpoint that carries one request at a time.
+type conn struct {
+	net.Conn
+	br      *bufio.Reader
+	written atomic.Int64 // bytes of the current request
+	idle    time.Time    // when the last answer ended
+	keep    time.Duration
+}
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer), keep: defaultKeep}
+}
+
+// Write counts the bytes that the kernel took.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// usable reports whether an idle connection is still open and has received nothing since its last answer.
+func (c *conn) usable(now time.Time, maxIdle time.Duration) bool {
+	if now.Sub(c.idle) > min(c.keep, maxIdle) || c.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var readErr error
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		var n int
+		n, readErr = syscall.Read(int(fd), b[:])
+		if n > 0 {
+			readErr = errUnsolicited
+		} else if n == 0 && readErr == nil {
+			readErr = io.EOF
+		}
+		return true
+	})
+	return err == nil && errors.Is(readErr, syscall.EAGAIN)
+}
+
+var errUnsolicited = errors.New("the endpoint sent bytes after its answer")
+
+// tune sets the options that find connections that went silent.
+func tune(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		// A system without the option still has the deadlines of the calls.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
+	})
+}
--- /dev/null
+++ b/io/dial/error.go
@@ -0,0 +1,24 @@
+package dial
+
+import "fmt"
+
+// Error is a call that has no answer.
+type Error struct {
+	// Written is the number of bytes of the request that may have reached the endpoint.
+	Written int64
+	Cause   error
+}
+
+// Error says whether the endpoint may have run the call.
+func (e *Error) Error() string {
+	if e.Written == 0 {
+		return fmt.Sprintf("nothing was sent: %v; the call can go to another endpoint", e.Cause)
+	}
+	return fmt.Sprintf("no answer after %d bytes were sent: %v; the endpoint may have run the call", e.Written, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// MayHaveRun reports whether the endpoint may have run the call.
+func (e *Error) MayHaveRun() bool { return e.Written > 0 }
--- /dev/null
+++ b/io/event/kind.go
@@ -0,0 +1,35 @@
+package event
+
+// Kind names an event.
+type Kind string
+
+// Kinds of events; docs/OPERATIONS.md explains each.
+const (
+	Started       Kind = "started"
+	Reloaded      Kind = "reloaded"
+	Stopping      Kind = "stopping"
+	Stopped       Kind = "stopped"
+	LinesDropped  Kind = "lines_dropped"
+	StoreLost     Kind = "store_lost"
+	StoreRegained Kind = "store_regained"
+	WatchBegan    Kind = "watch_began"
+	WatchEnded    Kind = "watch_ended"
+	PeerFound     Kind = "peer_found"
+	PeerLost      Kind = "peer_lost"
+	RulesTaken    Kind = "rules_taken"
+	RulesPassed   Kind = "rules_passed_over"
+	EndpointTaken Kind = "endpoint_taken"
+	EndpointLeft  Kind = "endpoint_leaving"
+	EndpointBad   Kind = "endpoint_unreadable"
+	Refused       Kind = "refused"
+	Failed        Kind = "failed"
+	Answered      Kind = "answered"
+	Routed        Kind = "routed"
+	Repeated      Kind = "repeated"
+	NotRepeated   Kind = "not_repeated"
+	Moving        Kind = "moving"
+	Resumed       Kind = "resumed"
+	NotResumed    Kind = "not_resumed"
+	Cut           Kind = "cut"
+	CallerLeft    Kind = "caller_left"
+)
--- /dev/null
+++ b/io/gate/gate.go
@@ -0,0 +1,216 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/core/allow"
+	"snipeshed/core/fleet"
+	"snipeshed/core/place"
+	"snipeshed/core/route"
+	"snipeshed/core/tally"
+	"snipeshed/io/dial"
+	"snipeshed/io/event"
+	"snipeshed/io/news"
+)
+
+// Parts are what a Gate works with.
+type Parts struct {
+	Codec core.Codec
+	Mover core.Mover
+	News  *news.News
+	Fleet *fleet.Fleet
+	Tally *tally.Tally
+	Place *place.Place
+	Allow *allow.Allow
+	Dial  *dial.Dial
+	Log   *event.Log
+	Meter *Meter
+	// Instances returns the number of live instances.
+	Instances func() int
+}
+
+// Gate serves callers.
+type Gate struct {
+	Parts
+	streams   *registry
+	bodyBytes atomic.Int64 // bodies held
+	maxBody   int64        // bound of bodyBytes
+}
+
+// New returns a Gate that holds at most maxBody bytes of bodies.
+func New(p Parts, maxBody int64) *Gate {
+	return &Gate{Parts: p, streams: newRegistry(), maxBody: maxBody}
+}
+
+// Leaving tells the streams of an endpoint that it leaves.
+func (g *Gate) Leaving(id core.EndpointID) {
+	g.Dial.Forget(id)
+	n := g.streams.tell(id)
+	g.Log.Emit(event.EndpointLeft, event.Fields{"endpoint": id, "streams": n})
+}
+
+// call is one request of a caller.
+type call struct {
+	core.Inbound
+	g       *Gate
+	w       http.ResponseWriter
+	r       *http.Request
+	ctx     context.Context
+	start   time.Time
+	end     time.Time // no answer is of use to the caller after it
+	route   *route.Table
+	rule    *core.Route
+	team    *core.Team
+	service core.Service
+	body    []byte
+	tried   map[core.EndpointID]bool
+	sends   int
+	sentTo  core.EndpointID
+	outcome string
+	// mayHaveRun is set once an endpoint that does not deny it may have run the call.
+	mayHaveRun bool
+}
+
+// ServeHTTP answers one request.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{
+		Inbound: g.Codec.Inbound(r), g: g, w: w, r: r, start: time.Now(), tried: map[core.EndpointID]bool{},
+	}
+	g.Meter.Open.Add(1)
+	defer c.ended()
+	if !c.admit() {
+		return
+	}
+	ctx, cancel := context.WithDeadlineCause(r.Context(), c.end, errDeadline)
+	defer cancel()
+	c.ctx = ctx
+	if !c.readBody() {
+		return
+	}
+	defer g.bodyBytes.Add(-int64(len(c.body)))
+	g.Allow.Call(c.start, c.service.Name)
+	if c.rule.Kind == core.KindStream {
+		c.stream()
+	} else {
+		c.plain()
+	}
+}
+
+// ended counts the call; it also runs when the connection is aborted.
+func (c *call) ended() {
+	c.g.Meter.Open.Add(-1)
+	if c.rule != nil {
+		c.g.Meter.Ended(c.service.Name, c.rule.Kind, c.teamName(), c.outcome, time.Since(c.start))
+	}
+}
+
+var errDeadline = errors.New("the call's deadline has passed")
+
+// defaultTimeout applies where neither the caller nor the route names one.
+const defaultTimeout = time.Minute
+
+// admit finds the route and the team and reports whether the call may go on.
+func (c *call) admit() bool {
+	table := c.g.News.Table()
+	if table == nil || !c.g.News.Known() {
+		c.refuse(reasonNotReady, startRetry)
+		return false
+	}
+	c.route = table
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	c.rule = table.Find(c.r.Host, path)
+	if c.rule == nil {
+		c.deny(http.StatusNotFound, "no route has this host and path")
+		return false
+	}
+	if table.NeedsKey(c.rule) {
+		if c.team = table.Team(c.Key); c.team == nil || c.Keys != 1 {
+			c.deny(http.StatusUnauthorized, "no team holds the key")
+			return false
+		}
+	}
+	c.service = table.Services[route.Pick(c.rule, rand.Float64())]
+	c.setDeadlines()
+	return true
+}
+
+func (c *call) setDeadlines() {
+	timeout := c.rule.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	c.end = c.start.Add(timeout)
+	if c.Deadline > 0 && c.Deadline < timeout {
+		c.end = c.start.Add(c.Deadline)
+	}
+}
+
+func (c *call) teamName() core.TeamName {
+	if c.team == nil {
+		return ""
+	}
+	return c.team.Name
+}
+
+// readBody reads the whole body, so that the call can be sent again where that is allowed.
+func (c *call) readBody() bool {
+	limit := c.route.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	if c.r.ContentLength > limit {
+		c.deny(http.StatusRequestEntityTooLarge, "the body is larger than the configuration allows")
+		return false
+	}
+	if c.g.bodyBytes.Load() > c.g.maxBody {
+		c.refuse(reasonMemory, busyRetry)
+		return false
+	}
+	rc := http.NewResponseController(c.w)
+	_ = rc.SetReadDeadline(c.end) // a connection without deadlines is bounded by the context
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	_ = rc.SetReadDeadline(time.Time{})
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		c.deny(http.StatusRequestEntityTooLarge, "the body is larger than the configuration allows")
+		return false
+	case err != nil:
+		c.g.Log.Request(event.CallerLeft, c.ID, event.Fields{"while": "reading the body", "error": err})
+		panic(http.ErrAbortHandler)
+	}
+	c.body = body
+	c.g.bodyBytes.Add(int64(len(body)))
+	return true
+}
+
+const defaultBodyBytes = 4 << 20
+
+// request returns what an endpoint gets.
+func (c *call) request(out core.Outbound) *dial.Request {
+	out.Left = time.Until(c.end)
+	out.Team = c.teamName()
+	idle := idempotentIdle
+	if !c.rule.Repeatable() {
+		idle = protectedIdle
+	}
+	return &dial.Request{
+		ID: c.ID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
+		Header: c.g.Codec.Outbound(c.r, out), Body: c.body, MaxIdle: idle,
+	}
+}
+
+const (
+	// protectedIdle bounds the idle time of a connection that carries a call which cannot be repeated: the longer a
+	// connection was idle, the likelier the endpoint closes it as the request arrives, which leaves the outcome unknown.
+	protectedIdle  = 800 * time.Millisecond
+	idempotentIdle = 10 * time.Second
+)
--- /dev/null
+++ b/io/gate/meter.go
@@ -0,0 +1,122 @@
+package gate
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"snipeshed/core"
+)
+
+const (
+	lowestMicros  = 1
+	highestMicros = int64(time.Minute / time.Microsecond)
+	digits        = 1
+	// maxSeries bounds the teams and services that are counted one by one.
+	maxSeries = 512
+)
+
+// Meter counts what callers see, by service, kind of call, team and outcome.
+type Meter struct {
+	Open atomic.Int64
+
+	mu        sync.Mutex
+	counts    map[string]int64
+	latencies map[string]*hdrhistogram.Histogram
+	extra     []func(add func(name string, value int64))
+}
+
+// NewMeter returns a Meter.
+func NewMeter() *Meter {
+	return &Meter{counts: map[string]int64{}, latencies: map[string]*hdrhistogram.Histogram{}}
+}
+
+var kindNames = map[core.RouteKind]string{
+	core.KindProtected: "protected", core.KindIdempotent: "idempotent", core.KindStream: "stream",
+}
+
+// Ended counts a call; d is the time from its arrival to the end of its answer.
+func (m *Meter) Ended(s core.ServiceName, k core.RouteKind, team core.TeamName, outcome string, d time.Duration) {
+	if outcome == "" {
+		outcome = "aborted"
+	}
+	service := fmt.Sprintf("service=%q,kind=%q", s, kindNames[k])
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.count(fmt.Sprintf("calls_total{%s,outcome=%q}", service, outcome))
+	m.count(fmt.Sprintf("team_calls_total{team=%q,outcome=%q}", team, outcome))
+	m.record(fmt.Sprintf("latency_us{%s,outcome=%q", service, outcome), d)
+}
+
+// First records the time from the arrival of a stream's call to its first event.
+func (m *Meter) First(s core.ServiceName, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.record(fmt.Sprintf("first_event_us{service=%q", s), d)
+}
+
+// Pause records the time between two events of a stream.
+func (m *Meter) Pause(s core.ServiceName, d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.record(fmt.Sprintf("pause_us{service=%q", s), d)
+}
+
+// Count adds one to a counter of decisions.
+func (m *Meter) Count(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.count(fmt.Sprintf("decisions_total{decision=%q}", name))
+}
+
+func (m *Meter) count(name string) {
+	if _, ok := m.counts[name]; ok || len(m.counts) < maxSeries {
+		m.counts[name]++
+	}
+}
+
+func (m *Meter) record(name string, d time.Duration) {
+	h := m.latencies[name]
+	if h == nil {
+		if len(m.latencies) >= maxSeries {
+			return
+		}
+		h = hdrhistogram.New(lowestMicros, highestMicros, digits)
+		m.latencies[name] = h
+	}
+	_ = h.RecordValue(min(max(d.Microseconds(), lowestMicros), highestMicros)) // the value is clamped to the range
+}
+
+// Gauge adds a function that reports values when the metrics are read.
+func (m *Meter) Gauge(fn func(add func(name string, value int64))) { m.extra = append(m.extra, fn) }
+
+// ServeHTTP writes all values as text, one per line.
+func (m *Meter) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	var lines []string
+	add := func(name string, value int64) { lines = append(lines, fmt.Sprintf("snipeshed_%s %d", name, value)) }
+	add("open_calls", m.Open.Load())
+	for _, fn := range m.extra {
+		fn(add)
+	}
+	m.mu.Lock()
+	for name, n := range m.counts {
+		add(name, n)
+	}
+	for name, h := range m.latencies {
+		for _, q := range []float64{50, 95, 99} {
+			add(fmt.Sprintf("%s,quantile=\"%g\"}", name, q/100), h.ValueAtQuantile(q))
+		}
+		add(name+",quantile=\"1\"}", h.Max())
+		add(strings.Replace(name, "_us{", "_us_count{", 1)+"}", h.TotalCount())
+	}
+	m.mu.Unlock()
+	sort.Strings(lines)
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	fmt.Fprintln(w, strings.Join(lines, "\n"))
+}
--- /dev/null
+++ b/io/gate/move.go
@@ -0,0 +1,267 @@
+package gate
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/core/place"
+	"snipeshed/core/tally"
+	"snipeshed/io/event"
+)
+
+const (
+	// switchAfter and switchSpread give the time from the notice of a leaving engine to the resumption of its
+	// generations where their copies are; until then they go on in place, and shorter ones end there.
+	switchAfter  = 500 * time.Millisecond
+	switchSpread = 500 * time.Millisecond
+	// moveRetry is the time until a refused move is tried again.
+	moveRetry = 100 * time.Millisecond
+	// moveTries bounds the moves of one generation off one engine.
+	moveTries = 12
+)
+
+// movement is the state of moving a generation off its engine.
+type movement struct {
+	source  core.Endpoint
+	target  core.Endpoint
+	at      time.Time // when the next step is due
+	busy    bool      // a call to the source is under way
+	final   bool      // that call stops the generation
+	stopped bool      // the generation has stopped, or is about to, and waits to be resumed
+	handle  string    // of a complete copy at target
+	tries   int
+	memory  core.Tokens // counted at target
+}
+
+// idle reports whether no step is under way or due.
+func (m *movement) idle() bool { return !m.busy && !m.stopped && m.at.IsZero() }
+
+// copied reports whether the target holds a complete copy.
+func (m *movement) copied() bool { return m.handle != "" }
+
+// release stops counting the memory of the copy.
+func (m *movement) release(g *Gate) {
+	if m.memory > 0 {
+		g.Tally.Add(m.target.ID, tally.Use{Calls: -1, Tokens: -m.memory})
+		m.memory = 0
+	}
+}
+
+// done forgets a movement after the stream has gone on elsewhere.
+func (m *movement) done(g *Gate) {
+	m.release(g)
+	*m = movement{}
+}
+
+// moved is the outcome of a call to the source.
+type moved struct {
+	source core.EndpointID
+	final  bool
+	core.Moved
+	err error
+}
+
+// onNotice begins to move the generation when its engine leaves.
+func (s *stream) onNotice() {
+	l := s.current
+	if l == nil {
+		l = s.pending
+	}
+	if l == nil || s.rule.Resumable || s.service.Engine == nil || !s.move.idle() {
+		return
+	}
+	e := s.g.Fleet.Get(l.endpoint.ID)
+	if e == nil || !e.Leaving {
+		return
+	}
+	now := time.Now()
+	s.move = movement{source: l.endpoint, at: now}
+	if s.backupUsable(l) {
+		s.move.at = e.Since.Add(switchAfter + rand.N(switchSpread))
+	}
+	s.g.Log.Request(event.Moving, s.ID, event.Fields{
+		"endpoint": l.endpoint.ID, "cause": "the endpoint leaves", "notice_age_ms": now.Sub(e.Since).Milliseconds(),
+		"events": s.events, "backup": backupID(l), "wait_ms": s.move.at.Sub(now).Milliseconds(),
+	})
+	s.arm()
+}
+
+func (s *stream) backupUsable(l *leg) bool {
+	if l.backup == nil {
+		return false
+	}
+	e := s.g.Fleet.Get(l.backup.ID)
+	return e != nil && !e.Leaving
+}
+
+// moveOn takes the next step of a movement.
+func (s *stream) moveOn() {
+	if s.current == nil && s.pending == nil {
+		return
+	}
+	if s.current != nil && s.pending == nil && s.events > 0 && s.resumeFromBackup() {
+		return
+	}
+	if s.service.Engine.Moves {
+		s.startMove()
+	}
+}
+
+// resumeFromBackup resumes the stream where a copy of its generation is kept; the current leg goes on until the answer.
+func (s *stream) resumeFromBackup() bool {
+	l := s.current
+	if !s.backupUsable(l) {
+		return false
+	}
+	backup := *l.backup
+	s.g.Tally.Add(backup.ID, tally.Use{Tokens: -s.memory})
+	l.backup = nil
+	return s.resumeAt(backup, backup.Address+"/"+string(s.ID))
+}
+
+// resumeAt sends the call to an endpoint that holds the generation's memory.
+func (s *stream) resumeAt(target core.Endpoint, from string) bool {
+	e := s.g.Fleet.Get(target.ID)
+	if e == nil || time.Now().After(s.end) {
+		return false
+	}
+	s.g.Allow.Force(time.Now(), s.service.Name)
+	s.open(target, from, nil)
+	return true
+}
+
+// startMove copies the generation to another engine, while it goes on.
+func (s *stream) startMove() {
+	if s.move.tries++; s.move.tries > moveTries {
+		return
+	}
+	source := s.move.source
+	now := time.Now()
+	e := s.g.Place.Choose(now, s.service, s.g.Fleet.Of(s.service.Name), place.Demand{Tokens: s.memory}, map[core.EndpointID]bool{source.ID: true})
+	if e == nil {
+		s.move.at = now.Add(moveRetry)
+		return
+	}
+	s.move.release(s.g)
+	s.move.target, s.move.memory = e.Endpoint, s.memory
+	s.g.Tally.Add(e.ID, tally.Use{Calls: 1, Tokens: s.memory})
+	s.callMove(false)
+}
+
+// callMove asks the source to copy; the outcome arrives on s.moved.
+func (s *stream) callMove(final bool) {
+	s.move.busy, s.move.final = true, final
+	source, target, id, out := s.move.source, s.move.target, s.ID, s.moved
+	go func() {
+		m, err := s.g.Mover.Move(source, target, id, final)
+		out <- moved{source: source.ID, final: final, Moved: m, err: err}
+	}()
+}
+
+// onMoved takes the outcome of a copy.
+func (s *stream) onMoved(m moved) {
+	if m.source != s.move.source.ID || !s.move.busy {
+		return // of a movement that is over
+	}
+	s.move.busy = false
+	s.g.Log.Request(event.Moving, s.ID, event.Fields{
+		"endpoint": m.source, "target": s.move.target.ID, "final": m.final, "handle": m.Handle, "error": m.err,
+		"events": s.events, "copied_events": m.Events,
+	})
+	switch {
+	case m.err == nil && !m.final:
+		s.move.handle = m.Handle
+		if s.current == nil && s.pending == nil {
+			return // broken has taken the stream on already
+		}
+		s.move.stopped = true
+		s.callMove(true)
+	case m.err == nil:
+		s.move.handle = m.Handle
+		s.resumeMoved(s.move.target)
+	default:
+		s.moveFailed(m)
+	}
+}
+
+// resumeMoved resumes the stream at an engine that holds the moved memory.
+func (s *stream) resumeMoved(target core.Endpoint) {
+	if s.resumeAt(target, s.move.source.Address+"/"+s.move.handle) {
+		return
+	}
+	s.cut(errNoOther)
+}
+
+// moveFailed decides what follows from a refused copy.
+func (s *stream) moveFailed(m moved) {
+	var refused *core.MoveError
+	status := 0
+	if errors.As(m.err, &refused) {
+		status = refused.Status
+	}
+	switch {
+	case m.final && status == http.StatusServiceUnavailable && m.Handle != "":
+		s.move.handle = m.Handle
+		s.resumeMoved(s.move.source) // it has stopped there and keeps the memory
+	case m.final && status == http.StatusNotFound:
+		s.move.stopped = false // it has ended; its last events are here or on their way
+		s.flush()
+		switch {
+		case s.whole:
+			s.complete()
+		case s.current == nil && s.pending == nil:
+			s.cut(m.err)
+		}
+	case m.final && s.move.copied():
+		s.resumeMoved(s.move.target)
+	default:
+		s.move.stopped = false
+		s.move.handle = ""
+		s.flush()
+		s.move.at = time.Now().Add(moveRetry)
+		s.arm()
+	}
+}
+
+// flush delivers the events that were held for another leg.
+func (s *stream) flush() {
+	held := s.held
+	s.held = nil
+	for _, e := range held {
+		if s.current != nil && !s.finished {
+			s.deliver(e)
+		}
+	}
+}
+
+// notResumed handles a leg that was to go on with a generation and could not.
+func (s *stream) notResumed(o opened) {
+	fields := event.Fields{
+		"endpoint": o.leg.endpoint.ID, "from": o.leg.from, "error": o.err, "events": s.events, "age_ms": s.age(),
+	}
+	if o.answer != nil {
+		fields["status"], fields["not_run"] = o.answer.StatusCode, o.answer.NotRun
+	}
+	s.g.Log.Request(event.NotResumed, s.ID, fields)
+	s.g.Meter.Count("not_resumed")
+	switch {
+	case s.ctx.Err() != nil:
+		s.ended(nil)
+	case s.current != nil && !s.move.stopped:
+		s.flush()
+		s.move.at = time.Now()
+		if s.move.source.ID == "" {
+			s.move = movement{}
+		}
+		s.arm()
+	case s.move.copied() && o.leg.endpoint.ID != s.move.source.ID:
+		s.resumeMoved(s.move.source)
+	default:
+		s.cut(errNotResumed)
+	}
+}
+
+var errNotResumed = errors.New("no engine holds the memory of the generation")
--- /dev/null
+++ b/io/gate/refuse.go
@@ -0,0 +1,85 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/io/event"
+)
+
+// reason says why a call was refused without having run.
+type reason string
+
+const (
+	reasonNotReady   reason = "the configuration or the endpoints are not known yet"
+	reasonMemory     reason = "this instance holds too many bodies"
+	reasonNoEndpoint reason = "the service has no endpoint that takes calls"
+	reasonFull       reason = "no endpoint has room before the call's objective"
+	reasonTurnedAway reason = "the endpoint turned the call away"
+	reasonUnreached  reason = "the endpoints could not be reached"
+)
+
+const (
+	startRetry = 300 * time.Millisecond
+	busyRetry  = 250 * time.Millisecond
+)
+
+// refuse answers that the call was not run and when to come back; the time is spread so that callers do not return
+// together.
+func (c *call) refuse(why reason, after time.Duration) {
+	after += rand.N(after/2 + 1)
+	c.outcome = "refused"
+	c.g.Codec.Refusal(c.w.Header(), c.ID, after)
+	c.g.Log.Request(event.Refused, c.ID, event.Fields{
+		"reason": why, "status": http.StatusServiceUnavailable, "retry_after_ms": after.Milliseconds(),
+		"route": c.routeName(), "service": c.service.Name, "sends": c.sends, "rules": c.version(), "age_ms": c.age(),
+	})
+	c.write(http.StatusServiceUnavailable, "not run: "+string(why))
+}
+
+// deny answers that the configuration does not allow the call.
+func (c *call) deny(status int, why string) {
+	c.outcome = "denied"
+	c.g.Codec.Refusal(c.w.Header(), c.ID, 0)
+	c.g.Log.Request(event.Refused, c.ID, event.Fields{
+		"reason": why, "status": status, "host": c.r.Host, "path": c.r.URL.Path, "rules": c.version(),
+	})
+	c.write(status, why)
+}
+
+// fail answers that the call may have run and has no answer.
+func (c *call) fail(status int, why error) {
+	c.outcome = "failed"
+	c.g.Codec.Refusal(c.w.Header(), c.ID, 0)
+	c.g.Log.Request(event.Failed, c.ID, event.Fields{
+		"reason": why, "status": status, "route": c.routeName(), "endpoint": c.sentTo, "sends": c.sends, "age_ms": c.age(),
+	})
+	c.write(status, "outcome unknown: "+why.Error())
+}
+
+func (c *call) write(status int, text string) {
+	h := c.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	c.w.WriteHeader(status)
+	// The caller may have left; nothing follows from it.
+	_, _ = c.w.Write([]byte(strings.TrimSpace(text) + "\n"))
+}
+
+func (c *call) routeName() string {
+	if c.rule == nil {
+		return ""
+	}
+	return c.rule.Name
+}
+
+func (c *call) version() core.Version {
+	if c.route == nil {
+		return 0
+	}
+	return c.route.Version
+}
+
+func (c *call) age() int64 { return time.Since(c.start).Milliseconds() }
--- /dev/null
+++ b/io/gate/stream.go
@@ -0,0 +1,444 @@
+package gate
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/core/place"
+	"snipeshed/io/dial"
+	"snipeshed/io/event"
+)
+
+// stream serves a call that is answered with a stream of events. One goroutine runs it; others send it what they find.
+type stream struct {
+	*call
+	rc      *http.ResponseController
+	memory  core.Tokens // forecast
+	notice  chan struct{}
+	opened  chan opened
+	moved   chan moved
+	timer   *time.Timer
+	current *leg // delivers events
+	pending *leg // its request is sent, its answer has not begun
+	held    []streamEvent
+	move    movement
+
+	last     string // id of the last event delivered
+	events   int
+	lastAt   time.Time
+	silentAt time.Time // when the silence of the current leg is taken for a failure
+	whole    bool      // the current leg has ended well while the generation was to be stopped
+	finished bool
+}
+
+const (
+	// silence is the time without an event after which a generation with a copy elsewhere is resumed there.
+	silence = 700 * time.Millisecond
+	// firstShare is the part of the objective after which a resumable stream without an event is sent elsewhere.
+	firstShare = 0.65
+	// roomShare is the part of the objective for which a stream waits for room.
+	roomShare    = 0.6
+	roomInterval = 20 * time.Millisecond
+	fullRetry    = 1200 * time.Millisecond
+)
+
+// stream serves the call.
+func (c *call) stream() {
+	s := &stream{
+		call: c, rc: http.NewResponseController(c.w), notice: make(chan struct{}, 1),
+		opened: make(chan opened), moved: make(chan moved, 1), last: c.LastEvent, timer: time.NewTimer(time.Hour),
+	}
+	s.memory, _ = forecast(c.Inbound)
+	defer s.close()
+	if !s.waitForRoom() {
+		return
+	}
+	if !s.begin() {
+		return
+	}
+	s.run()
+}
+
+func (s *stream) close() {
+	s.timer.Stop()
+	for _, l := range []*leg{s.current, s.pending} {
+		if l != nil {
+			l.close(false)
+		}
+	}
+	s.move.release(s.g)
+}
+
+func (s *stream) demand() place.Demand {
+	return place.Demand{Tokens: s.memory, Unread: s.PromptTokens}
+}
+
+// waitForRoom waits until an engine has room, and refuses the call when none has in time.
+func (s *stream) waitForRoom() bool {
+	until := s.start.Add(time.Duration(roomShare * float64(s.rule.Objective)))
+	for {
+		now := time.Now()
+		all := s.g.Fleet.Of(s.service.Name)
+		if !s.g.Place.Full(now, s.service, all, s.demand()) {
+			return true
+		}
+		if now.After(until) {
+			s.refuse(reasonFull, fullRetry)
+			return false
+		}
+		select {
+		case <-s.ctx.Done():
+			s.ended(nil)
+			return false
+		case <-time.After(roomInterval):
+		}
+	}
+}
+
+// begin sends the call to its first endpoint.
+func (s *stream) begin() bool {
+	now := time.Now()
+	all := s.g.Fleet.Of(s.service.Name)
+	e := s.g.Place.Choose(now, s.service, all, s.demand(), s.tried)
+	if e == nil {
+		s.conclude(nil, s.lastErr())
+		return false
+	}
+	s.tried[e.ID] = true
+	s.open(e.Endpoint, "", s.backup(now, e.Endpoint))
+	s.silentAt = time.Time{}
+	if s.rule.Resumable && s.sends+1 < s.rule.MaxAttempts {
+		s.silentAt = now.Add(time.Duration(firstShare * float64(s.rule.Objective)))
+	}
+	s.arm()
+	return true
+}
+
+func (s *stream) lastErr() error {
+	if s.sends == 0 {
+		return nil
+	}
+	return errNoOther
+}
+
+var errNoOther = errors.New("no other endpoint takes the call")
+
+// backup returns the engine that shall keep a copy of the generation's memory, or nil.
+func (s *stream) backup(now time.Time, source core.Endpoint) *core.Endpoint {
+	if s.rule.Resumable || s.service.Engine == nil || !s.service.Engine.Backups {
+		return nil
+	}
+	e := s.g.Place.Copy(now, s.service, s.g.Fleet.Of(s.service.Name), source, place.Demand{Tokens: s.memory})
+	if e == nil {
+		return nil
+	}
+	return &e.Endpoint
+}
+
+// run serves the stream until it is finished.
+func (s *stream) run() {
+	for !s.finished {
+		var events chan streamEvent
+		if s.current != nil {
+			events = s.current.events
+		}
+		select {
+		case o := <-s.opened:
+			s.onOpened(o)
+		case e := <-events:
+			s.onEvent(e)
+		case <-s.notice:
+			s.onNotice()
+		case m := <-s.moved:
+			s.onMoved(m)
+		case <-s.timer.C:
+			s.onTimer()
+		case <-s.ctx.Done():
+			s.ended(nil)
+		}
+	}
+}
+
+// arm sets the timer to the next moment at which something is due.
+func (s *stream) arm() {
+	next := s.silentAt
+	if at := s.move.at; !at.IsZero() && (next.IsZero() || at.Before(next)) {
+		next = at
+	}
+	if next.IsZero() {
+		next = time.Now().Add(time.Hour)
+	}
+	s.timer.Reset(time.Until(next))
+}
+
+func (s *stream) onTimer() {
+	now := time.Now()
+	if at := s.move.at; !at.IsZero() && !now.Before(at) {
+		s.move.at = time.Time{}
+		s.moveOn()
+	}
+	if at := s.silentAt; !at.IsZero() && !now.Before(at) {
+		s.silentAt = time.Time{}
+		s.onSilence()
+	}
+	s.arm()
+}
+
+// onSilence takes an endpoint that sends nothing for failed where the stream can go on elsewhere.
+func (s *stream) onSilence() {
+	switch {
+	case s.events == 0 && s.rule.Resumable && s.pending != nil && s.move.idle():
+		s.broken(s.pending, errSilent)
+	case s.events > 0 && s.current != nil && s.pending == nil && s.move.idle():
+		s.resumeFromBackup()
+	}
+}
+
+var errSilent = errors.New("the endpoint sent nothing for too long")
+
+// onOpened takes the outcome of sending a leg's request.
+func (s *stream) onOpened(o opened) {
+	if o.leg != s.pending {
+		o.leg.close(false)
+		if o.answer != nil {
+			o.answer.Close(false)
+		}
+		return
+	}
+	if o.err == nil && o.answer.StatusCode == http.StatusOK && o.answer.Sealed {
+		s.switchTo(o.leg, o.answer)
+		return
+	}
+	s.pending = nil
+	if o.answer != nil {
+		defer o.answer.Close(false)
+	}
+	o.leg.close(false)
+	if o.leg.from != "" {
+		s.notResumed(o)
+		return
+	}
+	s.notBegun(o)
+}
+
+// switchTo makes a leg that has answered the one that delivers events.
+func (s *stream) switchTo(l *leg, a *dial.Answer) {
+	if s.current != nil {
+		s.current.close(false)
+	}
+	if l.from != "" || s.events > 0 {
+		s.g.Meter.Count("resumed")
+		s.g.Log.Request(event.Resumed, s.ID, event.Fields{
+			"endpoint": l.endpoint.ID, "from": l.from, "after": s.last, "events": s.events, "age_ms": s.age(),
+			"pause_ms": time.Since(s.lastAt).Milliseconds(),
+		})
+	}
+	s.held, s.whole = nil, false
+	s.current, s.pending = l, nil
+	s.move.done(s.g)
+	s.head(a)
+	l.read(a)
+	if e := s.g.Fleet.Get(l.endpoint.ID); e != nil && e.Leaving {
+		s.onNotice()
+	}
+}
+
+// head keeps the first leg's headers for the caller.
+func (s *stream) head(a *dial.Answer) {
+	if s.events == 0 {
+		h := s.w.Header()
+		clear(h)
+		copyHeader(h, a.Header)
+		h.Del("Content-Length")
+	}
+}
+
+// notBegun handles a first leg without a stream.
+func (s *stream) notBegun(o opened) {
+	var sendErr *dial.Error
+	if errors.As(o.err, &sendErr) && !sendErr.MayHaveRun() && s.ctx.Err() == nil {
+		if len(s.tried) < connectTries && s.begin() {
+			return
+		}
+		if !s.finished && len(s.tried) >= connectTries {
+			s.conclude(nil, o.err)
+		}
+		s.finished = true
+		return
+	}
+	s.g.Tally.End(time.Now(), o.leg.endpoint.ID, s.ctx.Err() == nil)
+	s.sends++
+	var w *whole
+	if o.err == nil {
+		body, err := io.ReadAll(io.LimitReader(o.answer.Body, holdBytes))
+		w = &whole{Answer: o.answer, body: body, err: err}
+	}
+	s.mayHaveRun = s.mayHaveRun || w == nil || !w.NotRun
+	if s.ctx.Err() != nil {
+		s.ended(nil)
+		return
+	}
+	if o.err != nil && o.leg.backup != nil && s.resumeAt(*o.leg.backup, o.leg.backup.Address+"/"+string(s.ID)) {
+		return
+	}
+	if s.again(w, o.err) {
+		s.finished = !s.begin()
+		return
+	}
+	s.finished = true
+	s.conclude(w, o.err)
+}
+
+// onEvent takes an event or the end of the current leg.
+func (s *stream) onEvent(e streamEvent) {
+	switch {
+	case errors.Is(e.err, io.EOF) && s.move.stopped:
+		s.whole = true
+	case errors.Is(e.err, io.EOF):
+		s.complete()
+	case e.err != nil:
+		s.broken(s.current, e.err)
+	case s.pending != nil || s.move.stopped:
+		s.held = append(s.held, e) // the other leg sends it again, unless it fails
+	default:
+		s.deliver(e)
+	}
+}
+
+// deliver passes an event on, unless the caller has it.
+func (s *stream) deliver(e streamEvent) {
+	if s.delivered(e.id) {
+		return
+	}
+	now := time.Now()
+	s.current.begun()
+	if s.events == 0 {
+		s.g.Meter.First(s.service.Name, now.Sub(s.start))
+		s.w.WriteHeader(http.StatusOK)
+	} else {
+		s.g.Meter.Pause(s.service.Name, now.Sub(s.lastAt))
+	}
+	if _, err := s.w.Write(e.bytes); err != nil {
+		s.ended(err)
+		return
+	}
+	if err := s.rc.Flush(); err != nil {
+		s.ended(err)
+		return
+	}
+	s.events++
+	s.lastAt = now
+	if e.id != "" {
+		s.last = e.id
+	}
+	if !s.rule.Resumable {
+		s.silentAt = now.Add(silence)
+	}
+	s.arm()
+}
+
+// delivered reports whether the caller has an event already; ids increase.
+func (s *stream) delivered(id string) bool {
+	n, err := strconv.ParseInt(id, 10, 64)
+	if err != nil {
+		return false
+	}
+	last, err := strconv.ParseInt(s.last, 10, 64)
+	return err == nil && n <= last
+}
+
+// complete ends a stream that the endpoint has ended.
+func (s *stream) complete() {
+	for _, e := range s.held {
+		s.deliver(e)
+	}
+	s.finished = true
+	s.outcome = "answered"
+	if s.events == 0 {
+		s.w.WriteHeader(http.StatusOK)
+	}
+	s.g.Tally.End(time.Now(), s.current.endpoint.ID, false)
+	s.current.close(true)
+	s.g.Log.Request(event.Answered, s.ID, event.Fields{
+		"endpoint": s.current.endpoint.ID, "events": s.events, "sends": s.sends + 1, "route": s.rule.Name,
+		"rules": s.route.Version, "age_ms": s.age(),
+	})
+}
+
+// broken handles the end of a leg before the end of its stream.
+func (s *stream) broken(l *leg, cause error) {
+	if s.ctx.Err() != nil {
+		s.ended(nil)
+		return
+	}
+	if l == s.pending {
+		s.pending = nil
+	}
+	if l == s.current {
+		s.current = nil
+	}
+	s.g.Tally.End(time.Now(), l.endpoint.ID, true)
+	l.close(false)
+	if s.pending != nil || s.move.stopped {
+		return // the stream goes on where it is being resumed
+	}
+	s.g.Log.Request(event.Moving, s.ID, event.Fields{
+		"endpoint": l.endpoint.ID, "cause": cause, "events": s.events, "backup": backupID(l), "copy": s.move.handle,
+		"age_ms": s.age(),
+	})
+	if s.move.copied() && s.resumeAt(s.move.target, s.move.source.Address+"/"+s.move.handle) {
+		return
+	}
+	if l.backup != nil && s.resumeAt(*l.backup, l.backup.Address+"/"+string(s.ID)) {
+		return
+	}
+	s.sends++
+	s.mayHaveRun = true
+	if s.rule.Resumable && s.again(nil, cause) {
+		s.finished = !s.begin()
+		return
+	}
+	s.cut(cause)
+}
+
+func backupID(l *leg) core.EndpointID {
+	if l.backup == nil {
+		return ""
+	}
+	return l.backup.ID
+}
+
+// cut ends a stream that cannot go on; it never looks complete.
+func (s *stream) cut(cause error) {
+	s.finished = true
+	if s.events == 0 {
+		clear(s.w.Header())
+		s.fail(http.StatusBadGateway, cause)
+		return
+	}
+	s.outcome = "cut"
+	s.g.Log.Request(event.Cut, s.ID, event.Fields{
+		"endpoint": s.sentTo, "events": s.events, "error": cause, "age_ms": s.age(), "route": s.rule.Name,
+	})
+	panic(http.ErrAbortHandler)
+}
+
+// ended ends a stream whose caller left or whose deadline has passed.
+func (s *stream) ended(writeErr error) {
+	s.finished = true
+	switch {
+	case s.r.Context().Err() != nil || writeErr != nil:
+		s.left("relaying the stream")
+	case s.events > 0:
+		s.cut(errDeadline)
+	case s.current == nil && s.pending == nil && s.sends == 0:
+		s.refuse(reasonFull, fullRetry)
+	default:
+		clear(s.w.Header())
+		s.fail(http.StatusGatewayTimeout, errDeadline)
+	}
+}
--- /dev/null
+++ b/io/pulse/peers.go
@@ -0,0 +1,177 @@
+package pulse
+
+import (
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/wire"
+)
+
+// member is what is known of another instance.
+type member struct {
+	core.Peer
+	run, seq  uint64
+	heard     time.Time // zero until its first datagram
+	rules     core.Version
+	endpoints core.Version
+	storeDown bool
+	stopping  bool
+	members   int
+	live      bool
+}
+
+// peers are the other instances; it is safe for concurrent use.
+type peers struct {
+	self core.Peer
+
+	mu  sync.Mutex
+	all map[core.InstanceID]*member
+}
+
+func newPeers(self core.Peer) *peers { return &peers{self: self, all: map[core.InstanceID]*member{}} }
+
+// add takes an instance from a list and reports whether it is new.
+func (p *peers) add(q core.Peer) bool {
+	if q.ID == p.self.ID || q.Address == p.self.Address || q.Address == "" {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.all[q.ID]; m != nil {
+		return false
+	}
+	p.all[q.ID] = &member{Peer: q}
+	return true
+}
+
+// hear takes a datagram and reports whether it is news, and whether its sender was not live before.
+func (p *peers) hear(now time.Time, d *wire.Pulse) (fresh, found bool) {
+	id := core.InstanceID(d.GetFrom())
+	if id == p.self.ID {
+		return false, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.all[id]
+	if m == nil {
+		m = &member{}
+		p.all[id] = m
+		p.dropSeed(d.GetAddress())
+	}
+	if m.run == d.GetRun() && d.GetSeq() <= m.seq {
+		return false, false
+	}
+	found = !m.live
+	m.Peer = core.Peer{ID: id, Address: d.GetAddress(), FailureDomain: core.FailureDomain(d.GetDomain())}
+	m.run, m.seq, m.heard, m.live = d.GetRun(), d.GetSeq(), now, true
+	m.rules, m.endpoints = core.Version(d.GetRules()), core.Version(d.GetEndpoints())
+	m.members = int(d.GetMembers())
+	m.storeDown, m.stopping = d.GetStoreDown(), d.GetStopping()
+	return true, found
+}
+
+// dropSeed forgets an instance that was known by its address only.
+func (p *peers) dropSeed(address string) {
+	for id, m := range p.all {
+		if m.Address == address && m.heard.IsZero() {
+			delete(p.all, id)
+		}
+	}
+}
+
+// lost marks instances that were not heard for a while and returns those that were live before.
+func (p *peers) lost(now time.Time, after time.Duration) []core.InstanceID {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []core.InstanceID
+	for id, m := range p.all {
+		if m.live && now.Sub(m.heard) > after {
+			m.live = false
+			out = append(out, id)
+		}
+		if !m.live && !m.heard.IsZero() && now.Sub(m.heard) > forgetAfter {
+			delete(p.all, id)
+		}
+	}
+	return out
+}
+
+// live returns the number of live instances, this one included.
+func (p *peers) live() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 1
+	for _, m := range p.all {
+		if m.live {
+			n++
+		}
+	}
+	return n
+}
+
+// members returns the live instances, this one included.
+func (p *peers) members() []core.Peer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := []core.Peer{p.self}
+	for _, m := range p.all {
+		if m.live {
+			out = append(out, m.Peer)
+		}
+	}
+	return out
+}
+
+// targets returns the addresses to which datagrams go; those that are not live get one only when probe is set.
+func (p *peers) targets(probe bool) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]string, 0, len(p.all))
+	for _, m := range p.all {
+		if m.live || probe {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
+// newer returns live instances that know something newer or more instances.
+func (p *peers) newer(rules, endpoints core.Version) []core.Peer {
+	live := p.live()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []core.Peer
+	for _, m := range p.all {
+		if m.live && (m.rules > rules || m.endpoints > endpoints || m.members > live) {
+			out = append(out, m.Peer)
+		}
+	}
+	return out
+}
+
+// watches reports whether this instance is among the first n of the live instances that reach the store.
+func (p *peers) watches(n int, selfDown bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ranks := []uint64{}
+	for id, m := range p.all {
+		if m.live && !m.storeDown && !m.stopping {
+			ranks = append(ranks, rank(id))
+		}
+	}
+	slices.Sort(ranks)
+	own := rank(p.self.ID)
+	before, _ := slices.BinarySearch(ranks, own)
+	// An instance that does not reach the store keeps trying while no other one is there to do it.
+	return before < n || (selfDown && len(ranks) == 0)
+}
+
+// rank orders instances in the same way at each of them.
+func rank(id core.InstanceID) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return h.Sum64()
+}
--- /dev/null
+++ b/io/pulse/pulse.go
@@ -0,0 +1,250 @@
+package pulse
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"snipeshed/core"
+	"snipeshed/core/tally"
+	"snipeshed/io/event"
+	"snipeshed/wire"
+)
+
+const (
+	// shortestInterval and perPeer give the interval between two datagrams to each peer, so that the datagrams that an
+	// instance sends in a second stay bounded in a large fleet.
+	shortestInterval = 100 * time.Millisecond
+	perPeer          = 4 * time.Millisecond
+	// quietFactor lengthens the interval while nothing has changed.
+	quietFactor = 3
+	// lostIntervals is the number of missed quiet intervals after which an instance counts as lost.
+	lostIntervals = 3
+	// probeInterval is the time between datagrams to instances that are not live.
+	probeInterval = time.Second
+	forgetAfter   = time.Minute
+	// leavingSpan is how long endpoints that began to leave are named in datagrams.
+	leavingSpan = 3 * time.Second
+	maxDatagram = 60 << 10
+)
+
+// State is what the datagrams tell of this instance.
+type State struct {
+	Rules     core.Version
+	Endpoints core.Version
+	StoreDown bool
+	Stopping  bool
+	Leaving   []core.EndpointID
+}
+
+// Hooks connect a Pulse with the rest of the instance.
+type Hooks struct {
+	// State returns what to tell.
+	State func(now time.Time) State
+	// Leaving is called for each endpoint that another instance says is leaving.
+	Leaving func(now time.Time, id core.EndpointID)
+	// Newer is called when another instance knows something newer.
+	Newer func()
+}
+
+// Pulse sends and receives datagrams until Close.
+type Pulse struct {
+	Hooks
+	*peers
+	conn  *net.UDPConn
+	tally *tally.Tally
+	log   *event.Log
+	run   uint64
+	seq   atomic.Uint64
+	wake  chan struct{}
+	ctx   context.Context
+	stop  context.CancelFunc
+	group sync.WaitGroup
+}
+
+// New listens on the address of self and begins to send.
+func New(self core.Peer, t *tally.Tally, log *event.Log, h Hooks) (*Pulse, error) {
+	addr, err := net.ResolveUDPAddr("udp", self.Address)
+	if err != nil {
+		return nil, fmt.Errorf("resolve peer address: %w", err)
+	}
+	conn, err := net.ListenUDP("udp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen for other instances: %w", err)
+	}
+	p := &Pulse{
+		Hooks: h, peers: newPeers(self), conn: conn, tally: t, log: log, run: rand.Uint64(), wake: make(chan struct{}, 1),
+	}
+	p.ctx, p.stop = context.WithCancel(context.Background())
+	return p, nil
+}
+
+// Start begins to send and to receive.
+func (p *Pulse) Start() {
+	p.group.Go(p.receive)
+	p.group.Go(p.send)
+}
+
+// Add makes an instance from a list known.
+func (p *Pulse) Add(q core.Peer) {
+	if p.add(q) {
+		p.Wake()
+	}
+}
+
+// Wake sends a datagram now.
+func (p *Pulse) Wake() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Instances returns the number of live instances, this one included.
+func (p *Pulse) Instances() int { return p.live() }
+
+// Members returns the live instances, this one included.
+func (p *Pulse) Members() []core.Peer { return p.members() }
+
+// Ahead returns live instances that know something newer than the given versions, or more instances.
+func (p *Pulse) Ahead(rules, endpoints core.Version) []core.Peer { return p.newer(rules, endpoints) }
+
+// Watches reports whether this instance is among the first n of the live ones that reach the store.
+func (p *Pulse) Watches(n int, storeDown bool) bool { return p.watches(n, storeDown) }
+
+func (p *Pulse) interval() time.Duration {
+	return max(shortestInterval, time.Duration(p.live())*perPeer)
+}
+
+func (p *Pulse) send() {
+	var sent, probed time.Time
+	var before content
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		woken := false
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-p.wake:
+			woken = true
+		case <-t.C:
+		}
+		now := time.Now()
+		interval := p.interval()
+		p.drop(now, quietFactor*lostIntervals*interval)
+		state := p.State(now)
+		current := content{state.Rules, state.Endpoints, state.StoreDown, state.Stopping, len(state.Leaving), p.tally.Changes()}
+		if woken || current != before || now.Sub(sent) >= quietFactor*interval {
+			probe := now.Sub(probed) >= probeInterval || woken
+			if probe {
+				probed = now
+			}
+			p.write(p.message(now, state), probe)
+			sent, before = now, current
+		}
+		t.Reset(interval)
+	}
+}
+
+func (p *Pulse) drop(now time.Time, after time.Duration) {
+	for _, id := range p.lost(now, after) {
+		p.log.Emit(event.PeerLost, event.Fields{"peer": id, "silent_ms": after.Milliseconds()})
+	}
+}
+
+// content tells whether a datagram would say something else than the one before.
+type content struct {
+	rules, endpoints    core.Version
+	storeDown, stopping bool
+	leaving             int
+	uses                uint64
+}
+
+// message returns a datagram without its number.
+func (p *Pulse) message(now time.Time, s State) *wire.Pulse {
+	d := &wire.Pulse{
+		From: string(p.self.ID), Address: p.self.Address, Domain: string(p.self.FailureDomain), Run: p.run,
+		Rules: uint64(s.Rules), Endpoints: uint64(s.Endpoints), StoreDown: s.StoreDown, Stopping: s.Stopping,
+		Members: uint32(p.live()),
+	}
+	for _, id := range s.Leaving {
+		d.Leaving = append(d.Leaving, string(id))
+	}
+	for id, u := range p.tally.Own(now) {
+		d.Uses = append(d.Uses, &wire.EndpointUse{
+			Endpoint: string(id), Calls: uint32(max(u.Calls, 0)), Tokens: uint32(max(u.Tokens, 0)),
+			Unread: uint32(max(u.Unread, 0)), Failed: uint32(u.Failed), Ended: uint32(u.Ended),
+		})
+	}
+	return d
+}
+
+func (p *Pulse) write(d *wire.Pulse, probe bool) {
+	d.Seq = p.seq.Add(1)
+	b, err := proto.Marshal(d)
+	if err != nil || len(b) > maxDatagram {
+		p.log.Emit(event.LinesDropped, event.Fields{"of": "datagram", "bytes": len(b), "error": err})
+		return
+	}
+	for _, address := range p.targets(probe) {
+		if addr, err := net.ResolveUDPAddr("udp", address); err == nil {
+			_, _ = p.conn.WriteToUDP(b, addr) // a lost datagram is made up for by the next
+		}
+	}
+}
+
+func (p *Pulse) receive() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, _, err := p.conn.ReadFromUDP(buf)
+		if p.ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			time.Sleep(time.Millisecond) // errors of earlier sends are reported here
+			continue
+		}
+		d := &wire.Pulse{}
+		if proto.Unmarshal(buf[:n], d) == nil {
+			p.take(time.Now(), d)
+		}
+	}
+}
+
+func (p *Pulse) take(now time.Time, d *wire.Pulse) {
+	fresh, found := p.hear(now, d)
+	if !fresh {
+		return
+	}
+	from := core.InstanceID(d.GetFrom())
+	if found {
+		p.log.Emit(event.PeerFound, event.Fields{"peer": from, "address": d.GetAddress(), "rules": d.GetRules()})
+		p.Wake()
+	}
+	uses := make(map[core.EndpointID]tally.Use, len(d.GetUses()))
+	for _, u := range d.GetUses() {
+		uses[core.EndpointID(u.GetEndpoint())] = tally.Use{
+			Calls: int(u.GetCalls()), Tokens: core.Tokens(u.GetTokens()), Unread: core.Tokens(u.GetUnread()),
+			Failed: int(u.GetFailed()), Ended: int(u.GetEnded()),
+		}
+	}
+	p.tally.Report(now, from, uses)
+	for _, id := range d.GetLeaving() {
+		p.Leaving(now, core.EndpointID(id))
+	}
+	p.Newer()
+}
+
+// Close ends sending and receiving and waits for both.
+func (p *Pulse) Close() {
+	p.stop()
+	_ = p.conn.Close()
+	p.group.Wait()
+}
--- /dev/null
+++ b/io/watch/watch.go
@@ -0,0 +1,226 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/io/event"
+	"snipeshed/io/news"
+)
+
+const (
+	// turnInterval is the time between two decisions whether this instance watches.
+	turnInterval = 50 * time.Millisecond
+	firstBackoff = 50 * time.Millisecond
+	maxBackoff   = 800 * time.Millisecond
+	// peersFirst is how long a starting instance waits for other instances before it reads the store.
+	peersFirst = 150 * time.Millisecond
+	// maxObjects bounds the reading of one kind.
+	maxObjects = 100_000
+)
+
+// Kinds names what is read from the store.
+type Kinds struct {
+	Rules     string // kind of configurations
+	MainRules string // name of the only one
+	Endpoints string
+}
+
+// Watch reads the store until Close.
+type Watch struct {
+	Kinds
+	store core.Store
+	news  *news.News
+	log   *event.Log
+	turn  func(storeDown bool) bool
+	down  atomic.Bool
+	ctx   context.Context
+	stop  context.CancelFunc
+	group sync.WaitGroup
+}
+
+// New returns a Watch; turn reports whether this instance is one of those that watch.
+func New(store core.Store, kinds Kinds, n *news.News, log *event.Log, turn func(storeDown bool) bool) *Watch {
+	w := &Watch{Kinds: kinds, store: store, news: n, log: log, turn: turn}
+	w.ctx, w.stop = context.WithCancel(context.Background())
+	return w
+}
+
+// Start begins to read.
+func (w *Watch) Start() { w.group.Go(w.run) }
+
+// Down reports whether the last call of the store failed.
+func (w *Watch) Down() bool { return w.down.Load() }
+
+// Close ends reading and waits for it.
+func (w *Watch) Close() {
+	w.stop()
+	w.group.Wait()
+}
+
+func (w *Watch) run() {
+	w.first()
+	for w.ctx.Err() == nil {
+		if w.turn(w.Down()) {
+			w.watch()
+			continue
+		}
+		if !w.sleep(turnInterval) {
+			return
+		}
+	}
+}
+
+// first reads the store once, unless other instances gave everything before.
+func (w *Watch) first() {
+	for backoff := peersFirst; !w.news.Known(); backoff = min(max(2*backoff, firstBackoff), maxBackoff) {
+		if !w.sleep(jitter(backoff)) {
+			return
+		}
+		if w.news.Known() {
+			return
+		}
+		if err := w.read(w.ctx); err != nil && !errors.Is(err, core.ErrNotFound) {
+			w.lost(err)
+			continue
+		}
+		w.regained()
+	}
+}
+
+// read reads both kinds whole.
+func (w *Watch) read(ctx context.Context) error {
+	_, errRules := w.listRules(ctx)
+	_, errEndpoints := w.listEndpoints(ctx)
+	return errors.Join(errRules, errEndpoints)
+}
+
+func (w *Watch) listRules(ctx context.Context) (core.Version, error) {
+	list, at, err := w.store.List(ctx, w.Rules, "", maxObjects)
+	if err != nil {
+		return 0, err
+	}
+	for _, o := range list {
+		w.takeRules(o)
+	}
+	return at, nil
+}
+
+func (w *Watch) takeRules(o core.Object) {
+	if o.Key == w.Rules+"/"+w.MainRules {
+		w.news.TakeRules(o.Value, "store")
+	}
+}
+
+func (w *Watch) listEndpoints(ctx context.Context) (core.Version, error) {
+	list, at, err := w.store.List(ctx, w.Endpoints, "", maxObjects)
+	if err != nil {
+		return 0, err
+	}
+	raw := make(map[string][]byte, len(list))
+	for _, o := range list {
+		raw[w.name(o.Key)] = o.Value
+	}
+	w.news.TakeEndpoints(at, raw, "store")
+	return at, nil
+}
+
+func (w *Watch) name(key string) string { return strings.TrimPrefix(key, w.Endpoints+"/") }
+
+// watch follows both kinds until it is another instance's turn.
+func (w *Watch) watch() {
+	ctx, cancel := context.WithCancel(w.ctx)
+	defer cancel()
+	w.log.Emit(event.WatchBegan, nil)
+	var g sync.WaitGroup
+	g.Go(func() { w.follow(ctx, w.Rules, w.listRules, w.changedRules) })
+	g.Go(func() { w.follow(ctx, w.Endpoints, w.listEndpoints, w.changedEndpoint) })
+	for w.turn(w.Down()) && w.sleep(turnInterval) {
+	}
+	cancel()
+	g.Wait()
+	w.log.Emit(event.WatchEnded, nil)
+}
+
+func (w *Watch) changedRules(c *core.Change) {
+	if !c.Deleted {
+		w.takeRules(c.Object)
+	}
+}
+
+func (w *Watch) changedEndpoint(c *core.Change) {
+	if c.Deleted {
+		w.news.ChangeEndpoint(c.Version, w.name(c.Key), nil)
+		return
+	}
+	w.news.ChangeEndpoint(c.Version, w.name(c.Key), c.Value)
+}
+
+// follow lists a kind and watches it from there, again and again, until ctx ends.
+func (w *Watch) follow(ctx context.Context, kind string, list func(context.Context) (core.Version, error), change func(*core.Change)) {
+	backoff := firstBackoff
+	since := core.Version(0)
+	for ctx.Err() == nil {
+		var err error
+		if since == 0 {
+			since, err = list(ctx)
+		}
+		if err == nil {
+			err = w.store.Watch(ctx, kind, since, func(c *core.Change) error {
+				w.regained()
+				backoff = firstBackoff
+				if c != nil {
+					change(c)
+					since = max(since, c.Version)
+				}
+				return ctx.Err()
+			})
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, core.ErrHistoryGone) {
+			since = 0
+			continue
+		}
+		w.lost(err)
+		if !sleep(ctx, jitter(backoff)) {
+			return
+		}
+		backoff = min(2*backoff, maxBackoff)
+	}
+}
+
+func (w *Watch) lost(err error) {
+	if !w.down.Swap(true) {
+		w.log.Emit(event.StoreLost, event.Fields{"error": err})
+	}
+}
+
+func (w *Watch) regained() {
+	if w.down.Swap(false) {
+		w.log.Emit(event.StoreRegained, nil)
+	}
+}
+
+func (w *Watch) sleep(d time.Duration) bool { return sleep(w.ctx, d) }
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// jitter keeps instances that failed together from asking again together.
+func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+1) }
