Move generations off leaving engines without a pause

Change: copies are repeated while the generation goes on until one is short, only then the last one is asked for; each dispatch is told to the other instances at once; backups only while memory is plentiful; lengths are learned.

--- a/core/entry.go
+++ b/core/entry.go
@@ -54,7 +54,9 @@
 	Slots    int
 	Capacity Tokens // memory of one engine
 	Moves    bool   // running generations can be moved
-	Backups  bool   // engines can send the memory of a generation to a second engine as it grows
+	// EventTokens is the number of tokens that one event of a stream holds.
+	EventTokens int
+	Backups     bool // engines can send the memory of a generation to a second engine as it grows
 	// TokenBytes and LinkMbps give the time that a copy of a generation's memory takes.
 	TokenBytes int64
 	LinkMbps   float64
--- /dev/null
+++ b/core/expect/doc.go
@@ -0,0 +1,2 @@
+// Package expect forecasts how many tokens a generation will produce.
+package expect
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -15,7 +15,7 @@
 	// fullShare is the share of an engine's memory up to which generations are placed.
 	fullShare = 0.92
 	// copyShare is the share of an engine's memory up to which copies of other engines' generations are placed.
-	copyShare = 0.70
+	copyShare = 0.55
 	// fullWaitMs ranks engines without room behind all others.
 	fullWaitMs = 20_000
 	// memoryWaitMs weighs a full engine's memory against the delay of prompts, so that generations spread.
@@ -117,7 +117,7 @@
 			continue
 		}
 		if e.Domain != source.Domain {
-			share *= 1.5 // copies between failure domains take twice as long
+			share += 0.3 // copies between failure domains take twice as long
 		}
 		if best == nil || share < least {
 			best, least = e, share
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -19,6 +19,7 @@
 	"snipeshed/conf"
 	"snipeshed/core"
 	"snipeshed/core/allow"
+	"snipeshed/core/expect"
 	"snipeshed/core/fleet"
 	"snipeshed/core/place"
 	"snipeshed/core/tally"
@@ -115,7 +116,8 @@
 		Codec: platform.Codec{}, Mover: e.mover, News: e.news, Fleet: e.fleet, Tally: e.tally,
 		Place: place.New(e.self.FailureDomain, e.tally),
 		Allow: allow.New(e.cfg.GetRetryRatio(), e.cfg.GetRetrySlack(), window),
-		Dial:  e.dial, Log: e.log, Meter: gate.NewMeter(), Instances: func() int { return e.pulse.Instances() },
+		Dial:  e.dial, Expect: expect.New(), Log: e.log, Meter: gate.NewMeter(), Instances: func() int { return e.pulse.Instances() },
+		Tell: func() { e.pulse.Wake() },
 	}, int64(bodyShare*float64(e.cfg.GetMemoryMb()<<20)))
 	e.gate.Meter.Gauge(e.gauges)
 }
--- a/io/event/kind.go
+++ b/io/event/kind.go
@@ -28,6 +28,7 @@
 	Repeated      Kind = "repeated"
 	NotRepeated   Kind = "not_repeated"
 	Moving        Kind = "moving"
+	Copied        Kind = "copied"
 	Resumed       Kind = "resumed"
 	NotResumed    Kind = "not_resumed"
 	Cut           Kind = "cut"
--- a/io/gate/events.go
+++ b/io/gate/events.go
@@ -5,8 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-
-	"snipeshed/core"
 )
 
 const (
@@ -72,15 +70,3 @@
 	}
 	return ""
 }
-
-// forecast returns the memory that a generation is expected to take and its expected number of output tokens.
-func forecast(in core.Inbound) (memory, output core.Tokens) {
-	output = in.LengthHint
-	if output <= 0 {
-		output = in.MaxTokens / 2
-	}
-	if in.MaxTokens > 0 {
-		output = min(output, in.MaxTokens)
-	}
-	return in.PromptTokens + output, output
-}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -12,6 +12,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/allow"
+	"snipeshed/core/expect"
 	"snipeshed/core/fleet"
 	"snipeshed/core/place"
 	"snipeshed/core/route"
@@ -31,8 +32,12 @@
 	Place *place.Place
 	Allow *allow.Allow
 	Dial  *dial.Dial
-	Log   *event.Log
-	Meter *Meter
+	// Expect forecasts the lengths of generations.
+	Expect *expect.Expect
+	Log    *event.Log
+	Meter  *Meter
+	// Tell sends the other instances what this one has in flight, now.
+	Tell func()
 	// Instances returns the number of live instances.
 	Instances func() int
 }
--- a/io/gate/leg.go
+++ b/io/gate/leg.go
@@ -45,7 +45,11 @@
 	s.pending = l
 	s.sentTo = e.ID
 	l.count(1)
+	s.g.Tell()
 	s.g.streams.add(e.ID, s)
+	if backup != nil {
+		s.g.streams.add(backup.ID, s)
+	}
 	out := core.Outbound{Endpoint: e.ID, Urgency: noUrgency, From: from, LastEvent: s.last}
 	if backup != nil {
 		out.Backup = backup.Address
@@ -72,6 +76,13 @@
 	}
 }
 
+// dropBackup stops counting on the copy that the backup keeps.
+func (l *leg) dropBackup() {
+	l.s.g.Tally.Add(l.backup.ID, tally.Use{Tokens: -l.s.memory})
+	l.s.g.streams.remove(l.backup.ID, l.s)
+	l.backup = nil
+}
+
 // begun records the first event: the prompt has been read.
 func (l *leg) begun() {
 	if l.unread > 0 {
@@ -92,6 +103,9 @@
 		close(l.done)
 		l.count(-1)
 		l.s.g.streams.remove(l.endpoint.ID, l.s)
+		if l.backup != nil {
+			l.s.g.streams.remove(l.backup.ID, l.s)
+		}
 		if l.answer != nil {
 			l.answer.Close(whole)
 		}
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -17,6 +17,14 @@
 	// generations where their copies are; until then they go on in place, and shorter ones end there.
 	switchAfter  = 500 * time.Millisecond
 	switchSpread = 500 * time.Millisecond
+	// copyRetry is the time until an engine for a copy is looked for again.
+	copyRetry = 200 * time.Millisecond
+	// shortCopy is the duration of a copy that met no others on the link: the generation is stopped for about as long by
+	// its last copy. One that met others is followed by a further copy while the generation goes on.
+	shortCopy = 60 * time.Millisecond
+	// lastCopyAfter is the time from the notice at which the generation is stopped however long its last copy may take:
+	// engines leave from 1.5 s after their notice.
+	lastCopyAfter = 1200 * time.Millisecond
 	// moveRetry is the time until a refused move is tried again.
 	moveRetry = 100 * time.Millisecond
 	// moveTries bounds the moves of one generation off one engine.
@@ -28,16 +36,19 @@
 	source  core.Endpoint
 	target  core.Endpoint
 	at      time.Time // when the next step is due
+	leaving bool      // the source leaves
 	busy    bool      // a call to the source is under way
 	final   bool      // that call stops the generation
 	stopped bool      // the generation has stopped, or is about to, and waits to be resumed
 	handle  string    // of a complete copy at target
+	since   time.Time // when the source's leaving was first known
+	asked   time.Time // when the call that is under way was sent
 	tries   int
 	memory  core.Tokens // counted at target
 }
 
-// idle reports whether no step is under way or due.
-func (m *movement) idle() bool { return !m.busy && !m.stopped && m.at.IsZero() }
+// idle reports whether the generation is not being moved.
+func (m *movement) idle() bool { return !m.leaving && !m.stopped }
 
 // copied reports whether the target holds a complete copy.
 func (m *movement) copied() bool { return m.handle != "" }
@@ -50,10 +61,10 @@
 	}
 }
 
-// done forgets a movement after the stream has gone on elsewhere.
-func (m *movement) done(g *Gate) {
+// restart begins anew for a generation that goes on at source.
+func (m *movement) restart(g *Gate, source core.Endpoint) {
 	m.release(g)
-	*m = movement{}
+	*m = movement{source: source}
 }
 
 // moved is the outcome of a call to the source.
@@ -64,27 +75,43 @@
 	err error
 }
 
-// onNotice begins to move the generation when its engine leaves.
+// onNotice takes that an engine which runs the generation or holds a copy of it leaves.
 func (s *stream) onNotice() {
 	l := s.current
 	if l == nil {
 		l = s.pending
 	}
-	if l == nil || s.rule.Resumable || s.service.Engine == nil || !s.move.idle() {
+	if l == nil || !s.movable() || s.move.stopped {
 		return
 	}
-	e := s.g.Fleet.Get(l.endpoint.ID)
-	if e == nil || !e.Leaving {
+	now := time.Now()
+	if e := s.g.Fleet.Get(l.endpoint.ID); e != nil && e.Leaving && !s.move.leaving {
+		s.leave(now, l, e.Since)
 		return
 	}
-	now := time.Now()
-	s.move = movement{source: l.endpoint, at: now}
+	if l.backup != nil && !s.backupUsable(l) {
+		l.dropBackup()
+	}
+}
+
+// movable reports whether the engines can carry the generation to another one.
+func (s *stream) movable() bool { return !s.rule.Resumable && s.service.Engine != nil }
+
+func (s *stream) leaves(ep core.Endpoint) bool {
+	e := s.g.Fleet.Get(ep.ID)
+	return e == nil || e.Leaving
+}
+
+// leave begins to move the generation off an engine that leaves.
+func (s *stream) leave(now time.Time, l *leg, since time.Time) {
+	s.move.leaving, s.move.source, s.move.tries = true, l.endpoint, 0
+	s.move.at, s.move.since = now, since
 	if s.backupUsable(l) {
-		s.move.at = e.Since.Add(switchAfter + rand.N(switchSpread))
+		s.move.at = since.Add(switchAfter + rand.N(switchSpread))
 	}
 	s.g.Log.Request(event.Moving, s.ID, event.Fields{
-		"endpoint": l.endpoint.ID, "cause": "the endpoint leaves", "notice_age_ms": now.Sub(e.Since).Milliseconds(),
-		"events": s.events, "backup": backupID(l), "wait_ms": s.move.at.Sub(now).Milliseconds(),
+		"endpoint": l.endpoint.ID, "cause": "the endpoint leaves", "notice_age_ms": now.Sub(since).Milliseconds(),
+		"events": s.events, "backup": backupID(l), "copy": s.move.target.ID, "wait_ms": s.move.at.Sub(now).Milliseconds(),
 	})
 	s.arm()
 }
@@ -97,17 +124,30 @@
 	return e != nil && !e.Leaving
 }
 
-// moveOn takes the next step of a movement.
+// moveOn takes the next step off an engine that leaves.
 func (s *stream) moveOn() {
-	if s.current == nil && s.pending == nil {
-		return
+	switch {
+	case s.move.busy || s.move.stopped || s.current == nil:
+	case s.pending != nil:
+		s.move.at = time.Now().Add(moveRetry)
+	case s.events > 0 && s.resumeFromBackup():
+	case !s.service.Engine.Moves:
+	case s.move.copied() && !s.leaves(s.move.target):
+		s.moveCopied()
+	default:
+		s.startCopy()
 	}
-	if s.current != nil && s.pending == nil && s.events > 0 && s.resumeFromBackup() {
+}
+
+// moveCopied stops the generation for its last copy, or copies once more when the link is busy with other copies.
+func (s *stream) moveCopied() {
+	now := time.Now()
+	if now.Sub(s.move.asked) > shortCopy && now.Sub(s.move.since) < lastCopyAfter {
+		s.callMove(false)
 		return
 	}
-	if s.service.Engine.Moves {
-		s.startMove()
-	}
+	s.move.stopped = true
+	s.callMove(true)
 }
 
 // resumeFromBackup resumes the stream where a copy of its generation is kept; the current leg goes on until the answer.
@@ -117,43 +157,46 @@
 		return false
 	}
 	backup := *l.backup
-	s.g.Tally.Add(backup.ID, tally.Use{Tokens: -s.memory})
-	l.backup = nil
+	l.dropBackup()
 	return s.resumeAt(backup, backup.Address+"/"+string(s.ID))
 }
 
 // resumeAt sends the call to an endpoint that holds the generation's memory.
 func (s *stream) resumeAt(target core.Endpoint, from string) bool {
-	e := s.g.Fleet.Get(target.ID)
-	if e == nil || time.Now().After(s.end) {
+	now := time.Now()
+	if s.g.Fleet.Get(target.ID) == nil || now.After(s.end) {
 		return false
 	}
-	s.g.Allow.Force(time.Now(), s.service.Name)
-	s.open(target, from, nil)
+	s.g.Allow.Force(now, s.service.Name)
+	s.open(target, from, s.backup(now, target))
 	return true
 }
 
-// startMove copies the generation to another engine, while it goes on.
-func (s *stream) startMove() {
-	if s.move.tries++; s.move.tries > moveTries {
-		return
-	}
-	source := s.move.source
+// startCopy copies the generation to another engine, while it goes on.
+func (s *stream) startCopy() {
 	now := time.Now()
-	e := s.g.Place.Choose(now, s.service, s.g.Fleet.Of(s.service.Name), place.Demand{Tokens: s.memory}, map[core.EndpointID]bool{source.ID: true})
+	all := s.g.Fleet.Of(s.service.Name)
+	d := place.Demand{Tokens: s.memory}
+	e := s.g.Place.Copy(now, s.service, all, s.move.source, d)
+	if e == nil && s.move.tries < moveTries {
+		e = s.g.Place.Choose(now, s.service, all, d, map[core.EndpointID]bool{s.move.source.ID: true})
+	}
+	s.move.release(s.g)
+	s.move.handle = ""
 	if e == nil {
-		s.move.at = now.Add(moveRetry)
+		s.move.at = now.Add(copyRetry)
 		return
 	}
-	s.move.release(s.g)
+	s.move.tries++
 	s.move.target, s.move.memory = e.Endpoint, s.memory
 	s.g.Tally.Add(e.ID, tally.Use{Calls: 1, Tokens: s.memory})
+	s.g.Tell()
 	s.callMove(false)
 }
 
 // callMove asks the source to copy; the outcome arrives on s.moved.
 func (s *stream) callMove(final bool) {
-	s.move.busy, s.move.final = true, final
+	s.move.busy, s.move.final, s.move.asked = true, final, time.Now()
 	source, target, id, out := s.move.source, s.move.target, s.ID, s.moved
 	go func() {
 		m, err := s.g.Mover.Move(source, target, id, final)
@@ -167,18 +210,13 @@
 		return // of a movement that is over
 	}
 	s.move.busy = false
-	s.g.Log.Request(event.Moving, s.ID, event.Fields{
+	s.g.Log.Request(event.Copied, s.ID, event.Fields{
 		"endpoint": m.source, "target": s.move.target.ID, "final": m.final, "handle": m.Handle, "error": m.err,
 		"events": s.events, "copied_events": m.Events,
 	})
 	switch {
 	case m.err == nil && !m.final:
-		s.move.handle = m.Handle
-		if s.current == nil && s.pending == nil {
-			return // broken has taken the stream on already
-		}
-		s.move.stopped = true
-		s.callMove(true)
+		s.copied(m.Handle)
 	case m.err == nil:
 		s.move.handle = m.Handle
 		s.resumeMoved(s.move.target)
@@ -187,6 +225,15 @@
 	}
 }
 
+// copied takes that the target holds a complete copy.
+func (s *stream) copied(handle string) {
+	if s.pending != nil || s.current == nil {
+		return // the stream goes on elsewhere already
+	}
+	s.move.handle = handle
+	s.moveCopied()
+}
+
 // resumeMoved resumes the stream at an engine that holds the moved memory.
 func (s *stream) resumeMoved(target core.Endpoint) {
 	if s.resumeAt(target, s.move.source.Address+"/"+s.move.handle) {
@@ -253,9 +300,6 @@
 	case s.current != nil && !s.move.stopped:
 		s.flush()
 		s.move.at = time.Now()
-		if s.move.source.ID == "" {
-			s.move = movement{}
-		}
 		s.arm()
 	case s.move.copied() && o.leg.endpoint.ID != s.move.source.ID:
 		s.resumeMoved(s.move.source)
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -29,9 +29,12 @@
 
 	last     string // id of the last event delivered
 	events   int
+	firstAt  time.Time
 	lastAt   time.Time
-	silentAt time.Time // when the silence of the current leg is taken for a failure
-	whole    bool      // the current leg has ended well while the generation was to be stopped
+	longest  time.Duration // longest pause between two events
+	pausedAt int           // number of events before that pause
+	silentAt time.Time     // when the silence of the current leg is taken for a failure
+	whole    bool          // the current leg has ended well while the generation was to be stopped
 	finished bool
 }
 
@@ -41,7 +44,10 @@
 	// firstShare is the part of the objective after which a resumable stream without an event is sent elsewhere.
 	firstShare = 0.65
 	// roomShare is the part of the objective for which a stream waits for room.
-	roomShare    = 0.6
+	roomShare = 0.6
+	// midShare is the part of its output for which a generation's memory is counted: others that share its engine are
+	// at other points of theirs.
+	midShare     = 0.6
 	roomInterval = 20 * time.Millisecond
 	fullRetry    = 1200 * time.Millisecond
 )
@@ -52,7 +58,7 @@
 		call: c, rc: http.NewResponseController(c.w), notice: make(chan struct{}, 1),
 		opened: make(chan opened), moved: make(chan moved, 1), last: c.LastEvent, timer: time.NewTimer(time.Hour),
 	}
-	s.memory, _ = forecast(c.Inbound)
+	s.memory = c.PromptTokens + core.Tokens(midShare*float64(c.g.Expect.Output(c.rule.Name, c.LengthHint, c.MaxTokens)))
 	defer s.close()
 	if !s.waitForRoom() {
 		return
@@ -109,7 +115,13 @@
 		return false
 	}
 	s.tried[e.ID] = true
-	s.open(e.Endpoint, "", s.backup(now, e.Endpoint))
+	backup := s.backup(now, e.Endpoint)
+	u := s.g.Tally.Of(now, e.ID)
+	s.g.Log.Request(event.Routed, s.ID, event.Fields{
+		"endpoint": e.ID, "calls": u.Calls, "tokens": u.Tokens, "unread": u.Unread, "prompt": s.PromptTokens,
+		"forecast": s.memory, "hint": s.LengthHint, "max": s.MaxTokens, "backup": endpointID(backup), "age_ms": s.age(), "instances": s.g.Instances(),
+	})
+	s.open(e.Endpoint, "", backup)
 	s.silentAt = time.Time{}
 	if s.rule.Resumable && s.sends+1 < s.rule.MaxAttempts {
 		s.silentAt = now.Add(time.Duration(firstShare * float64(s.rule.Objective)))
@@ -193,7 +205,7 @@
 	switch {
 	case s.events == 0 && s.rule.Resumable && s.pending != nil && s.move.idle():
 		s.broken(s.pending, errSilent)
-	case s.events > 0 && s.current != nil && s.pending == nil && s.move.idle():
+	case s.events > 0 && s.current != nil && s.pending == nil && !s.move.stopped:
 		s.resumeFromBackup()
 	}
 }
@@ -239,7 +251,7 @@
 	}
 	s.held, s.whole = nil, false
 	s.current, s.pending = l, nil
-	s.move.done(s.g)
+	s.move.restart(s.g, l.endpoint)
 	s.head(a)
 	l.read(a)
 	if e := s.g.Fleet.Get(l.endpoint.ID); e != nil && e.Leaving {
@@ -317,10 +329,11 @@
 	now := time.Now()
 	s.current.begun()
 	if s.events == 0 {
+		s.firstAt = now
 		s.g.Meter.First(s.service.Name, now.Sub(s.start))
 		s.w.WriteHeader(http.StatusOK)
 	} else {
-		s.g.Meter.Pause(s.service.Name, now.Sub(s.lastAt))
+		s.paused(now.Sub(s.lastAt))
 	}
 	if _, err := s.w.Write(e.bytes); err != nil {
 		s.ended(err)
@@ -341,6 +354,13 @@
 	s.arm()
 }
 
+func (s *stream) paused(d time.Duration) {
+	s.g.Meter.Pause(s.service.Name, d)
+	if d > s.longest {
+		s.longest, s.pausedAt = d, s.events
+	}
+}
+
 // delivered reports whether the caller has an event already; ids increase.
 func (s *stream) delivered(id string) bool {
 	n, err := strconv.ParseInt(id, 10, 64)
@@ -362,13 +382,22 @@
 		s.w.WriteHeader(http.StatusOK)
 	}
 	s.g.Tally.End(time.Now(), s.current.endpoint.ID, false)
+	s.learn()
 	s.current.close(true)
 	s.g.Log.Request(event.Answered, s.ID, event.Fields{
 		"endpoint": s.current.endpoint.ID, "events": s.events, "sends": s.sends + 1, "route": s.rule.Name,
-		"rules": s.route.Version, "age_ms": s.age(),
+		"rules": s.route.Version, "age_ms": s.age(), "first_ms": s.firstAt.Sub(s.start).Milliseconds(),
+		"pause_ms": s.longest.Milliseconds(), "pause_after": s.pausedAt,
 	})
 }
 
+// learn takes the length of a whole generation for forecasts.
+func (s *stream) learn() {
+	if s.service.Engine != nil && s.LastEvent == "" {
+		s.g.Expect.Ended(s.rule.Name, core.Tokens(s.events*s.service.Engine.EventTokens))
+	}
+}
+
 // broken handles the end of a leg before the end of its stream.
 func (s *stream) broken(l *leg, cause error) {
 	if s.ctx.Err() != nil {
@@ -382,6 +411,7 @@
 		s.current = nil
 	}
 	s.g.Tally.End(time.Now(), l.endpoint.ID, true)
+	backup := l.backup
 	l.close(false)
 	if s.pending != nil || s.move.stopped {
 		return // the stream goes on where it is being resumed
@@ -393,7 +423,7 @@
 	if s.move.copied() && s.resumeAt(s.move.target, s.move.source.Address+"/"+s.move.handle) {
 		return
 	}
-	if l.backup != nil && s.resumeAt(*l.backup, l.backup.Address+"/"+string(s.ID)) {
+	if backup != nil && s.resumeAt(*backup, backup.Address+"/"+string(s.ID)) {
 		return
 	}
 	s.sends++
@@ -405,11 +435,13 @@
 	s.cut(cause)
 }
 
-func backupID(l *leg) core.EndpointID {
-	if l.backup == nil {
+func backupID(l *leg) core.EndpointID { return endpointID(l.backup) }
+
+func endpointID(e *core.Endpoint) core.EndpointID {
+	if e == nil {
 		return ""
 	}
-	return l.backup.ID
+	return e.ID
 }
 
 // cut ends a stream that cannot go on; it never looks complete.
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -26,6 +26,8 @@
 	quietFactor = 3
 	// lostIntervals is the number of missed quiet intervals after which an instance counts as lost.
 	lostIntervals = 3
+	// coalesce is how long a datagram that is due now waits for further changes.
+	coalesce = 2 * time.Millisecond
 	// probeInterval is the time between datagrams to instances that are not live.
 	probeInterval = time.Second
 	forgetAfter   = time.Minute
@@ -134,6 +136,7 @@
 			return
 		case <-p.wake:
 			woken = true
+			time.Sleep(coalesce)
 		case <-t.C:
 		}
 		now := time.Now()
@@ -142,7 +145,7 @@
 		state := p.State(now)
 		current := content{state.Rules, state.Endpoints, state.StoreDown, state.Stopping, len(state.Leaving), p.tally.Changes()}
 		if woken || current != before || now.Sub(sent) >= quietFactor*interval {
-			probe := now.Sub(probed) >= probeInterval || woken
+			probe := now.Sub(probed) >= probeInterval
 			if probe {
 				probed = now
 			}
