Learn of leaving engines while the store is down

Change: one instance per engine asks it for its report during an outage and tells the others; a refused connection is told to the others; entries that lapsed in an outage count as gone only 2 s after its end; a generation gets a backup at a higher share of memory when its engine has more than it can move within a notice. Ruled out: asking plain services for reports (they have none and all counted as gone: 152 refusals).

--- a/core/entry.go
+++ b/core/entry.go
@@ -62,6 +62,12 @@
 	LinkMbps   float64
 }
 
+// TokensPerSecond returns the number of tokens whose memory an engine can send to another one in a second.
+func (l *EngineLimits) TokensPerSecond() float64 {
+	const bitsPerByte, megabit = 8, 1e6
+	return l.LinkMbps * megabit / bitsPerByte / float64(max(l.TokenBytes, 1))
+}
+
 // Service is a set of endpoints that serve the same calls.
 type Service struct {
 	Name           ServiceName
@@ -171,10 +177,18 @@
 	Events int // events generated when the copy was complete
 }
 
+// Report is what an engine says of itself.
+type Report struct {
+	Leaving bool
+	Started int64 // start of the engine's process in Unix ms
+}
+
 // Mover moves running generations between engines.
 type Mover interface {
 	// Move copies the memory of a generation from one engine to another; final stops the generation first.
 	Move(source, target Endpoint, id AttemptID, final bool) (Moved, error)
+	// Report asks an engine for what it says of itself.
+	Report(e Endpoint) (Report, error)
 	// Drop frees a copy at the engine that sent it.
 	Drop(source Endpoint, handle string)
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -16,6 +16,10 @@
 	fullShare = 0.92
 	// copyShare is the share of an engine's memory up to which copies of other engines' generations are placed.
 	copyShare = 0.55
+	// busyCopyShare is the same while the source has more than it can move.
+	busyCopyShare = 0.75
+	// movableSeconds is the time of a notice, in s, that is left for copies.
+	movableSeconds = 0.8
 	// fullWaitMs ranks engines without room behind all others.
 	fullWaitMs = 20_000
 	// memoryWaitMs weighs a full engine's memory against the delay of prompts, so that generations spread.
@@ -58,6 +62,9 @@
 		if tried[e.ID] || e.Leaving {
 			continue
 		}
+		if now.Before(e.Unreachable) && !allUnreachable(now, all) {
+			continue
+		}
 		cost := p.cost(now, s, e, d) + failureWaitMs*failures[i] + p.draw()
 		if best == nil || cost < least {
 			best, least = e, cost
@@ -66,6 +73,16 @@
 	return best
 }
 
+// allUnreachable reports whether none of the endpoints that stay is known to take connections.
+func allUnreachable(now time.Time, all []*fleet.Status) bool {
+	for _, e := range all {
+		if !e.Leaving && !now.Before(e.Unreachable) {
+			return false
+		}
+	}
+	return true
+}
+
 // cost is the expected delay of a call in ms, and what it costs the others.
 func (p *Place) cost(now time.Time, s core.Service, e *fleet.Status, d Demand) float64 {
 	u := p.tally.Of(now, e.ID)
@@ -104,16 +121,20 @@
 }
 
 // Copy returns the engine that shall keep a copy of a generation that runs at source, or nil when none has room.
-func (p *Place) Copy(now time.Time, s core.Service, all []*fleet.Status, source core.Endpoint, d Demand) *fleet.Status {
+//
+// A copy for a generation that must leave its engine may fill the memory as far as a new call may; a copy for a case
+// that may not come leaves room, unless the source could not move all its generations in the time that a notice leaves.
+func (p *Place) Copy(now time.Time, s core.Service, all []*fleet.Status, source core.Endpoint, d Demand, leaving bool) *fleet.Status {
+	limit := p.copyLimit(now, s, source, d, leaving)
 	var best *fleet.Status
 	var least float64
 	for _, e := range all {
-		if e.Leaving || e.ID == source.ID || now.Before(e.Warm) {
+		if e.Leaving || e.ID == source.ID || now.Before(e.Warm) || now.Before(e.Unreachable) {
 			continue
 		}
 		u := p.tally.Of(now, e.ID)
 		share := float64(u.Tokens+d.Tokens) / float64(max(s.Engine.Capacity, 1))
-		if share > copyShare || u.Calls >= s.Engine.Slots {
+		if share > limit || u.Calls >= s.Engine.Slots {
 			continue
 		}
 		if e.Domain != source.Domain {
@@ -126,6 +147,17 @@
 	return best
 }
 
+func (p *Place) copyLimit(now time.Time, s core.Service, source core.Endpoint, d Demand, leaving bool) float64 {
+	if leaving {
+		return fullShare
+	}
+	bare := p.tally.Of(now, source.ID).Bare + d.Tokens
+	if float64(bare) > movableSeconds*s.Engine.TokensPerSecond() {
+		return busyCopyShare
+	}
+	return copyShare
+}
+
 // Full reports whether no endpoint that stays has room for a call.
 func (p *Place) Full(now time.Time, s core.Service, all []*fleet.Status, d Demand) bool {
 	if s.Engine == nil {
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -18,6 +18,7 @@
 type Use struct {
 	Calls  int
 	Tokens core.Tokens // memory, by forecast
+	Bare   core.Tokens // the part of Tokens of generations without a copy elsewhere
 	Unread core.Tokens // prompt tokens of calls that have sent no event yet
 	Failed int         // calls that failed in the last seconds
 	Ended  int         // calls that ended in the last seconds
@@ -26,6 +27,7 @@
 func (u *Use) add(v Use) {
 	u.Calls += v.Calls
 	u.Tokens += v.Tokens
+	u.Bare += v.Bare
 	u.Unread += v.Unread
 	u.Failed += v.Failed
 	u.Ended += v.Ended
@@ -59,12 +61,12 @@
 	return &Tally{own: map[core.EndpointID]*own{}, peers: map[core.InstanceID]peer{}, sums: map[core.EndpointID]Use{}}
 }
 
-// Add changes this instance's calls, tokens and unread tokens at an endpoint.
+// Add changes what this instance has in flight at an endpoint; outcomes are left out.
 func (t *Tally) Add(id core.EndpointID, u Use) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.changes++
-	t.at(id).add(Use{Calls: u.Calls, Tokens: u.Tokens, Unread: u.Unread})
+	t.at(id).add(Use{Calls: u.Calls, Tokens: u.Tokens, Bare: u.Bare, Unread: u.Unread})
 }
 
 // End counts the outcome of a call.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -28,6 +28,7 @@
 	"snipeshed/io/event"
 	"snipeshed/io/gate"
 	"snipeshed/io/news"
+	"snipeshed/io/probe"
 	"snipeshed/io/pulse"
 	"snipeshed/io/watch"
 	"snipeshed/platform"
@@ -52,6 +53,7 @@
 	fetchTimeout    = 500 * time.Millisecond
 	registerTimeout = 2 * time.Second
 	registerBackoff = 500 * time.Millisecond
+	outageInterval  = 100 * time.Millisecond
 	maxInstances    = 100_000
 )
 
@@ -65,6 +67,7 @@
 	news  *news.News
 	pulse *pulse.Pulse
 	watch *watch.Watch
+	probe *probe.Probe
 	gate  *gate.Gate
 	dial  *dial.Dial
 	tally *tally.Tally
@@ -110,7 +113,10 @@
 	e.news = news.New(platform.Decoder{}, e.fleet, e.log, func() { e.pulse.Wake() })
 	e.watch = watch.New(e.store, watch.Kinds{
 		Rules: platform.KindRules, MainRules: platform.MainRules, Endpoints: platform.KindEndpoints,
-	}, e.news, e.log, func(down bool) bool { return !e.stopping.Load() && e.pulse.Watches(watchers, down) })
+	}, e.news, e.log, watch.Turns{
+		Watches: func(down, up bool) bool { return !e.stopping.Load() && e.pulse.Watches(watchers, down, up) },
+		Outage:  func(down, up bool) bool { return e.pulse.Outage(down, up) }, Instances: func() int { return e.pulse.Instances() },
+	})
 	window := time.Duration(e.cfg.GetRetryWindowS() * float64(time.Second))
 	e.gate = gate.New(gate.Parts{
 		Codec: platform.Codec{}, Mover: e.mover, News: e.news, Fleet: e.fleet, Tally: e.tally,
@@ -137,7 +143,7 @@
 // listen binds the sockets of callers, balancer, other instances and metrics.
 func (e *Edge) listen() error {
 	p, err := pulse.New(e.self, e.tally, e.log, pulse.Hooks{
-		State: e.state, Leaving: e.fleet.Hint, Newer: e.catchUp,
+		State: e.state, Leaving: e.fleet.Hint, Refusing: e.gate.Refused, Newer: e.catchUp,
 	})
 	if err != nil {
 		return err
@@ -193,18 +199,41 @@
 	}
 	e.pulse.Start()
 	e.watch.Start()
+	e.probe = probe.New(e.mover, e.fleet, e.log, func(ep core.Endpoint) bool {
+		t := e.news.Table()
+		return t != nil && t.Services[ep.Service].Engine != nil &&
+			e.pulse.Outage(e.watch.Down(), e.watch.Up()) && e.pulse.First(string(ep.ID))
+	}, func(id core.EndpointID) { e.gate.Unreachable(id, true) })
 	e.group.Go(e.register)
+	e.group.Go(e.watchOutage)
 	e.log.Emit(event.Started, event.Fields{
 		"callers": e.cfg.GetClientAddress(), "peers": e.self.Address, "store": e.cfg.GetStoreAddress(), "domain": e.self.FailureDomain,
 	})
 }
 
+// watchOutage tells the fleet while the store is down and lets entries that lapsed meanwhile expire.
+func (e *Edge) watchOutage() {
+	t := time.NewTicker(outageInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case now := <-t.C:
+			if e.watch.Down() || e.pulse.Outage(e.watch.Down(), e.watch.Up()) {
+				e.fleet.Outage(now)
+			}
+			e.fleet.Expire(now)
+		}
+	}
+}
+
 // state is what the other instances are told.
 func (e *Edge) state(now time.Time) pulse.State {
 	rules, endpoints := e.news.Versions()
 	return pulse.State{
-		Rules: rules, Endpoints: endpoints, StoreDown: e.watch.Down(), Stopping: e.stopping.Load(),
-		Leaving: e.fleet.Leaving(now, leavingSpan),
+		Rules: rules, Endpoints: endpoints, StoreDown: e.watch.Down(), StoreUp: e.watch.Up(), Stopping: e.stopping.Load(),
+		Leaving: e.fleet.Leaving(now, leavingSpan), Refusing: e.gate.Refusing(now),
 	}
 }
 
@@ -341,6 +370,7 @@
 	e.cancel()
 	_ = e.callers.Close()
 	_ = e.closeServers()
+	e.probe.Close()
 	e.watch.Close()
 	e.pulse.Close()
 	e.dial.Close()
--- a/io/dial/error.go
+++ b/io/dial/error.go
@@ -1,6 +1,10 @@
 package dial
 
-import "fmt"
+import (
+	"errors"
+	"fmt"
+	"syscall"
+)
 
 // Error is a call that has no answer.
 type Error struct {
@@ -20,5 +24,8 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Cause }
 
+// Refused reports whether the endpoint's machine answered that nothing listens.
+func (e *Error) Refused() bool { return e.Written == 0 && errors.Is(e.Cause, syscall.ECONNREFUSED) }
+
 // MayHaveRun reports whether the endpoint may have run the call.
 func (e *Error) MayHaveRun() bool { return e.Written > 0 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -46,13 +46,14 @@
 type Gate struct {
 	Parts
 	streams   *registry
+	refusing  *refusing
 	bodyBytes atomic.Int64 // bodies held
 	maxBody   int64        // bound of bodyBytes
 }
 
 // New returns a Gate that holds at most maxBody bytes of bodies.
 func New(p Parts, maxBody int64) *Gate {
-	return &Gate{Parts: p, streams: newRegistry(), maxBody: maxBody}
+	return &Gate{Parts: p, streams: newRegistry(), refusing: newRefusing(), maxBody: maxBody}
 }
 
 // Leaving tells the streams of an endpoint that it leaves.
@@ -62,6 +63,30 @@
 	g.Log.Emit(event.EndpointLeft, event.Fields{"endpoint": id, "streams": n})
 }
 
+// Unreachable notes that an endpoint takes no connections; refused is set when it said so itself, which holds for all
+// instances.
+func (g *Gate) Unreachable(id core.EndpointID, refused bool) {
+	now := time.Now()
+	if refused {
+		g.refusing.add(now, id)
+	}
+	if g.Fleet.Unreachable(now, id) {
+		g.streams.tell(id)
+		g.Log.Emit(event.Unreachable, event.Fields{"endpoint": id, "refused": refused})
+		g.Tell()
+	}
+}
+
+// Refused takes another instance's word that an endpoint refuses connections.
+func (g *Gate) Refused(now time.Time, id core.EndpointID) {
+	if g.Fleet.Unreachable(now, id) {
+		g.streams.tell(id)
+	}
+}
+
+// Refusing returns the endpoints that have refused connections of this instance in the last seconds.
+func (g *Gate) Refusing(now time.Time) []core.EndpointID { return g.refusing.list(now) }
+
 // call is one request of a caller.
 type call struct {
 	core.Inbound
--- a/io/gate/leg.go
+++ b/io/gate/leg.go
@@ -70,6 +70,9 @@
 // count adds or takes away what the leg has in flight.
 func (l *leg) count(n int) {
 	use := tally.Use{Calls: n, Tokens: core.Tokens(n) * l.s.memory, Unread: core.Tokens(n) * l.unread}
+	if l.backup == nil && l.s.movable() {
+		use.Bare = use.Tokens
+	}
 	l.s.g.Tally.Add(l.endpoint.ID, use)
 	if l.backup != nil {
 		l.s.g.Tally.Add(l.backup.ID, tally.Use{Tokens: use.Tokens})
@@ -79,6 +82,7 @@
 // dropBackup stops counting on the copy that the backup keeps.
 func (l *leg) dropBackup() {
 	l.s.g.Tally.Add(l.backup.ID, tally.Use{Tokens: -l.s.memory})
+	l.s.g.Tally.Add(l.endpoint.ID, tally.Use{Bare: l.s.memory})
 	l.s.g.streams.remove(l.backup.ID, l.s)
 	l.backup = nil
 }
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -9,6 +9,7 @@
 	"snipeshed/core"
 	"snipeshed/core/place"
 	"snipeshed/core/tally"
+	"snipeshed/io/dial"
 	"snipeshed/io/event"
 )
 
@@ -99,7 +100,7 @@
 
 func (s *stream) leaves(ep core.Endpoint) bool {
 	e := s.g.Fleet.Get(ep.ID)
-	return e == nil || e.Leaving
+	return e == nil || e.Leaving || time.Now().Before(e.Unreachable)
 }
 
 // leave begins to move the generation off an engine that leaves.
@@ -120,8 +121,7 @@
 	if l.backup == nil {
 		return false
 	}
-	e := s.g.Fleet.Get(l.backup.ID)
-	return e != nil && !e.Leaving
+	return !s.leaves(*l.backup)
 }
 
 // moveOn takes the next step off an engine that leaves.
@@ -177,7 +177,7 @@
 	now := time.Now()
 	all := s.g.Fleet.Of(s.service.Name)
 	d := place.Demand{Tokens: s.memory}
-	e := s.g.Place.Copy(now, s.service, all, s.move.source, d)
+	e := s.g.Place.Copy(now, s.service, all, s.move.source, d, true)
 	if e == nil && s.move.tries < moveTries {
 		e = s.g.Place.Choose(now, s.service, all, d, map[core.EndpointID]bool{s.move.source.ID: true})
 	}
@@ -293,6 +293,10 @@
 		fields["status"], fields["not_run"] = o.answer.StatusCode, o.answer.NotRun
 	}
 	s.g.Log.Request(event.NotResumed, s.ID, fields)
+	var sendErr *dial.Error
+	if errors.As(o.err, &sendErr) && !sendErr.MayHaveRun() && s.ctx.Err() == nil {
+		s.g.Unreachable(o.leg.endpoint.ID, sendErr.Refused())
+	}
 	s.g.Meter.Count("not_resumed")
 	switch {
 	case s.ctx.Err() != nil:
--- a/io/gate/plain.go
+++ b/io/gate/plain.go
@@ -54,6 +54,7 @@
 		}
 		var sendErr *dial.Error
 		if errors.As(err, &sendErr) && !sendErr.MayHaveRun() {
+			c.g.Unreachable(e.ID, sendErr.Refused())
 			if unreached++; unreached >= connectTries || time.Now().After(c.end) {
 				lastErr = err
 				break
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -144,7 +144,7 @@
 	if s.rule.Resumable || s.service.Engine == nil || !s.service.Engine.Backups {
 		return nil
 	}
-	e := s.g.Place.Copy(now, s.service, s.g.Fleet.Of(s.service.Name), source, place.Demand{Tokens: s.memory})
+	e := s.g.Place.Copy(now, s.service, s.g.Fleet.Of(s.service.Name), source, place.Demand{Tokens: s.memory}, false)
 	if e == nil {
 		return nil
 	}
@@ -273,13 +273,12 @@
 func (s *stream) notBegun(o opened) {
 	var sendErr *dial.Error
 	if errors.As(o.err, &sendErr) && !sendErr.MayHaveRun() && s.ctx.Err() == nil {
-		if len(s.tried) < connectTries && s.begin() {
+		s.g.Unreachable(o.leg.endpoint.ID, sendErr.Refused())
+		if len(s.tried) < connectTries {
+			s.begin()
 			return
 		}
-		if !s.finished && len(s.tried) >= connectTries {
-			s.conclude(nil, o.err)
-		}
-		s.finished = true
+		s.conclude(nil, o.err)
 		return
 	}
 	s.g.Tally.End(time.Now(), o.leg.endpoint.ID, s.ctx.Err() == nil)
@@ -298,10 +297,9 @@
 		return
 	}
 	if s.again(w, o.err) {
-		s.finished = !s.begin()
+		s.begin()
 		return
 	}
-	s.finished = true
 	s.conclude(w, o.err)
 }
 
@@ -391,6 +389,19 @@
 	})
 }
 
+// conclude answers a call that no endpoint serves; once events were passed on, only a cut tells so.
+func (s *stream) conclude(w *whole, err error) {
+	s.finished = true
+	if s.events == 0 {
+		s.call.conclude(w, err)
+		return
+	}
+	if err == nil {
+		err = errNoOther
+	}
+	s.cut(err)
+}
+
 // learn takes the length of a whole generation for forecasts.
 func (s *stream) learn() {
 	if s.service.Engine != nil && s.LastEvent == "" {
@@ -429,7 +440,7 @@
 	s.sends++
 	s.mayHaveRun = true
 	if s.rule.Resumable && s.again(nil, cause) {
-		s.finished = !s.begin()
+		s.begin()
 		return
 	}
 	s.cut(cause)
@@ -467,7 +478,7 @@
 		s.left("relaying the stream")
 	case s.events > 0:
 		s.cut(errDeadline)
-	case s.current == nil && s.pending == nil && s.sends == 0:
+	case s.current == nil && s.pending == nil && !s.mayHaveRun:
 		s.refuse(reasonFull, fullRetry)
 	default:
 		clear(s.w.Header())
--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -2,7 +2,6 @@
 
 import (
 	"hash/fnv"
-	"slices"
 	"sync"
 	"time"
 
@@ -18,6 +17,7 @@
 	rules     core.Version
 	endpoints core.Version
 	storeDown bool
+	storeUp   bool
 	stopping  bool
 	members   int
 	live      bool
@@ -69,6 +69,7 @@
 	m.run, m.seq, m.heard, m.live = d.GetRun(), d.GetSeq(), now, true
 	m.rules, m.endpoints = core.Version(d.GetRules()), core.Version(d.GetEndpoints())
 	m.members = int(d.GetMembers())
+	m.storeUp = d.GetStoreUp()
 	m.storeDown, m.stopping = d.GetStoreDown(), d.GetStopping()
 	return true, found
 }
@@ -152,21 +153,64 @@
 	return out
 }
 
-// watches reports whether this instance is among the first n of the live instances that reach the store.
-func (p *peers) watches(n int, selfDown bool) bool {
+// outageReports is the number of instances that must fail to reach the store before it counts as down for all.
+const outageReports = 4
+
+// outage reports whether several instances fail to reach the store and none reaches it.
+func (p *peers) outage(selfDown, selfUp bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ranks := []uint64{}
+	return p.outageLocked(selfDown, selfUp)
+}
+
+func (p *peers) outageLocked(selfDown, selfUp bool) bool {
+	down, live := 0, 1
+	if selfUp {
+		return false
+	}
+	if selfDown {
+		down++
+	}
+	for _, m := range p.all {
+		switch {
+		case !m.live:
+			continue
+		case m.storeUp:
+			return false
+		case m.storeDown:
+			down++
+		}
+		live++
+	}
+	return down >= min(outageReports, (live+1)/2)
+}
+
+// watches reports whether this instance is among the first n of the live instances that may reach the store; in an
+// outage the first n of all keep trying.
+func (p *peers) watches(n int, selfDown, selfUp bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	outage := p.outageLocked(selfDown, selfUp)
+	own, before := rank(p.self.ID), 0
+	for id, m := range p.all {
+		if m.live && !m.stopping && (outage || !m.storeDown) && rank(id) < own {
+			before++
+		}
+	}
+	return before < n
+}
+
+// first reports whether this instance comes first of the live ones by a hash with a key.
+func (p *peers) first(key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	own := rank(p.self.ID + core.InstanceID("/"+key))
 	for id, m := range p.all {
-		if m.live && !m.storeDown && !m.stopping {
-			ranks = append(ranks, rank(id))
+		if m.live && !m.stopping && rank(id+core.InstanceID("/"+key)) < own {
+			return false
 		}
 	}
-	slices.Sort(ranks)
-	own := rank(p.self.ID)
-	before, _ := slices.BinarySearch(ranks, own)
-	// An instance that does not reach the store keeps trying while no other one is there to do it.
-	return before < n || (selfDown && len(ranks) == 0)
+	return true
 }
 
 // rank orders instances in the same way at each of them.
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -41,8 +41,10 @@
 	Rules     core.Version
 	Endpoints core.Version
 	StoreDown bool
+	StoreUp   bool // the store has answered in the last seconds
 	Stopping  bool
 	Leaving   []core.EndpointID
+	Refusing  []core.EndpointID
 }
 
 // Hooks connect a Pulse with the rest of the instance.
@@ -51,6 +53,8 @@
 	State func(now time.Time) State
 	// Leaving is called for each endpoint that another instance says is leaving.
 	Leaving func(now time.Time, id core.EndpointID)
+	// Refusing is called for each endpoint that has refused another instance's connection.
+	Refusing func(now time.Time, id core.EndpointID)
 	// Newer is called when another instance knows something newer.
 	Newer func()
 }
@@ -117,8 +121,14 @@
 // Ahead returns live instances that know something newer than the given versions, or more instances.
 func (p *Pulse) Ahead(rules, endpoints core.Version) []core.Peer { return p.newer(rules, endpoints) }
 
-// Watches reports whether this instance is among the first n of the live ones that reach the store.
-func (p *Pulse) Watches(n int, storeDown bool) bool { return p.watches(n, storeDown) }
+// Watches reports whether this instance is among the n that read the store for all.
+func (p *Pulse) Watches(n int, storeDown, storeUp bool) bool { return p.watches(n, storeDown, storeUp) }
+
+// Outage reports whether the store is taken to be down for all instances.
+func (p *Pulse) Outage(storeDown, storeUp bool) bool { return p.outage(storeDown, storeUp) }
+
+// First reports whether this instance is the first of the live ones by a hash with a key.
+func (p *Pulse) First(key string) bool { return p.first(key) }
 
 func (p *Pulse) interval() time.Duration {
 	return max(shortestInterval, time.Duration(p.live())*perPeer)
@@ -143,7 +153,7 @@
 		interval := p.interval()
 		p.drop(now, quietFactor*lostIntervals*interval)
 		state := p.State(now)
-		current := content{state.Rules, state.Endpoints, state.StoreDown, state.Stopping, len(state.Leaving), p.tally.Changes()}
+		current := content{state.Rules, state.Endpoints, state.StoreDown, state.StoreUp, state.Stopping, len(state.Leaving), p.tally.Changes()}
 		if woken || current != before || now.Sub(sent) >= quietFactor*interval {
 			probe := now.Sub(probed) >= probeInterval
 			if probe {
@@ -164,10 +174,11 @@
 
 // content tells whether a datagram would say something else than the one before.
 type content struct {
-	rules, endpoints    core.Version
-	storeDown, stopping bool
-	leaving             int
-	uses                uint64
+	rules, endpoints   core.Version
+	storeDown, storeUp bool
+	stopping           bool
+	leaving            int
+	uses               uint64
 }
 
 // message returns a datagram without its number.
@@ -175,15 +186,18 @@
 	d := &wire.Pulse{
 		From: string(p.self.ID), Address: p.self.Address, Domain: string(p.self.FailureDomain), Run: p.run,
 		Rules: uint64(s.Rules), Endpoints: uint64(s.Endpoints), StoreDown: s.StoreDown, Stopping: s.Stopping,
-		Members: uint32(p.live()),
+		Members: uint32(p.live()), StoreUp: s.StoreUp,
 	}
 	for _, id := range s.Leaving {
 		d.Leaving = append(d.Leaving, string(id))
 	}
+	for _, id := range s.Refusing {
+		d.Refusing = append(d.Refusing, string(id))
+	}
 	for id, u := range p.tally.Own(now) {
 		d.Uses = append(d.Uses, &wire.EndpointUse{
 			Endpoint: string(id), Calls: uint32(max(u.Calls, 0)), Tokens: uint32(max(u.Tokens, 0)),
-			Unread: uint32(max(u.Unread, 0)), Failed: uint32(u.Failed), Ended: uint32(u.Ended),
+			Bare: uint32(max(u.Bare, 0)), Unread: uint32(max(u.Unread, 0)), Failed: uint32(u.Failed), Ended: uint32(u.Ended),
 		})
 	}
 	return d
@@ -234,7 +248,7 @@
 	uses := make(map[core.EndpointID]tally.Use, len(d.GetUses()))
 	for _, u := range d.GetUses() {
 		uses[core.EndpointID(u.GetEndpoint())] = tally.Use{
-			Calls: int(u.GetCalls()), Tokens: core.Tokens(u.GetTokens()), Unread: core.Tokens(u.GetUnread()),
+			Calls: int(u.GetCalls()), Tokens: core.Tokens(u.GetTokens()), Bare: core.Tokens(u.GetBare()), Unread: core.Tokens(u.GetUnread()),
 			Failed: int(u.GetFailed()), Ended: int(u.GetEnded()),
 		}
 	}
@@ -242,6 +256,9 @@
 	for _, id := range d.GetLeaving() {
 		p.Leaving(now, core.EndpointID(id))
 	}
+	for _, id := range d.GetRefusing() {
+		p.Refusing(now, core.EndpointID(id))
+	}
 	p.Newer()
 }
 
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -17,6 +17,8 @@
 const (
 	// turnInterval is the time between two decisions whether this instance watches.
 	turnInterval = 50 * time.Millisecond
+	// upSpan is longer than the store holds a watch.
+	upSpan       = 3 * time.Second
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
 	// peersFirst is how long a starting instance waits for other instances before it reads the store.
@@ -38,16 +40,28 @@
 	store core.Store
 	news  *news.News
 	log   *event.Log
-	turn  func(storeDown bool) bool
+	turns Turns
 	down  atomic.Bool
+	up    atomic.Int64 // when the store last answered, in ns since start
+	start time.Time
 	ctx   context.Context
 	stop  context.CancelFunc
 	group sync.WaitGroup
 }
 
-// New returns a Watch; turn reports whether this instance is one of those that watch.
-func New(store core.Store, kinds Kinds, n *news.News, log *event.Log, turn func(storeDown bool) bool) *Watch {
-	w := &Watch{Kinds: kinds, store: store, news: n, log: log, turn: turn}
+// Turns say what this instance does for all.
+type Turns struct {
+	// Watches reports whether it is one of those that watch.
+	Watches func(storeDown, storeUp bool) bool
+	// Outage reports whether the store is down for all.
+	Outage func(storeDown, storeUp bool) bool
+	// Instances returns the number of live instances.
+	Instances func() int
+}
+
+// New returns a Watch.
+func New(store core.Store, kinds Kinds, n *news.News, log *event.Log, turns Turns) *Watch {
+	w := &Watch{Kinds: kinds, store: store, news: n, log: log, turns: turns, start: time.Now()}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	return w
 }
@@ -58,6 +72,12 @@
 // Down reports whether the last call of the store failed.
 func (w *Watch) Down() bool { return w.down.Load() }
 
+// Up reports whether the store has answered in the last seconds.
+func (w *Watch) Up() bool {
+	at := w.up.Load()
+	return at != 0 && time.Since(w.start)-time.Duration(at) < upSpan
+}
+
 // Close ends reading and waits for it.
 func (w *Watch) Close() {
 	w.stop()
@@ -67,14 +87,30 @@
 func (w *Watch) run() {
 	w.first()
 	for w.ctx.Err() == nil {
-		if w.turn(w.Down()) {
+		if w.turn() {
 			w.watch()
 			continue
 		}
 		if !w.sleep(turnInterval) {
 			return
 		}
+		w.try()
+	}
+}
+
+func (w *Watch) turn() bool { return w.turns.Watches(w.Down(), w.Up()) }
+
+// try reads the store once at random in an outage, as it may be down only for those that have tried; in each second
+// one instance does so on average.
+func (w *Watch) try() {
+	if !w.turns.Outage(w.Down(), w.Up()) || rand.N(time.Duration(w.turns.Instances())*time.Second) > turnInterval {
+		return
+	}
+	if err := w.read(w.ctx); err != nil {
+		w.lost(err)
+		return
 	}
+	w.regained()
 }
 
 // first reads the store once, unless other instances gave everything before.
@@ -141,7 +177,7 @@
 	var g sync.WaitGroup
 	g.Go(func() { w.follow(ctx, w.Rules, w.listRules, w.changedRules) })
 	g.Go(func() { w.follow(ctx, w.Endpoints, w.listEndpoints, w.changedEndpoint) })
-	for w.turn(w.Down()) && w.sleep(turnInterval) {
+	for w.turn() && w.sleep(turnInterval) {
 	}
 	cancel()
 	g.Wait()
@@ -204,6 +240,7 @@
 }
 
 func (w *Watch) regained() {
+	w.up.Store(int64(time.Since(w.start)))
 	if w.down.Swap(false) {
 		w.log.Emit(event.StoreRegained, nil)
 	}
