Hold room before a call is sent to a crowded engine

Change: a crowded engine is asked to hold room first; long generations leave room for moves and short calls, wait at the instance, look at random moments, and pass over engines with a long backlog of prompts; copies that nobody uses are freed; an engine that had no room for a copy is left out of the next try. Ruled out: lower shares of memory for long generations (0.68, 0.60): fewer in time, as many lost.

--- a/core/entry.go
+++ b/core/entry.go
@@ -53,7 +53,9 @@
 type EngineLimits struct {
 	Slots    int
 	Capacity Tokens // memory of one engine
-	Moves    bool   // running generations can be moved
+	// HoldTime is the longest time for which an engine holds room.
+	HoldTime time.Duration
+	Moves    bool // running generations can be moved
 	// EventTokens is the number of tokens that one event of a stream holds.
 	EventTokens int
 	Backups     bool // engines can send the memory of a generation to a second engine as it grows
@@ -144,6 +146,7 @@
 	Backup    string // address of the engine that keeps a copy of the generation's memory
 	From      string // where the memory of the generation is: address/handle
 	LastEvent string
+	Hold      string // names the room that the endpoint holds for the call
 }
 
 // Reply is what an entry learns from the headers of an endpoint's answer.
@@ -183,14 +186,16 @@
 	Started int64 // start of the engine's process in Unix ms
 }
 
-// Mover moves running generations between engines.
+// Mover moves running generations between engines and reserves room at them.
 type Mover interface {
 	// Move copies the memory of a generation from one engine to another; final stops the generation first.
 	Move(source, target Endpoint, id AttemptID, final bool) (Moved, error)
+	// Hold asks an engine to keep room for a call; a *MoveError with status 503 means that it has none.
+	Hold(e Endpoint, tokens Tokens, ttl time.Duration) (string, error)
 	// Report asks an engine for what it says of itself.
 	Report(e Endpoint) (Report, error)
-	// Drop frees a copy at the engine that sent it.
-	Drop(source Endpoint, handle string)
+	// Drop frees a copy at the engine that sent it and the one that holds it.
+	Drop(source, target Endpoint, handle string)
 }
 
 // Decoder reads the objects of the store.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -12,14 +12,24 @@
 const (
 	// readPerMs is the speed at which a busy engine reads prompts, in tokens per ms.
 	readPerMs = 7
-	// fullShare is the share of an engine's memory up to which generations are placed.
-	fullShare = 0.92
+	// fullShare is the share of an engine's memory up to which short generations and those that leave another engine are
+	// placed.
+	fullShare = 0.95
+	// longShare is the share up to which new long generations are placed: without the rest, generations could not leave
+	// an engine that is taken away, and short ones would wait for long ones to end.
+	longShare = 0.72
 	// copyShare is the share of an engine's memory up to which copies of other engines' generations are placed.
 	copyShare = 0.55
+	// moveShare is the share up to which generations that leave another engine are placed while others have less.
+	moveShare = 0.88
 	// busyCopyShare is the same while the source has more than it can move.
 	busyCopyShare = 0.75
 	// movableSeconds is the time of a notice, in s, that is left for copies.
 	movableSeconds = 0.8
+	// crowdedShare is the forecast share of an engine's memory from which it may be full in fact.
+	crowdedShare = 0.65
+	// longBacklog is the number of unread prompt tokens above which an engine gets no further long generation.
+	longBacklog = 9000
 	// fullWaitMs ranks engines without room behind all others.
 	fullWaitMs = 20_000
 	// memoryWaitMs weighs a full engine's memory against the delay of prompts, so that generations spread.
@@ -39,6 +49,16 @@
 type Demand struct {
 	Tokens core.Tokens // memory, by forecast; 0 for plain services
 	Unread core.Tokens // prompt tokens
+	// Long marks a new generation that holds its memory for long.
+	Long bool
+}
+
+// limit is the share of an engine's memory that the call may fill.
+func (d Demand) limit() float64 {
+	if d.Long {
+		return longShare
+	}
+	return fullShare
 }
 
 // Place chooses endpoints for the calls of one instance.
@@ -97,12 +117,20 @@
 		cost += warmupWaitMs
 	}
 	share := float64(u.Tokens+d.Tokens) / float64(max(s.Engine.Capacity, 1))
-	if share > fullShare || u.Calls >= s.Engine.Slots {
+	if !room(s, u, d) {
 		cost += fullWaitMs * share
 	}
 	return cost + float64(u.Unread)/readPerMs + memoryWaitMs*share
 }
 
+// room reports whether an engine has memory and a slot for a call and, for a new long generation, reads its prompt soon.
+func room(s core.Service, u tally.Use, d Demand) bool {
+	if d.Long && u.Unread > longBacklog {
+		return false
+	}
+	return float64(u.Tokens+d.Tokens) <= d.limit()*float64(s.Engine.Capacity) && u.Calls < s.Engine.Slots
+}
+
 // failures returns for each endpoint by how much it fails more often than the endpoints of its service on average.
 func (p *Place) failures(now time.Time, all []*fleet.Status) []float64 {
 	rates := make([]float64, len(all))
@@ -124,12 +152,12 @@
 //
 // A copy for a generation that must leave its engine may fill the memory as far as a new call may; a copy for a case
 // that may not come leaves room, unless the source could not move all its generations in the time that a notice leaves.
-func (p *Place) Copy(now time.Time, s core.Service, all []*fleet.Status, source core.Endpoint, d Demand, leaving bool) *fleet.Status {
+func (p *Place) Copy(now time.Time, s core.Service, all []*fleet.Status, source core.Endpoint, d Demand, leaving bool, refused map[core.EndpointID]bool) *fleet.Status {
 	limit := p.copyLimit(now, s, source, d, leaving)
 	var best *fleet.Status
 	var least float64
 	for _, e := range all {
-		if e.Leaving || e.ID == source.ID || now.Before(e.Warm) || now.Before(e.Unreachable) {
+		if e.Leaving || e.ID == source.ID || refused[e.ID] || now.Before(e.Warm) || now.Before(e.Unreachable) {
 			continue
 		}
 		u := p.tally.Of(now, e.ID)
@@ -149,7 +177,7 @@
 
 func (p *Place) copyLimit(now time.Time, s core.Service, source core.Endpoint, d Demand, leaving bool) float64 {
 	if leaving {
-		return fullShare
+		return moveShare
 	}
 	bare := p.tally.Of(now, source.ID).Bare + d.Tokens
 	if float64(bare) > movableSeconds*s.Engine.TokensPerSecond() {
@@ -158,6 +186,15 @@
 	return copyShare
 }
 
+// Crowded reports whether a call may have to wait for memory at an engine, as far as is known.
+func (p *Place) Crowded(now time.Time, s core.Service, e *fleet.Status, d Demand) bool {
+	if s.Engine == nil || s.Engine.HoldTime <= 0 {
+		return false
+	}
+	u := p.tally.Of(now, e.ID)
+	return float64(u.Tokens+d.Tokens) > crowdedShare*float64(s.Engine.Capacity) || u.Calls+1 >= s.Engine.Slots
+}
+
 // Full reports whether no endpoint that stays has room for a call.
 func (p *Place) Full(now time.Time, s core.Service, all []*fleet.Status, d Demand) bool {
 	if s.Engine == nil {
@@ -167,8 +204,7 @@
 		if e.Leaving {
 			continue
 		}
-		u := p.tally.Of(now, e.ID)
-		if float64(u.Tokens+d.Tokens) <= fullShare*float64(s.Engine.Capacity) && u.Calls < s.Engine.Slots {
+		if room(s, p.tally.Of(now, e.ID), d) {
 			return false
 		}
 	}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -151,7 +151,7 @@
 func (c *call) admit() bool {
 	table := c.g.News.Table()
 	if table == nil || !c.g.News.Known() {
-		c.refuse(reasonNotReady, startRetry)
+		c.refuse(reasonNotReady, c.startRetry())
 		return false
 	}
 	c.route = table
--- a/io/gate/leg.go
+++ b/io/gate/leg.go
@@ -50,7 +50,8 @@
 	if backup != nil {
 		s.g.streams.add(backup.ID, s)
 	}
-	out := core.Outbound{Endpoint: e.ID, Urgency: noUrgency, From: from, LastEvent: s.last}
+	out := core.Outbound{Endpoint: e.ID, Urgency: noUrgency, From: from, LastEvent: s.last, Hold: s.hold}
+	s.hold = ""
 	if backup != nil {
 		out.Backup = backup.Address
 	}
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -27,7 +27,7 @@
 	// engines leave from 1.5 s after their notice.
 	lastCopyAfter = 1200 * time.Millisecond
 	// moveRetry is the time until a refused move is tried again.
-	moveRetry = 100 * time.Millisecond
+	moveRetry = 40 * time.Millisecond
 	// moveTries bounds the moves of one generation off one engine.
 	moveTries = 12
 )
@@ -45,6 +45,7 @@
 	since   time.Time // when the source's leaving was first known
 	asked   time.Time // when the call that is under way was sent
 	tries   int
+	refused map[core.EndpointID]bool // engines that had no room
 	memory  core.Tokens // counted at target
 }
 
@@ -62,6 +63,25 @@
 	}
 }
 
+// drop gives up a copy that nobody will use.
+func (m *movement) drop(g *Gate) {
+	m.release(g)
+	if m.handle == "" {
+		return
+	}
+	source, target, handle := m.source, m.target, m.handle
+	m.handle = ""
+	go g.Mover.Drop(source, target, handle)
+}
+
+// refuse leaves an engine out that had no room.
+func (m *movement) refuse(id core.EndpointID) {
+	if m.refused == nil {
+		m.refused = map[core.EndpointID]bool{}
+	}
+	m.refused[id] = true
+}
+
 // restart begins anew for a generation that goes on at source.
 func (m *movement) restart(g *Gate, source core.Endpoint) {
 	m.release(g)
@@ -177,12 +197,12 @@
 	now := time.Now()
 	all := s.g.Fleet.Of(s.service.Name)
 	d := place.Demand{Tokens: s.memory}
-	e := s.g.Place.Copy(now, s.service, all, s.move.source, d, true)
+	e := s.g.Place.Copy(now, s.service, all, s.move.source, d, true, s.move.refused)
 	if e == nil && s.move.tries < moveTries {
-		e = s.g.Place.Choose(now, s.service, all, d, map[core.EndpointID]bool{s.move.source.ID: true})
+		s.move.refused = map[core.EndpointID]bool{s.move.source.ID: true}
+		e = s.g.Place.Choose(now, s.service, all, d, s.move.refused)
 	}
-	s.move.release(s.g)
-	s.move.handle = ""
+	s.move.drop(s.g)
 	if e == nil {
 		s.move.at = now.Add(copyRetry)
 		return
@@ -267,6 +287,9 @@
 	default:
 		s.move.stopped = false
 		s.move.handle = ""
+		if status == http.StatusServiceUnavailable {
+			s.move.refuse(s.move.target.ID)
+		}
 		s.flush()
 		s.move.at = time.Now().Add(moveRetry)
 		s.arm()
--- a/io/gate/refuse.go
+++ b/io/gate/refuse.go
@@ -23,10 +23,18 @@
 )
 
 const (
-	startRetry = 300 * time.Millisecond
-	busyRetry  = 250 * time.Millisecond
+	busyRetry = 250 * time.Millisecond
+	// startShare is the part of the caller's deadline after which it shall come back to an instance that knows no
+	// configuration yet; callers wait for a third at most and come back once.
+	startShare    = 0.22
+	maxStartRetry = 3 * time.Second
 )
 
+// startRetry is when a caller shall come back to an instance that knows no configuration yet.
+func (c *call) startRetry() time.Duration {
+	return min(max(time.Duration(startShare*float64(c.Deadline)), busyRetry/2), maxStartRetry)
+}
+
 // refuse answers that the call was not run and when to come back; the time is spread so that callers do not return
 // together.
 func (c *call) refuse(why reason, after time.Duration) {
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -26,6 +26,7 @@
 	pending *leg // its request is sent, its answer has not begun
 	held    []streamEvent
 	move    movement
+	hold    string // reserved room for the leg that is opened next
 
 	last     string // id of the last event delivered
 	events   int
@@ -43,13 +44,12 @@
 	silence = 700 * time.Millisecond
 	// firstShare is the part of the objective after which a resumable stream without an event is sent elsewhere.
 	firstShare = 0.65
-	// roomShare is the part of the objective for which a stream waits for room.
-	roomShare = 0.6
 	// midShare is the part of its output for which a generation's memory is counted: others that share its engine are
 	// at other points of theirs.
-	midShare     = 0.6
-	roomInterval = 20 * time.Millisecond
-	fullRetry    = 1200 * time.Millisecond
+	midShare = 0.6
+	// fullRetryShare is the part of the time left after which a refused caller shall come back; callers wait for a third
+	// at most.
+	fullRetryShare = 0.2
 )
 
 // stream serves the call.
@@ -60,12 +60,7 @@
 	}
 	s.memory = c.PromptTokens + core.Tokens(midShare*float64(c.g.Expect.Output(c.rule.Name, c.LengthHint, c.MaxTokens)))
 	defer s.close()
-	if !s.waitForRoom() {
-		return
-	}
-	if !s.begin() {
-		return
-	}
+	s.begin(true)
 	s.run()
 }
 
@@ -76,58 +71,40 @@
 			l.close(false)
 		}
 	}
-	s.move.release(s.g)
+	s.move.drop(s.g)
 }
 
-func (s *stream) demand() place.Demand {
-	return place.Demand{Tokens: s.memory, Unread: s.PromptTokens}
+// fullRetry is when a caller that found no room shall come back: a surge lasts some seconds.
+func (s *stream) fullRetry() time.Duration {
+	return max(time.Duration(fullRetryShare*float64(time.Until(s.end))), busyRetry)
 }
 
-// waitForRoom waits until an engine has room, and refuses the call when none has in time.
-func (s *stream) waitForRoom() bool {
-	until := s.start.Add(time.Duration(roomShare * float64(s.rule.Objective)))
-	for {
-		now := time.Now()
-		all := s.g.Fleet.Of(s.service.Name)
-		if !s.g.Place.Full(now, s.service, all, s.demand()) {
-			return true
-		}
-		if now.After(until) {
-			s.refuse(reasonFull, fullRetry)
-			return false
-		}
-		select {
-		case <-s.ctx.Done():
-			s.ended(nil)
-			return false
-		case <-time.After(roomInterval):
-		}
-	}
+func (s *stream) demand() place.Demand {
+	return place.Demand{Tokens: s.memory, Unread: s.PromptTokens, Long: s.movable()}
 }
 
-// begin sends the call to its first endpoint.
-func (s *stream) begin() bool {
-	now := time.Now()
-	all := s.g.Fleet.Of(s.service.Name)
-	e := s.g.Place.Choose(now, s.service, all, s.demand(), s.tried)
+// begin sends the call to an endpoint with room; wait says that it may wait for one.
+func (s *stream) begin(wait bool) {
+	e, hold := s.reserve(wait)
 	if e == nil {
-		s.conclude(nil, s.lastErr())
-		return false
+		return
 	}
+	now := time.Now()
 	s.tried[e.ID] = true
 	backup := s.backup(now, e.Endpoint)
 	u := s.g.Tally.Of(now, e.ID)
 	s.g.Log.Request(event.Routed, s.ID, event.Fields{
 		"endpoint": e.ID, "calls": u.Calls, "tokens": u.Tokens, "unread": u.Unread, "prompt": s.PromptTokens,
-		"forecast": s.memory, "hint": s.LengthHint, "max": s.MaxTokens, "backup": endpointID(backup), "age_ms": s.age(), "instances": s.g.Instances(),
+		"forecast": s.memory, "hint": s.LengthHint, "max": s.MaxTokens, "backup": endpointID(backup), "hold": hold != "",
+		"age_ms": s.age(), "instances": s.g.Instances(),
 	})
+	s.hold = hold
 	s.open(e.Endpoint, "", backup)
 	s.silentAt = time.Time{}
 	if s.rule.Resumable && s.sends+1 < s.rule.MaxAttempts {
 		s.silentAt = now.Add(time.Duration(firstShare * float64(s.rule.Objective)))
 	}
 	s.arm()
-	return true
 }
 
 func (s *stream) lastErr() error {
@@ -144,7 +121,7 @@
 	if s.rule.Resumable || s.service.Engine == nil || !s.service.Engine.Backups {
 		return nil
 	}
-	e := s.g.Place.Copy(now, s.service, s.g.Fleet.Of(s.service.Name), source, place.Demand{Tokens: s.memory}, false)
+	e := s.g.Place.Copy(now, s.service, s.g.Fleet.Of(s.service.Name), source, place.Demand{Tokens: s.memory}, false, nil)
 	if e == nil {
 		return nil
 	}
@@ -275,7 +252,7 @@
 	if errors.As(o.err, &sendErr) && !sendErr.MayHaveRun() && s.ctx.Err() == nil {
 		s.g.Unreachable(o.leg.endpoint.ID, sendErr.Refused())
 		if len(s.tried) < connectTries {
-			s.begin()
+			s.begin(false)
 			return
 		}
 		s.conclude(nil, o.err)
@@ -297,7 +274,7 @@
 		return
 	}
 	if s.again(w, o.err) {
-		s.begin()
+		s.begin(false)
 		return
 	}
 	s.conclude(w, o.err)
@@ -440,7 +417,7 @@
 	s.sends++
 	s.mayHaveRun = true
 	if s.rule.Resumable && s.again(nil, cause) {
-		s.begin()
+		s.begin(false)
 		return
 	}
 	s.cut(cause)
@@ -479,7 +456,7 @@
 	case s.events > 0:
 		s.cut(errDeadline)
 	case s.current == nil && s.pending == nil && !s.mayHaveRun:
-		s.refuse(reasonFull, fullRetry)
+		s.refuse(reasonFull, s.fullRetry())
 	default:
 		clear(s.w.Header())
 		s.fail(http.StatusGatewayTimeout, errDeadline)
