--- /dev/null
+++ b/core/allow/allow_test.go
@@ -0,0 +1,80 @@
+package allow_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"snipeshed/core/allow"
+)
+
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+// TestFleetBudget guards against a fleet that together retries more than its budget in some window, however calls and
+// wishes to retry fall on its instances (pattern: callers who repeat at once, endpoints that fail part of their calls).
+func TestFleetBudget(t *testing.T) {
+	const (
+		ratio = 0.2
+		slack = 20.0
+		span  = 10 * time.Second
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 6).Draw(t, "instances")
+		parts := make([]*allow.Allow, n)
+		for i := range parts {
+			parts[i] = allow.New(ratio, slack, span)
+		}
+		now := time.Unix(1_000_000, 0)
+		var calls, retries []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, n-1).Draw(t, "instance")
+			if rapid.Bool().Draw(t, "call") {
+				parts[i].Call(now, "s")
+				calls = append(calls, now)
+				continue
+			}
+			if parts[i].Retry(now, "s", n) {
+				retries = append(retries, now)
+			}
+		}
+		for _, from := range retries {
+			if got, most := within(retries, from, span), ratio*float64(within(calls, from.Add(-span), 2*span))+slack; float64(got) > most {
+				t.Fatalf("%d retries in the window from %v, budget %.1f", got, from, most)
+			}
+		}
+	})
+}
+
+func within(times []time.Time, from time.Time, span time.Duration) int {
+	n := 0
+	for _, at := range times {
+		if !at.Before(from) && at.Before(from.Add(span)) {
+			n++
+		}
+	}
+	return n
+}
+
+// TestForce guards against moves of generations that are not counted against later retries.
+func TestForce(t *testing.T) {
+	is := is.New(t)
+	a := allow.New(0, 10, 10*time.Second)
+	now := time.Unix(1000, 0)
+	for range 7 {
+		a.Force(now, "s")
+	}
+	is.True(!a.Retry(now, "s", 1))
+	is.True(a.Retry(now, "other", 1))
+	is.True(a.Retry(now.Add(11*time.Second), "s", 1)) // the window has passed
+	is.True(!a.Retry(now, "fresh", 100))              // an even share of the slack is less than one retry
+}
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -95,7 +95,7 @@
 	if err != nil {
 		return fail(err)
 	}
-	resp, reply, err := d.read(c, r)
+	resp, reply, err := d.read(c, r) //nolint:bodyclose // Answer.Close ends the use of the connection
 	if err != nil {
 		return fail(err)
 	}
--- /dev/null
+++ b/io/dial/dial_test.go
@@ -0,0 +1,246 @@
+package dial_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+	"snipeshed/io/dial"
+	"snipeshed/platform"
+)
+
+// endpoint is a TCP listener that runs a script on each connection, with the connection's number from 1.
+func endpoint(t *testing.T, script func(n int32, c net.Conn, br *bufio.Reader)) core.Endpoint {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	var n atomic.Int32
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				script(n.Add(1), c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return core.Endpoint{ID: "e", Address: ln.Addr().String()}
+}
+
+// readRequest reads one request and returns its attempt's id, or "".
+func readRequest(br *bufio.Reader) string {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return ""
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	return r.Header.Get("Snipeshed-Attempt-Id")
+}
+
+func answer(id, extra, text string) string {
+	return "HTTP/1.1 200 OK\r\nSnipeshed-Attempt-Id: " + id + "\r\nSnipeshed-Server-Seal: s\r\n" + extra + "\r\n" + text
+}
+
+func request(id string, body int) *dial.Request {
+	return &dial.Request{
+		ID: core.AttemptID(id), Method: http.MethodPost, Target: "/x?y=%2f", Host: "h",
+		Header: http.Header{"Snipeshed-Attempt-Id": {id}, "User-Agent": {""}}, Body: []byte(strings.Repeat("b", body)), MaxIdle: time.Minute,
+	}
+}
+
+func get(ctx context.Context, d *dial.Dial, e core.Endpoint, r *dial.Request) (string, error) {
+	a, err := d.Send(ctx, e, r)
+	if err != nil {
+		return "", err
+	}
+	b, err := io.ReadAll(a.Body)
+	a.Close(err == nil)
+	return string(b), err
+}
+
+// TestMayHaveRun guards against a call that is sent again although it may have run: the table of what was written and
+// what came back on the connection.
+func TestMayHaveRun(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		script func(int32, net.Conn, *bufio.Reader)
+		ran    bool
+	}{
+		{"read, then closed", func(_ int32, _ net.Conn, br *bufio.Reader) { readRequest(br) }, true},
+		{"read, then reset", func(_ int32, c net.Conn, br *bufio.Reader) {
+			readRequest(br)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}, true},
+		{"closed unread", func(int32, net.Conn, *bufio.Reader) {}, true},
+		{"bytes that are no answer", func(_ int32, c net.Conn, br *bufio.Reader) {
+			readRequest(br)
+			_, _ = io.WriteString(c, "garbage\r\n\r\n")
+		}, true},
+		{"only answers to other requests", func(_ int32, c net.Conn, br *bufio.Reader) {
+			readRequest(br)
+			for range 5 {
+				_, _ = io.WriteString(c, answer("other", "Content-Length: 2\r\n", "no"))
+			}
+		}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := dial.New(platform.Codec{})
+			defer d.Close()
+			_, err := d.Send(t.Context(), endpoint(t, tt.script), request("r", 10))
+			var failed *dial.Error
+			is.True(errors.As(err, &failed))
+			is.Equal(failed.MayHaveRun(), tt.ran)
+		})
+	}
+	t.Run("nothing listens", func(t *testing.T) {
+		is := is.New(t)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		ln.Close()
+		d := dial.New(platform.Codec{})
+		_, err = d.Send(t.Context(), core.Endpoint{ID: "e", Address: ln.Addr().String()}, request("r", 10))
+		var failed *dial.Error
+		is.True(errors.As(err, &failed))
+		is.True(!failed.MayHaveRun())
+		is.True(failed.Refused())
+	})
+}
+
+// TestForeignAnswers guards against an answer that belongs to the request before (pattern: endpoints that answer twice).
+func TestForeignAnswers(t *testing.T) {
+	is := is.New(t)
+	d := dial.New(platform.Codec{})
+	defer d.Close()
+	e := endpoint(t, func(_ int32, c net.Conn, br *bufio.Reader) {
+		for id := readRequest(br); id != ""; id = readRequest(br) {
+			_, _ = io.WriteString(c, answer("before", "Content-Length: 2\r\n", "no")+answer(id, "Content-Length: 3\r\n", id))
+		}
+	})
+	for _, id := range []string{"r-1", "r-2"} {
+		got, err := get(t.Context(), d, e, request(id, 0))
+		is.NoErr(err)
+		is.Equal(got, id)
+	}
+	is.Equal(d.Opened(), int64(2)) // a connection that mixes answers is not used again
+}
+
+// TestKeptConnections guards against a request on a connection that the endpoint has closed or spoiled meanwhile.
+func TestKeptConnections(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		head   string
+		after  func(c net.Conn)
+		opened int64
+	}{
+		{"used again", "", func(net.Conn) {}, 1},
+		{"closed by its header", "Connection: close\r\n", func(net.Conn) {}, 2},
+		{"closed soon by its header", "Keep-Alive: timeout=0.1\r\n", func(net.Conn) {}, 2},
+		{"bytes after the answer", "", func(c net.Conn) { _, _ = io.WriteString(c, answer("r-2", "Content-Length: 5\r\n", "wrong")) }, 2},
+		{"closed meanwhile", "", func(c net.Conn) { c.Close() }, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			d := dial.New(platform.Codec{})
+			defer d.Close()
+			e := endpoint(t, func(n int32, c net.Conn, br *bufio.Reader) {
+				for id := readRequest(br); id != ""; id = readRequest(br) {
+					_, _ = io.WriteString(c, answer(id, tt.head+"Content-Length: 3\r\n", id))
+					if n == 1 {
+						tt.after(c)
+					}
+				}
+			})
+			for _, id := range []string{"r-1", "r-2"} {
+				got, err := get(t.Context(), d, e, request(id, 0))
+				is.NoErr(err)
+				is.Equal(got, id)
+				time.Sleep(30 * time.Millisecond) // what the endpoint does after its answer arrives
+			}
+			is.Equal(d.Opened(), tt.opened)
+		})
+	}
+}
+
+// TestEarlyAnswer guards against the next request that an endpoint takes for the rest of a body which it has not read.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	d := dial.New(platform.Codec{})
+	defer d.Close()
+	e := endpoint(t, func(n int32, c net.Conn, br *bufio.Reader) {
+		if n == 1 {
+			_, _ = br.ReadString('\n')
+			_, _ = io.WriteString(c, answer("r-1", "Content-Length: 3\r\n", "big"))
+			time.Sleep(300 * time.Millisecond)
+			return
+		}
+		id := readRequest(br)
+		_, _ = io.WriteString(c, answer(id, "Content-Length: 3\r\n", id))
+	})
+	got, err := get(t.Context(), d, e, request("r-1", 32<<20)) // more than the buffers of both ends hold
+	is.NoErr(err)
+	is.Equal(got, "big")
+	got, err = get(t.Context(), d, e, request("r-2", 0))
+	is.NoErr(err)
+	is.Equal(got, "r-2")
+	is.Equal(d.Opened(), int64(2))
+}
+
+// TestUnframed guards against an answer without a length that ended early and looks complete.
+func TestUnframed(t *testing.T) {
+	is := is.New(t)
+	d := dial.New(platform.Codec{})
+	defer d.Close()
+	reset := false
+	e := endpoint(t, func(_ int32, c net.Conn, br *bufio.Reader) {
+		_, _ = io.WriteString(c, answer(readRequest(br), "", "all of it"))
+		if reset {
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+	})
+	got, err := get(t.Context(), d, e, request("r", 0))
+	is.NoErr(err)
+	is.Equal(got, "all of it")
+	reset = true
+	_, err = get(t.Context(), d, e, request("r", 0))
+	is.True(err != nil)
+}
+
+// TestCancel guards against an endpoint that works on after its caller has left.
+func TestCancel(t *testing.T) {
+	is := is.New(t)
+	d := dial.New(platform.Codec{})
+	defer d.Close()
+	closed := make(chan struct{})
+	e := endpoint(t, func(_ int32, _ net.Conn, br *bufio.Reader) {
+		readRequest(br)
+		_, _ = br.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := d.Send(ctx, e, request("r", 10))
+	is.True(errors.Is(err, context.DeadlineExceeded))
+	select {
+	case <-closed:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the connection stays open")
+	}
+}
--- /dev/null
+++ b/io/event/event_test.go
@@ -0,0 +1,60 @@
+package event_test
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"snipeshed/io/event"
+)
+
+// TestStalledReader guards against a request that waits for a reader of the log who has stopped reading.
+func TestStalledReader(t *testing.T) {
+	is := is.New(t)
+	r, w := io.Pipe() // nobody reads
+	defer r.Close()
+	l := event.New(w, "edge-1", logrus.InfoLevel)
+	begun := time.Now()
+	for i := range 20_000 {
+		l.Emit(event.Kind(fmt.Sprint("kind", i%400)), nil)
+	}
+	is.True(time.Since(begun) < 2*time.Second)
+	l.Close() // gives up
+	is.True(time.Since(begun) < 3*time.Second)
+}
+
+// buffer collects lines.
+type buffer struct {
+	mu sync.Mutex
+	strings.Builder
+}
+
+// Write adds to the buffer.
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.Builder.Write(p)
+}
+
+// TestRate guards against a flood of lines, and against lines that vanish without a word.
+func TestRate(t *testing.T) {
+	is := is.New(t)
+	var out buffer
+	l := event.New(&out, "edge-1", logrus.InfoLevel)
+	for range 500 {
+		l.Request(event.Answered, "r1", event.Fields{"status": 200})
+	}
+	time.Sleep(1100 * time.Millisecond)
+	l.Emit(event.Started, nil)
+	l.Close()
+	is.True(strings.Count(out.String(), "msg=answered") <= 200) // two seconds at most
+	is.True(strings.Contains(out.String(), "msg=lines_dropped"))
+	is.True(strings.Contains(out.String(), "request=r1"))
+	is.True(strings.Contains(out.String(), "instance=edge-1"))
+}
--- /dev/null
+++ b/io/gate/harness_test.go
@@ -0,0 +1,186 @@
+package gate_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sirupsen/logrus"
+
+	"snipeshed/core"
+	"snipeshed/core/allow"
+	"snipeshed/core/expect"
+	"snipeshed/core/fleet"
+	"snipeshed/core/place"
+	"snipeshed/core/tally"
+	"snipeshed/io/dial"
+	"snipeshed/io/event"
+	"snipeshed/io/gate"
+	"snipeshed/io/news"
+	"snipeshed/platform"
+	"snipeshed/stand/plat"
+)
+
+const rules = `{"version":%d,"routes":[
+ {"name":"look","host":"a.example","path_prefix":"/look/","kind":"idempotent","timeout_ms":1000,"latency_goal_ms":100,"service":"app","max_attempts":2},
+ {"name":"book","host":"a.example","path_prefix":"/book/","kind":"non_idempotent","timeout_ms":1000,"latency_goal_ms":100,"service":"app","max_attempts":2},
+ {"name":"long","host":"a.example","path_prefix":"/long/","kind":"streaming","timeout_ms":5000,"latency_goal_ms":1000,"gap_target_ms":200,"service":"lm","max_attempts":1},
+ {"name":"short","host":"a.example","path_prefix":"/short/","kind":"streaming","timeout_ms":3000,"latency_goal_ms":1000,"gap_target_ms":200,"service":"lm","max_attempts":2,"resumable":true}],
+ "services":[{"name":"app","max_conns":100},{"name":"lm","max_conns":100,"engine":{"slots":8,"kv_capacity_tokens":10000,"kv_token_bytes":1000,"link_mbps":14000,"moves":true,"backups":%t,"stride":1,"hold_ms":1000}}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":1000},
+ "tenants":[{"name":"north","api_keys":["k1"]}]}`
+
+// system is a gate in front of engines.
+type system struct {
+	*httptest.Server
+	gate  *gate.Gate
+	fleet *fleet.Fleet
+	news  *news.News
+	tally *tally.Tally
+	log   *logBuffer
+}
+
+// logBuffer collects log lines.
+type logBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// start runs a gate that knows the engines, "app" first letters for plain services and others for model engines.
+func start(t *testing.T, backups bool, engines ...*plat.Engine) *system {
+	t.Helper()
+	s := &system{log: &logBuffer{}, tally: tally.New()}
+	log := event.New(s.log, "edge-1", logrus.InfoLevel)
+	s.fleet = fleet.New(func(id core.EndpointID) { s.gate.Leaving(id) })
+	s.news = news.New(platform.Decoder{}, s.fleet, log, func() {})
+	mover, d := platform.NewMover(), dial.New(platform.Codec{})
+	s.gate = gate.New(gate.Parts{
+		Codec: platform.Codec{}, Mover: mover, News: s.news, Fleet: s.fleet, Tally: s.tally, Place: place.New("d1", s.tally),
+		Allow: allow.New(0.2, 100, 10*time.Second), Dial: d, Expect: expect.New(), Log: log, Meter: gate.NewMeter(),
+		Tell: func() {}, Instances: func() int { return 1 },
+	}, 1<<20)
+	s.Server = httptest.NewServer(s.gate)
+	t.Cleanup(func() {
+		s.Close()
+		d.Close()
+		mover.Close()
+		log.Close()
+		for _, e := range engines {
+			e.Close()
+		}
+	})
+	if len(engines) > 0 {
+		s.news.TakeRules(fmt.Appendf(nil, rules, 1, backups), "test")
+		s.list(1, engines...)
+	}
+	return s
+}
+
+// list gives the gate the endpoint list.
+func (s *system) list(revision core.Version, engines ...*plat.Engine) {
+	raw := map[string][]byte{}
+	for _, e := range engines {
+		raw[e.ID] = entry(e, "ready")
+	}
+	s.news.TakeEndpoints(revision, raw, "test")
+}
+
+func entry(e *plat.Engine, state string) []byte {
+	service := "lm"
+	if strings.HasPrefix(e.ID, "app") {
+		service = "app"
+	}
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"d1","slots":8,"state":%q,"born":1}`, service, e.Address(), state)
+}
+
+// leave marks an engine as leaving.
+func (s *system) leave(e *plat.Engine) { s.news.ChangeEndpoint(100, e.ID, entry(e, "draining")) }
+
+// send sends a call with the key of team north.
+func (s *system) send(ctx context.Context, t *testing.T, method, path, attempt string, headers ...string) *reply {
+	t.Helper()
+	req, err := http.NewRequestWithContext(ctx, method, s.URL+path, strings.NewReader(strings.Repeat("x", 10)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "a.example"
+	req.Header.Set("Snipeshed-Attempt-Id", attempt)
+	req.Header.Set("Snipeshed-Deadline-Ms", "4000")
+	req.Header.Set("Api-Key", "k1")
+	req.Header.Set("Snipeshed-Token-Count", "1000,100")
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &reply{StatusCode: resp.StatusCode, Header: resp.Header, Body: resp.Body}
+}
+
+// reply is an answer; body or ids reads and closes it.
+type reply struct {
+	StatusCode int
+	Header     http.Header
+	Body       io.ReadCloser
+}
+
+// ids returns the ids of a stream's events and the error that ended it.
+func ids(resp *reply) ([]string, error) {
+	defer resp.Body.Close()
+	var out []string
+	s := bufio.NewScanner(resp.Body)
+	for s.Scan() {
+		if id, ok := strings.CutPrefix(s.Text(), "id: "); ok {
+			out = append(out, id)
+		}
+	}
+	return out, s.Err()
+}
+
+// wholeStream checks that a caller got each event once, in order.
+func wholeStream(is *is.I, got []string, n int) {
+	is.Helper()
+	var want []string
+	for i := 1; i <= n; i++ {
+		want = append(want, fmt.Sprint(i))
+	}
+	is.Equal(got, want)
+}
+
+func body(resp *reply) string {
+	defer resp.Body.Close()
+	b, _ := io.ReadAll(resp.Body)
+	return string(b)
+}
+
+// eventually waits until a condition holds.
+func eventually(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if cond() {
+			return
+		}
+	}
+	t.Fatalf("not in time: %s", what)
+}
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -46,7 +46,7 @@
 	asked   time.Time // when the call that is under way was sent
 	tries   int
 	refused map[core.EndpointID]bool // engines that had no room
-	memory  core.Tokens // counted at target
+	memory  core.Tokens              // counted at target
 }
 
 // idle reports whether the generation is not being moved.
--- /dev/null
+++ b/io/gate/stream_test.go
@@ -0,0 +1,180 @@
+package gate_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/stand/plat"
+)
+
+func engines(n int, interval time.Duration) []*plat.Engine {
+	var out []*plat.Engine
+	for _, id := range []string{"lm-1", "lm-2", "lm-3"}[:n] {
+		e := plat.NewEngine(id)
+		e.Interval = interval
+		out = append(out, e)
+	}
+	return out
+}
+
+// running returns the engine that runs an attempt.
+func running(t *testing.T, list []*plat.Engine, attempt string) *plat.Engine {
+	t.Helper()
+	var found *plat.Engine
+	eventually(t, "the generation runs", func() bool {
+		for _, e := range list {
+			if e.Runs(attempt) > 0 {
+				found = e
+			}
+		}
+		return found != nil
+	})
+	return found
+}
+
+func runs(list []*plat.Engine, attempt string) int {
+	n := 0
+	for _, e := range list {
+		n += e.Runs(attempt)
+	}
+	return n
+}
+
+// TestStreams guards against streams that lose, repeat or reorder events, or run twice, when their engine goes away
+// (pattern: engines are taken away every few seconds).
+func TestStreams(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		path    string
+		backups bool
+		away    func(s *system, e *plat.Engine)
+		runs    int
+	}{
+		{"undisturbed", "/long/stream", false, func(*system, *plat.Engine) {}, 1},
+		{"the engine leaves", "/long/stream", false, func(s *system, e *plat.Engine) { s.leave(e) }, 1},
+		{"the engine leaves, with a backup", "/long/stream", true, func(s *system, e *plat.Engine) { s.leave(e) }, 1},
+		{"the engine crashes, with a backup", "/long/stream", true, func(_ *system, e *plat.Engine) { e.Close() }, 1},
+		{"the engine crashes, resumable", "/short/stream", false, func(_ *system, e *plat.Engine) { e.Close() }, 2},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			list := engines(3, 15*time.Millisecond)
+			for _, e := range list {
+				e.Events = 100
+			}
+			s := start(t, tt.backups, list...)
+			resp := s.send(t.Context(), t, http.MethodPost, tt.path, "r1")
+			e := running(t, list, "r1")
+			time.Sleep(100 * time.Millisecond)
+			tt.away(s, e)
+			got, err := ids(resp)
+			is.NoErr(err)
+			wholeStream(is, got, 100)
+			is.Equal(runs(list, "r1"), tt.runs)
+			is.Equal(resp.Header.Get("Snipeshed-Server-Seal"), "seal-"+e.ID) // the first engine's
+		})
+	}
+}
+
+// TestStreamCut guards against a broken stream that looks complete (seen on hrc-kyushu trouble-3: a resumable stream
+// whose engine crashed and that no other engine took ended like a whole one, with a refusal as its last bytes).
+func TestStreamCut(t *testing.T) {
+	for _, path := range []string{"/long/stream", "/short/stream"} {
+		t.Run(path, func(t *testing.T) {
+			is := is.New(t)
+			list := engines(1, 15*time.Millisecond)
+			s := start(t, false, list...)
+			resp := s.send(t.Context(), t, http.MethodPost, path, "r1")
+			running(t, list, "r1")
+			time.Sleep(60 * time.Millisecond)
+			list[0].Close()
+			_, err := ids(resp)
+			is.True(err != nil) // the connection ends without the end of the answer
+			is.Equal(runs(list, "r1"), 1)
+		})
+	}
+}
+
+// TestMoveWithoutRoom guards against a generation that is lost because the first engine that was asked has no room
+// (pattern: engines taken away under high load).
+func TestMoveWithoutRoom(t *testing.T) {
+	is := is.New(t)
+	list := engines(3, 15*time.Millisecond)
+	for _, e := range list {
+		e.Events = 80
+	}
+	s := start(t, false, list...)
+	resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", "r1")
+	source := running(t, list, "r1")
+	for _, e := range list {
+		if e != source {
+			e.SetNoRoom(true)
+			break
+		}
+	}
+	time.Sleep(50 * time.Millisecond)
+	s.leave(source)
+	got, err := ids(resp)
+	is.NoErr(err)
+	wholeStream(is, got, 80)
+	is.Equal(runs(list, "r1"), 1)
+}
+
+// TestCallerLeaves guards against engines that go on for a caller who left.
+func TestCallerLeaves(t *testing.T) {
+	list := engines(1, 15*time.Millisecond)
+	list[0].Events = 1000
+	s := start(t, false, list...)
+	ctx, cancel := context.WithCancel(t.Context())
+	resp := s.send(ctx, t, http.MethodPost, "/long/stream", "r1")
+	defer resp.Body.Close()
+	running(t, list, "r1")
+	cancel()
+	begun := time.Now()
+	eventually(t, "the engine hears of it", func() bool { return list[0].Left("r1") })
+	if d := time.Since(begun); d > 500*time.Millisecond {
+		t.Fatalf("the engine worked on for %v", d)
+	}
+}
+
+// TestSurgeOfLongWork guards against long generations that take the room of short and urgent ones (pattern: a surge of
+// long work).
+func TestSurgeOfLongWork(t *testing.T) {
+	is := is.New(t)
+	list := engines(1, 20*time.Millisecond)
+	list[0].Events = 60
+	s := start(t, false, list...)
+	for i := range 12 { // 1,018 tokens each by forecast, 10,000 in the engine
+		go func() {
+			resp := s.send(context.WithoutCancel(t.Context()), t, http.MethodPost, "/long/stream", "long"+string(rune('a'+i)))
+			body(resp)
+		}()
+	}
+	eventually(t, "the engine is in use", func() bool { return list[0].Total() >= 3 })
+	time.Sleep(50 * time.Millisecond)
+	resp := s.send(t.Context(), t, http.MethodPost, "/short/stream", "short")
+	got, err := ids(resp)
+	is.NoErr(err)
+	wholeStream(is, got, 60)
+	eventually(t, "all long ones end", func() bool { return s.gate.Meter.Open.Load() == 0 })
+}
+
+// TestFullFleet guards against calls that wait until their deadline for room that does not come.
+func TestFullFleet(t *testing.T) {
+	is := is.New(t)
+	list := engines(1, 5*time.Millisecond)
+	s := start(t, false, list...)
+	list[0].SetNoRoom(true)
+	begun := time.Now()
+	resp := s.send(t.Context(), t, http.MethodPost, "/short/stream", "r1", "Snipeshed-Token-Count", "9000,100")
+	body(resp)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(time.Since(begun) < time.Second) // the route's objective
+	is.Equal(runs(list, "r1"), 0)            // as the refusal says
+	is.True(strings.Contains(s.log.String(), "msg=refused"))
+}
--- /dev/null
+++ b/stand/plat/store.go
@@ -0,0 +1,304 @@
+package plat
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sort"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Fault makes the store answer calls in another way.
+type Fault int
+
+// Values of Fault.
+const (
+	FaultNone   Fault = iota
+	FaultBusy         // status 503
+	FaultMany         // status 429
+	FaultReset        // the connection is cut
+	FaultSilent       // no answer
+	FaultLost         // a write is done and its answer is lost
+)
+
+// Store is an object store with revisions and watches.
+type Store struct {
+	*httptest.Server
+
+	mu      sync.Mutex
+	rev     uint64
+	objects map[string]object // by kind/name
+	history []change
+	oldest  uint64 // watches before it get 410
+	changed chan struct{}
+	fault   Fault
+	calls   int
+	page    int
+	closed  chan struct{}
+}
+
+type meta struct {
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"revision"`
+	Created    uint64   `json:"created"`
+	Finalizers []string `json:"finalizers"`
+	Deleting   bool     `json:"deleting"`
+}
+
+type object struct {
+	Metadata meta            `json:"metadata"`
+	Spec     json.RawMessage `json:"spec"`
+	Status   json.RawMessage `json:"status"`
+}
+
+type change struct {
+	kind    string
+	rev     uint64
+	Removed bool   `json:"removed"`
+	Object  object `json:"object"`
+}
+
+// NewStore starts a store that lists page objects at once; 0 lists all.
+func NewStore(page int) *Store {
+	s := &Store{rev: 1, objects: map[string]object{}, changed: make(chan struct{}), page: page, closed: make(chan struct{})}
+	s.Server = httptest.NewServer(http.HandlerFunc(s.serve))
+	return s
+}
+
+// Address returns IP number and port.
+func (s *Store) Address() string { return strings.TrimPrefix(s.URL, "http://") }
+
+// Close ends waiting calls and the server.
+func (s *Store) Close() {
+	close(s.closed)
+	s.CloseClientConnections()
+	s.Server.Close()
+}
+
+// SetFault changes how calls are answered from now on.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	s.fault = f
+	s.mu.Unlock()
+	if f != FaultNone {
+		s.CloseClientConnections() // watches that wait are cut
+	}
+}
+
+// Calls returns the number of calls so far.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Compact forgets the history, so that watches from before get 410.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest, s.history = s.rev, nil
+}
+
+// Put writes an object as the operator or an engine does.
+func (s *Store) Put(kind, name string, spec any) {
+	raw, err := json.Marshal(spec)
+	if err != nil {
+		panic(err) // a test wrote something that is not JSON
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, raw)
+}
+
+// Remove removes an object.
+func (s *Store) Remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(kind, name)
+}
+
+func (s *Store) put(kind, name string, raw json.RawMessage) object {
+	key := kind + "/" + name
+	old, ok := s.objects[key]
+	if ok && string(old.Spec) == string(raw) {
+		return old
+	}
+	s.rev++
+	o := object{Metadata: meta{Name: name, Revision: s.rev, Created: old.Metadata.Created, Finalizers: []string{}}, Spec: raw}
+	if !ok {
+		o.Metadata.Created = s.rev
+	}
+	s.objects[key] = o
+	s.tell(change{kind: kind, rev: s.rev, Object: o})
+	return o
+}
+
+func (s *Store) remove(kind, name string) {
+	o, ok := s.objects[kind+"/"+name]
+	if !ok {
+		return
+	}
+	s.rev++
+	delete(s.objects, kind+"/"+name)
+	s.tell(change{kind: kind, rev: s.rev, Removed: true, Object: o})
+}
+
+func (s *Store) tell(c change) {
+	s.history = append(s.history, c)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	s.calls++
+	fault := s.fault
+	s.mu.Unlock()
+	switch fault {
+	case FaultBusy:
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	case FaultMany:
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	case FaultReset:
+		panic(http.ErrAbortHandler)
+	case FaultSilent:
+		s.hang(r)
+	}
+	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	status, out := s.answer(r, kind, name)
+	if fault == FaultLost && r.Method != http.MethodGet {
+		s.hang(r)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if out != nil {
+		_ = json.NewEncoder(w).Encode(out) // the caller may have left
+	}
+}
+
+// hang keeps a call without an answer until its caller leaves.
+func (s *Store) hang(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-s.closed:
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func (s *Store) answer(r *http.Request, kind, name string) (int, any) {
+	q := r.URL.Query()
+	switch {
+	case r.Method == http.MethodGet && q.Has("watch"):
+		return s.watch(r, kind)
+	case r.Method == http.MethodGet && name == "":
+		return s.list(kind, q.Get("after"))
+	case r.Method == http.MethodGet:
+		return s.get(kind, name)
+	case r.Method == http.MethodDelete:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.remove(kind, name)
+		return http.StatusOK, nil
+	default:
+		return s.write(r, kind, name)
+	}
+}
+
+func (s *Store) get(kind, name string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind+"/"+name]
+	if !ok {
+		return http.StatusNotFound, nil
+	}
+	return http.StatusOK, o
+}
+
+func (s *Store) write(r *http.Request, kind, name string) (int, any) {
+	var in object
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	if name == "" {
+		name = in.Metadata.Name
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, ok := s.objects[kind+"/"+name]
+	switch {
+	case r.Method == http.MethodPost && ok:
+		return http.StatusConflict, old
+	case r.Method == http.MethodPut && !ok:
+		return http.StatusNotFound, nil
+	case r.Method == http.MethodPut && in.Metadata.Revision != 0 && in.Metadata.Revision != old.Metadata.Revision:
+		return http.StatusConflict, old
+	}
+	return http.StatusOK, s.put(kind, name, in.Spec)
+}
+
+func (s *Store) list(kind, after string) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var items []object
+	for key, o := range s.objects {
+		if strings.HasPrefix(key, kind+"/") && o.Metadata.Name > after {
+			items = append(items, o)
+		}
+	}
+	sort.Slice(items, func(i, j int) bool { return items[i].Metadata.Name < items[j].Metadata.Name })
+	more := s.page > 0 && len(items) > s.page
+	if more {
+		items = items[:s.page]
+	}
+	return http.StatusOK, map[string]any{"items": items, "has_more": more, "current_rev": s.rev}
+}
+
+func (s *Store) watch(r *http.Request, kind string) (int, any) {
+	q := r.URL.Query()
+	since, err := strconv.ParseUint(q.Get("watch"), 10, 64)
+	wait, waitErr := strconv.Atoi(q.Get("wait_ms"))
+	if err != nil || waitErr != nil {
+		return http.StatusBadRequest, nil
+	}
+	end := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if since < s.oldest {
+			s.mu.Unlock()
+			return http.StatusGone, nil
+		}
+		events := []change{}
+		for _, c := range s.history {
+			if c.kind == kind && c.rev > since {
+				events = append(events, c)
+			}
+		}
+		rev, changed := s.rev, s.changed
+		s.mu.Unlock()
+		if len(events) > 0 {
+			return http.StatusOK, map[string]any{"events": events, "current_rev": rev}
+		}
+		select {
+		case <-changed:
+		case <-end:
+			return http.StatusOK, map[string]any{"events": events, "current_rev": rev}
+		case <-s.closed:
+			return http.StatusServiceUnavailable, nil
+		case <-r.Context().Done():
+			return http.StatusServiceUnavailable, nil
+		}
+	}
+}
+
+// String describes the store's state in failure messages.
+func (s *Store) String() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("revision %d, %d objects", s.rev, len(s.objects))
+}
