--- a/cmds/main.go
+++ b/cmds/main.go
@@ -13,6 +13,6 @@
 	return root.Run(&cli.Command{
 		Name:     "snipeshed",
 		Usage:    "serves model generations of unknown length on crowded engines",
-		Commands: []*cli.Command{serveCommand(), edgeCommand(), ticketCommand(), checkCommand(), statusCommand(), settingsCommand()},
+		Commands: []*cli.Command{serveCommand(), edgeCommand(), explainCommand(), ticketCommand(), checkCommand(), statusCommand(), settingsCommand()},
 	}, args, stdout, stderr)
 }
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -128,7 +128,13 @@
 	if d.Long && u.Unread > longBacklog {
 		return false
 	}
-	return float64(u.Tokens+d.Tokens) <= d.limit()*float64(s.Engine.Capacity) && u.Calls < s.Engine.Slots
+	if u.Calls >= s.Engine.Slots {
+		return false
+	}
+	if u.Calls == 0 && u.Tokens == 0 {
+		return true // a call beyond the limit fits an empty engine at best
+	}
+	return float64(u.Tokens+d.Tokens) <= d.limit()*float64(s.Engine.Capacity)
 }
 
 // failures returns for each endpoint by how much it fails more often than the endpoints of its service on average.
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -88,6 +88,18 @@
 	is.True(p.Crowded(now, service(), all[0], short))
 }
 
+// TestLargestCalls guards against the largest calls that never find room while smaller ones do.
+func TestLargestCalls(t *testing.T) {
+	is := is.New(t)
+	all := fleetOf(1)
+	y := tally.New()
+	p := place.New("d0", y)
+	large := place.Demand{Tokens: 33_000, Unread: 30_000, Long: true}
+	is.True(!p.Full(now, service(), all, large))
+	y.Add("e0", tally.Use{Calls: 1, Tokens: 3000})
+	is.True(p.Full(now, service(), all, large))
+}
+
 // TestBacklog guards against long generations that wait behind the prompts of others although their engine has memory
 // (seen on hrc-kyushu trouble-2: all that had waited went to one new engine and began after up to 9 s).
 func TestBacklog(t *testing.T) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -221,6 +221,28 @@
 	return c.team.Name
 }
 
+// midShare is the part of its output for which a generation's memory is counted: others that share its engine are at
+// other points of theirs.
+const midShare = 0.6
+
+// memory is the memory that the call is expected to take; 0 for plain services.
+func (c *call) memory() core.Tokens {
+	if c.service.Engine == nil {
+		return 0
+	}
+	return c.PromptTokens + core.Tokens(midShare*float64(c.g.Expect.Output(c.rule.Name, c.LengthHint, c.MaxTokens)))
+}
+
+// movable reports whether the engines can carry the call's generation to another one.
+func (c *call) movable() bool {
+	return c.rule.Kind == core.KindStream && !c.rule.Resumable && c.service.Engine != nil
+}
+
+// demand is what the call needs at an endpoint.
+func (c *call) demand() place.Demand {
+	return place.Demand{Tokens: c.memory(), Unread: c.PromptTokens, Long: c.movable()}
+}
+
 // readBody reads the whole body, so that the call can be sent again where that is allowed.
 func (c *call) readBody() bool {
 	limit := c.route.Limits.BodyBytes
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -115,9 +115,6 @@
 	}
 }
 
-// movable reports whether the engines can carry the generation to another one.
-func (s *stream) movable() bool { return !s.rule.Resumable && s.service.Engine != nil }
-
 func (s *stream) leaves(ep core.Endpoint) bool {
 	e := s.g.Fleet.Get(ep.ID)
 	return e == nil || e.Leaving || time.Now().Before(e.Unreachable)
--- a/io/gate/refuse.go
+++ b/io/gate/refuse.go
@@ -1,12 +1,14 @@
 package gate
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
 
 	"snipeshed/core"
+	"snipeshed/core/place"
 	"snipeshed/io/event"
 )
 
@@ -18,6 +20,7 @@
 	reasonMemory     reason = "this instance holds too many bodies"
 	reasonNoEndpoint reason = "the service has no endpoint that takes calls"
 	reasonFull       reason = "no endpoint has room before the call's objective"
+	reasonTooLarge   reason = "the prompt is larger than an engine's memory"
 	reasonTurnedAway reason = "the endpoint turned the call away"
 	reasonStopping   reason = "this instance stops before the call is likely to end"
 	reasonUnreached  reason = "the endpoints could not be reached"
@@ -44,13 +47,25 @@
 	after += rand.N(after/2 + 1)
 	c.outcome = "refused"
 	c.g.Codec.Refusal(c.w.Header(), c.ID, after)
+	o := c.outlook()
 	c.g.Log.Request(event.Refused, c.ID, event.Fields{
 		"reason": why, "status": http.StatusServiceUnavailable, "retry_after_ms": after.Milliseconds(),
 		"route": c.routeName(), "service": c.service.Name, "sends": c.sends, "rules": c.version(), "age_ms": c.age(),
+		"endpoints": o.Endpoints, "leaving": o.Leaving, "unreachable": o.Unreachable, "room": o.Room,
+		"least_share": fmt.Sprintf("%.2f", o.LeastShare), "endpoints_revision": c.g.Fleet.Revision(),
 	})
 	c.write(http.StatusServiceUnavailable, "not run: "+string(why))
 }
 
+// outlook is what the choice of an endpoint was based on.
+func (c *call) outlook() place.Outlook {
+	if c.rule == nil {
+		return place.Outlook{}
+	}
+	now := time.Now()
+	return c.g.Place.Outlook(now, c.service, c.g.Fleet.Of(c.service.Name), c.demand())
+}
+
 // deny answers that the configuration does not allow the call.
 func (c *call) deny(status int, why string) {
 	c.outcome = "denied"
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -44,9 +44,6 @@
 	silence = 700 * time.Millisecond
 	// firstShare is the part of the objective after which a resumable stream without an event is sent elsewhere.
 	firstShare = 0.65
-	// midShare is the part of its output for which a generation's memory is counted: others that share its engine are
-	// at other points of theirs.
-	midShare = 0.6
 	// fullRetryShare is the part of the time left after which a refused caller shall come back; callers wait for a third
 	// at most.
 	fullRetryShare = 0.2
@@ -58,8 +55,12 @@
 		call: c, rc: http.NewResponseController(c.w), notice: make(chan struct{}, 1),
 		opened: make(chan opened), moved: make(chan moved, 1), last: c.LastEvent, timer: time.NewTimer(time.Hour),
 	}
-	s.memory = c.PromptTokens + core.Tokens(midShare*float64(c.g.Expect.Output(c.rule.Name, c.LengthHint, c.MaxTokens)))
+	s.memory = c.memory()
 	defer s.close()
+	if e := c.service.Engine; e != nil && c.PromptTokens > e.Capacity {
+		c.refuse(reasonTooLarge, busyRetry)
+		return
+	}
 	s.begin(true)
 	s.run()
 }
@@ -79,10 +80,6 @@
 	return max(time.Duration(fullRetryShare*float64(time.Until(s.end))), busyRetry)
 }
 
-func (s *stream) demand() place.Demand {
-	return place.Demand{Tokens: s.memory, Unread: s.PromptTokens, Long: s.movable()}
-}
-
 // begin sends the call to an endpoint with room; wait says that it may wait for one.
 func (s *stream) begin(wait bool) {
 	e, hold := s.reserve(wait)
--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -164,6 +164,18 @@
 	eventually(t, "all long ones end", func() bool { return s.gate.Meter.Open.Load() == 0 })
 }
 
+// TestTooLarge guards against a call that waits although no engine can ever hold it.
+func TestTooLarge(t *testing.T) {
+	is := is.New(t)
+	list := engines(1, 5*time.Millisecond)
+	s := start(t, false, list...)
+	begun := time.Now()
+	resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", "r1", "Snipeshed-Token-Count", "10001,100")
+	body(resp)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.True(time.Since(begun) < 200*time.Millisecond)
+}
+
 // TestFullFleet guards against calls that wait until their deadline for room that does not come.
 func TestFullFleet(t *testing.T) {
 	is := is.New(t)
--- /dev/null
+++ b/io/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace gathers the log lines of one request over all instances.
+package trace
