--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -57,7 +57,7 @@
 		calls[e.ID]++
 		for j, other := range tallies {
 			if j != at {
-				other.Report(now, core.InstanceID(fmt.Sprint(at)), own[at])
+				other.Report(now, now.Add(time.Minute), core.InstanceID(fmt.Sprint(at)), own[at])
 			}
 		}
 	}
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// peerAge is the age at which another instance's report no longer counts.
-	peerAge = 1500 * time.Millisecond
 	// outcomeSpan is the time over which outcomes are counted, in two halves.
 	outcomeSpan = 4 * time.Second
 )
@@ -52,8 +50,8 @@
 }
 
 type peer struct {
-	at   time.Time
-	uses map[core.EndpointID]Use
+	until time.Time // when its report no longer counts
+	uses  map[core.EndpointID]Use
 }
 
 // New returns an empty Tally.
@@ -133,25 +131,25 @@
 	return out
 }
 
-// Report takes what another instance has in flight, in place of its report before.
-func (t *Tally) Report(now time.Time, from core.InstanceID, uses map[core.EndpointID]Use) {
+// Report takes what another instance has in flight until a time, in place of its report before.
+func (t *Tally) Report(now, until time.Time, from core.InstanceID, uses map[core.EndpointID]Use) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.peers[from] = peer{at: now, uses: uses}
+	t.peers[from] = peer{until: until, uses: uses}
 	t.sum(now)
 }
 
 // sum adds up the reports that still count.
 func (t *Tally) sum(now time.Time) {
 	clear(t.sums)
-	t.next = now.Add(peerAge)
+	t.next = now.Add(time.Hour)
 	for id, p := range t.peers {
-		if now.Sub(p.at) > peerAge {
+		if now.After(p.until) {
 			delete(t.peers, id)
 			continue
 		}
-		if end := p.at.Add(peerAge); end.Before(t.next) {
-			t.next = end
+		if p.until.Before(t.next) {
+			t.next = p.until
 		}
 		for ep, u := range p.uses {
 			s := t.sums[ep]
--- a/core/tally/tally_test.go
+++ b/core/tally/tally_test.go
@@ -17,9 +17,9 @@
 	is := is.New(t)
 	y := tally.New()
 	y.Add("e", tally.Use{Calls: 1, Tokens: 100, Unread: 50, Bare: 100})
-	y.Report(start, "p", map[core.EndpointID]tally.Use{"e": {Calls: 2, Tokens: 30}})
-	y.Report(start, "p", map[core.EndpointID]tally.Use{"e": {Calls: 3, Tokens: 40}})
-	y.Report(start.Add(time.Second), "q", map[core.EndpointID]tally.Use{"e": {Calls: 1}})
+	y.Report(start, start.Add(1500*time.Millisecond), "p", map[core.EndpointID]tally.Use{"e": {Calls: 2, Tokens: 30}})
+	y.Report(start, start.Add(1500*time.Millisecond), "p", map[core.EndpointID]tally.Use{"e": {Calls: 3, Tokens: 40}})
+	y.Report(start.Add(time.Second), start.Add(2500*time.Millisecond), "q", map[core.EndpointID]tally.Use{"e": {Calls: 1}})
 	is.Equal(y.Of(start.Add(time.Second), "e"), tally.Use{Calls: 5, Tokens: 140, Unread: 50, Bare: 100})
 	is.Equal(y.Of(start.Add(2*time.Second), "e").Calls, 2) // p is silent
 	is.Equal(y.Of(start.Add(9*time.Second), "e").Calls, 1)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -50,7 +50,8 @@
 	callerIdle      = 75 * time.Second
 	headerTimeout   = 5 * time.Second
 	maxHeaderBytes  = 32 << 10
-	fetchTimeout    = 500 * time.Millisecond
+	fetchSpread     = time.Millisecond // per instance
+	fetchTimeout    = 1500 * time.Millisecond
 	registerTimeout = 2 * time.Second
 	registerBackoff = 500 * time.Millisecond
 	outageInterval  = 100 * time.Millisecond
@@ -109,7 +110,7 @@
 
 // build connects the parts.
 func (e *Edge) build() {
-	e.fleet = fleet.New(func(id core.EndpointID) { e.gate.Leaving(id); e.pulse.Wake() })
+	e.fleet = fleet.New(func(id core.EndpointID) { e.gate.Leaving(id) })
 	e.news = news.New(platform.Decoder{}, e.fleet, e.log, func() { e.pulse.Wake() })
 	e.watch = watch.New(e.store, watch.Kinds{
 		Rules: platform.KindRules, MainRules: platform.MainRules, Endpoints: platform.KindEndpoints,
@@ -203,7 +204,7 @@
 		t := e.news.Table()
 		return t != nil && t.Services[ep.Service].Engine != nil &&
 			e.pulse.Outage(e.watch.Down(), e.watch.Up()) && e.pulse.First(string(ep.ID))
-	}, func(id core.EndpointID) { e.gate.Unreachable(id, true) })
+	}, func(id core.EndpointID) { e.gate.Unreachable(id, true) }, e.pulse.Wake)
 	e.group.Go(e.register)
 	e.group.Go(e.watchOutage)
 	e.log.Emit(event.Started, event.Fields{
@@ -250,21 +251,36 @@
 	from := ahead[rand.IntN(len(ahead))]
 	e.group.Go(func() {
 		defer e.fetching.Store(false)
+		if !e.spread() {
+			return
+		}
 		ctx, cancel := context.WithTimeout(e.ctx, fetchTimeout)
 		defer cancel()
 		c := wire.NewSyncProtobufClient("http://"+from.Address, peerClient)
-		got, err := c.Fetch(ctx, &wire.Known{Rules: uint64(rules), Endpoints: uint64(endpoints)})
+		known := &wire.Known{Rules: uint64(rules), Endpoints: uint64(endpoints)}
+		got, err := c.Fetch(ctx, known)
 		if err != nil {
 			e.log.Emit(event.PeerLost, event.Fields{"peer": from.ID, "while": "fetching", "error": err})
+			e.watch.Refresh()
 			return
 		}
 		for _, m := range got.GetMembers() {
 			e.pulse.Add(core.Peer{ID: core.InstanceID(m.GetId()), Address: m.GetAddress(), FailureDomain: core.FailureDomain(m.GetDomain())})
 		}
-		e.news.Take(from.ID, got)
+		e.news.Take(from.ID, known, got)
 	})
 }
 
+// spread waits a random time that grows with the fleet, so that not all instances ask the same ones at once.
+func (e *Edge) spread() bool {
+	select {
+	case <-e.ctx.Done():
+		return false
+	case <-time.After(rand.N(time.Duration(e.pulse.Instances())*fetchSpread + 1)):
+		return true
+	}
+}
+
 var peerClient = &http.Client{Transport: &http.Transport{
 	IdleConnTimeout: 2 * time.Second, MaxIdleConnsPerHost: 1, ReadBufferSize: 4 << 10, WriteBufferSize: 1 << 10,
 }}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -74,7 +74,9 @@
 	if g.Fleet.Unreachable(now, id) {
 		g.streams.tell(id)
 		g.Log.Emit(event.Unreachable, event.Fields{"endpoint": id, "refused": refused})
-		g.Tell()
+		if refused {
+			g.Tell()
+		}
 	}
 }
 
--- a/io/probe/probe.go
+++ b/io/probe/probe.go
@@ -27,16 +27,18 @@
 	mine  func(core.Endpoint) bool
 	// refused is called when nothing listens at an engine's address, which holds for all instances.
 	refused func(core.EndpointID)
-	stop    context.CancelFunc
-	group   sync.WaitGroup
+	// tell is called when an engine was found to leave.
+	tell  func()
+	stop  context.CancelFunc
+	group sync.WaitGroup
 
 	mu    sync.Mutex
 	asked map[core.EndpointID]time.Time
 }
 
 // New starts a Probe; mine reports whether this instance is to ask an engine now.
-func New(m core.Mover, f *fleet.Fleet, log *event.Log, mine func(core.Endpoint) bool, refused func(core.EndpointID)) *Probe {
-	p := &Probe{mover: m, fleet: f, log: log, mine: mine, refused: refused, asked: map[core.EndpointID]time.Time{}}
+func New(m core.Mover, f *fleet.Fleet, log *event.Log, mine func(core.Endpoint) bool, refused func(core.EndpointID), tell func()) *Probe {
+	p := &Probe{mover: m, fleet: f, log: log, mine: mine, refused: refused, tell: tell, asked: map[core.EndpointID]time.Time{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
 	p.group.Go(func() { p.run(ctx) })
@@ -88,6 +90,7 @@
 	if r.Leaving {
 		p.log.Emit(event.ProbedLeaving, event.Fields{"endpoint": e.ID})
 		p.fleet.Hint(time.Now(), e.ID)
+		p.tell()
 	}
 }
 
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -21,7 +21,7 @@
 	// shortestInterval and perPeer give the interval between two datagrams to each peer, so that the datagrams that an
 	// instance sends in a second stay bounded in a large fleet.
 	shortestInterval = 100 * time.Millisecond
-	perPeer          = 4 * time.Millisecond
+	perPeer          = 10 * time.Millisecond
 	// quietFactor lengthens the interval while nothing has changed.
 	quietFactor = 3
 	// lostIntervals is the number of missed quiet intervals after which an instance counts as lost.
@@ -134,6 +134,9 @@
 	return max(shortestInterval, time.Duration(p.live())*perPeer)
 }
 
+// lostAfter is the silence after which an instance counts as lost and what it had in flight as ended.
+func (p *Pulse) lostAfter() time.Duration { return quietFactor * lostIntervals * p.interval() }
+
 func (p *Pulse) send() {
 	var sent, probed time.Time
 	var before content
@@ -151,7 +154,7 @@
 		}
 		now := time.Now()
 		interval := p.interval()
-		p.drop(now, quietFactor*lostIntervals*interval)
+		p.drop(now, p.lostAfter())
 		state := p.State(now)
 		current := content{state.Rules, state.Endpoints, state.StoreDown, state.StoreUp, state.Stopping, len(state.Leaving), p.tally.Changes()}
 		if woken || current != before || now.Sub(sent) >= quietFactor*interval {
@@ -252,7 +255,7 @@
 			Failed: int(u.GetFailed()), Ended: int(u.GetEnded()),
 		}
 	}
-	p.tally.Report(now, from, uses)
+	p.tally.Report(now, now.Add(p.lostAfter()), from, uses)
 	for _, id := range d.GetLeaving() {
 		p.Leaving(now, core.EndpointID(id))
 	}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -21,6 +21,8 @@
 	upSpan       = 3 * time.Second
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
+	// batch is the wait after a change, so that changes of the same moment cost one call of the store.
+	batch = 50 * time.Millisecond
 	// peersFirst is how long a starting instance waits for other instances before it reads the store.
 	peersFirst = 150 * time.Millisecond
 	// maxObjects bounds the reading of one kind.
@@ -44,9 +46,11 @@
 	down  atomic.Bool
 	up    atomic.Int64 // when the store last answered, in ns since start
 	start time.Time
-	ctx   context.Context
-	stop  context.CancelFunc
-	group sync.WaitGroup
+	// refresh asks for one reading of the store.
+	refresh chan struct{}
+	ctx     context.Context
+	stop    context.CancelFunc
+	group   sync.WaitGroup
 }
 
 // Turns say what this instance does for all.
@@ -61,7 +65,7 @@
 
 // New returns a Watch.
 func New(store core.Store, kinds Kinds, n *news.News, log *event.Log, turns Turns) *Watch {
-	w := &Watch{Kinds: kinds, store: store, news: n, log: log, turns: turns, start: time.Now()}
+	w := &Watch{Kinds: kinds, store: store, news: n, log: log, turns: turns, start: time.Now(), refresh: make(chan struct{}, 1)}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	return w
 }
@@ -78,6 +82,14 @@
 	return !w.Down() && at != 0 && time.Since(w.start)-time.Duration(at) < upSpan
 }
 
+// Refresh reads the store once, as other instances know more than this one and it cannot learn it from them.
+func (w *Watch) Refresh() {
+	select {
+	case w.refresh <- struct{}{}:
+	default:
+	}
+}
+
 // Close ends reading and waits for it.
 func (w *Watch) Close() {
 	w.stop()
@@ -100,12 +112,22 @@
 
 func (w *Watch) turn() bool { return w.turns.Watches(w.Down(), w.Up()) }
 
-// try reads the store once at random in an outage, as it may be down only for those that have tried; in each second
-// one instance does so on average.
+// try reads the store once when it was asked to, or at random in an outage, as the store may be down only for those that
+// have tried; in each second one instance does so on average.
 func (w *Watch) try() {
+	select {
+	case <-w.refresh:
+		w.readOnce()
+		return
+	default:
+	}
 	if !w.turns.Outage(w.Down(), w.Up()) || rand.N(time.Duration(w.turns.Instances())*time.Second) > turnInterval {
 		return
 	}
+	w.readOnce()
+}
+
+func (w *Watch) readOnce() {
 	if err := w.read(w.ctx); err != nil {
 		w.lost(err)
 		return
@@ -202,6 +224,7 @@
 func (w *Watch) follow(ctx context.Context, kind string, list func(context.Context) (core.Version, error), change func(*core.Change)) {
 	backoff := firstBackoff
 	since := core.Version(0)
+	changed := false
 	for ctx.Err() == nil {
 		var err error
 		if since == 0 {
@@ -214,6 +237,12 @@
 				if c != nil {
 					change(c)
 					since = max(since, c.Version)
+					changed = true
+					return ctx.Err()
+				}
+				if changed {
+					changed = false
+					sleep(ctx, batch)
 				}
 				return ctx.Err()
 			})
