--- /dev/null
+++ b/edge/peers.go
@@ -0,0 +1,89 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/io/event"
+	"snipeshed/io/pulse"
+	"snipeshed/wire"
+)
+
+// state is what the other instances are told.
+func (e *Edge) state(now time.Time) pulse.State {
+	rules, endpoints := e.news.Versions()
+	return pulse.State{
+		Rules: rules, Endpoints: endpoints, StoreDown: e.watch.Down(), StoreUp: e.watch.Up(), Stopping: e.stopping.Load(),
+		Leaving: e.fleet.Leaving(now, leavingSpan), Refusing: e.gate.Refusing(now),
+	}
+}
+
+// leavingSpan is how long endpoints that began to leave are named to other instances.
+const leavingSpan = 3 * time.Second
+
+// catchUp fetches what another instance knows and this one does not; one fetch is under way at a time.
+func (e *Edge) catchUp() {
+	rules, endpoints := e.news.Versions()
+	ahead := e.pulse.Ahead(rules, endpoints)
+	if len(ahead) == 0 || !e.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	from := ahead[rand.IntN(len(ahead))]
+	e.group.Go(func() {
+		defer e.fetching.Store(false)
+		if !e.spread() {
+			return
+		}
+		ctx, cancel := context.WithTimeout(e.ctx, fetchTimeout)
+		defer cancel()
+		c := wire.NewSyncProtobufClient("http://"+from.Address, peerClient)
+		known := &wire.Known{Rules: uint64(rules), Endpoints: uint64(endpoints)}
+		got, err := c.Fetch(ctx, known)
+		if err != nil {
+			e.log.Emit(event.PeerLost, event.Fields{"peer": from.ID, "while": "fetching", "error": err})
+			e.watch.Refresh()
+			return
+		}
+		for _, m := range got.GetMembers() {
+			e.pulse.Add(core.Peer{ID: core.InstanceID(m.GetId()), Address: m.GetAddress(), FailureDomain: core.FailureDomain(m.GetDomain())})
+		}
+		e.news.Take(from.ID, known, got)
+	})
+}
+
+// spread waits a random time that grows with the fleet, so that not all instances ask the same ones at once.
+func (e *Edge) spread() bool {
+	select {
+	case <-e.ctx.Done():
+		return false
+	case <-time.After(rand.N(time.Duration(e.pulse.Instances())*fetchSpread + 1)):
+		return true
+	}
+}
+
+var peerClient = &http.Client{Transport: &http.Transport{
+	IdleConnTimeout: 2 * time.Second, MaxIdleConnsPerHost: 1, ReadBufferSize: 4 << 10, WriteBufferSize: 1 << 10,
+}}
+
+// syncServer answers other instances.
+type syncServer struct{ e *Edge }
+
+// Fetch gives another instance what it lacks.
+func (s syncServer) Fetch(ctx context.Context, known *wire.Known) (*wire.News, error) {
+	out, err := s.e.news.Fetch(ctx, known)
+	if err != nil {
+		return nil, err
+	}
+	for _, m := range s.e.pulse.Members() {
+		out.Members = append(out.Members, &wire.Member{Id: string(m.ID), Address: m.Address, Domain: string(m.FailureDomain)})
+	}
+	return out, nil
+}
+
+// Introduce makes another instance known before it is heard of or found in the store.
+func (e *Edge) Introduce(id, address string) {
+	e.pulse.Add(core.Peer{ID: core.InstanceID(id), Address: address})
+}
--- /dev/null
+++ b/edge/register.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"snipeshed/core"
+	"snipeshed/io/event"
+	"snipeshed/platform"
+)
+
+// record is what the store holds of an instance.
+type record struct {
+	Address       string `json:"address"`
+	FailureDomain string `json:"failure_domain"`
+}
+
+// register reads the instances that the store knows and adds this one.
+func (e *Edge) register() {
+	for e.ctx.Err() == nil {
+		if err := e.registerOnce(); err == nil {
+			return
+		} else if e.ctx.Err() == nil {
+			e.log.Emit(event.StoreLost, event.Fields{"while": "registering", "error": err})
+		}
+		select {
+		case <-e.ctx.Done():
+		case <-time.After(registerBackoff + rand.N(registerBackoff)):
+		}
+	}
+}
+
+func (e *Edge) registerOnce() error {
+	ctx, cancel := context.WithTimeout(e.ctx, registerTimeout)
+	defer cancel()
+	list, _, err := e.store.ListStale(ctx, platform.KindInstances, "", maxInstances)
+	if err != nil && !errors.Is(err, core.ErrNotFound) {
+		return err
+	}
+	key := platform.KindInstances + "/" + string(e.self.ID)
+	var own core.Object
+	for _, o := range list {
+		if o.Key == key {
+			own = o
+		}
+		e.addRecord(o)
+	}
+	value, err := json.Marshal(record{Address: e.self.Address, FailureDomain: string(e.self.FailureDomain)})
+	if err != nil {
+		return err
+	}
+	if string(own.Value) == string(value) {
+		return nil
+	}
+	_, err = e.store.Put(ctx, key, value, own.Version)
+	if errors.Is(err, core.ErrVersion) {
+		if own, err = e.store.Get(ctx, key); err == nil && string(own.Value) != string(value) {
+			_, err = e.store.Put(ctx, key, value, own.Version)
+		}
+	}
+	return err
+}
+
+func (e *Edge) addRecord(o core.Object) {
+	var r record
+	if err := json.Unmarshal(o.Value, &r); err != nil {
+		e.log.Emit(event.PeerLost, event.Fields{"peer": o.Key, "while": "reading its record", "error": err})
+		return
+	}
+	id := core.InstanceID(o.Key[len(platform.KindInstances)+1:])
+	e.pulse.Add(core.Peer{ID: id, Address: r.Address, FailureDomain: core.FailureDomain(r.FailureDomain)})
+}
--- /dev/null
+++ b/edge/stop.go
@@ -0,0 +1,62 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"snipeshed/conf"
+	"snipeshed/io/event"
+)
+
+// Stop shuts the instance down: it stops being ready, still takes calls until the balancer has noticed, answers all
+// open calls, and cuts what is left when the stop timeout ends.
+func (e *Edge) Stop() {
+	timeout := time.Duration(e.cfg.GetStopTimeoutS()*float64(time.Second)) - stopMargin
+	begun := time.Now()
+	e.stopping.Store(true)
+	e.gate.Stop(begun.Add(timeout))
+	e.callers.Retire()
+	e.pulse.Wake()
+	e.log.Emit(event.Stopping, event.Fields{"open": e.gate.Meter.Open.Load(), "timeout_ms": timeout.Milliseconds()})
+	time.Sleep(min(noticeTime, timeout/2))
+	ctx, cancel := context.WithTimeout(e.ctx, timeout-time.Since(begun))
+	defer cancel()
+	if err := e.callers.Shutdown(ctx); err != nil {
+		e.log.Emit(event.Cut, event.Fields{"open": e.gate.Meter.Open.Load(), "error": "the stop timeout has passed"})
+	}
+	e.Close()
+	e.log.Emit(event.Stopped, event.Fields{"after_ms": time.Since(begun).Milliseconds()})
+	e.log.Close()
+}
+
+// Close ends everything at once and waits for it.
+func (e *Edge) Close() {
+	e.cancel()
+	_ = e.callers.Close()
+	_ = e.closeServers()
+	e.probe.Close()
+	e.watch.Close()
+	e.pulse.Close()
+	e.dial.Close()
+	e.mover.Close()
+	e.store.Close()
+	e.group.Wait()
+}
+
+func (e *Edge) closeServers() error {
+	var errs []error
+	for _, s := range e.servers {
+		errs = append(errs, s.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// Reload notes that the settings file was told to have changed; addresses stay as they are until the next start.
+func (e *Edge) Reload(cfg *conf.EdgeSettings, err error) {
+	fields := event.Fields{"error": err}
+	if err == nil {
+		fields["instance_name"] = cfg.GetInstance()
+	}
+	e.log.Emit(event.Reloaded, fields)
+}
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"snipeshed/core"
@@ -277,112 +276,6 @@
 	s.conclude(w, o.err)
 }
 
-// onEvent takes an event or the end of the current leg.
-func (s *stream) onEvent(e streamEvent) {
-	switch {
-	case errors.Is(e.err, io.EOF) && s.move.stopped:
-		s.whole = true
-	case errors.Is(e.err, io.EOF):
-		s.complete()
-	case e.err != nil:
-		s.broken(s.current, e.err)
-	case s.pending != nil || s.move.stopped:
-		s.held = append(s.held, e) // the other leg sends it again, unless it fails
-	default:
-		s.deliver(e)
-	}
-}
-
-// deliver passes an event on, unless the caller has it.
-func (s *stream) deliver(e streamEvent) {
-	if s.delivered(e.id) {
-		return
-	}
-	now := time.Now()
-	s.current.begun()
-	if s.events == 0 {
-		s.firstAt = now
-		s.g.Meter.First(s.service.Name, now.Sub(s.start))
-		s.w.WriteHeader(http.StatusOK)
-	} else {
-		s.paused(now.Sub(s.lastAt))
-	}
-	if _, err := s.w.Write(e.bytes); err != nil {
-		s.ended(err)
-		return
-	}
-	if err := s.rc.Flush(); err != nil {
-		s.ended(err)
-		return
-	}
-	s.events++
-	s.lastAt = now
-	if e.id != "" {
-		s.last = e.id
-	}
-	if !s.rule.Resumable {
-		s.silentAt = now.Add(silence)
-	}
-	s.arm()
-}
-
-func (s *stream) paused(d time.Duration) {
-	s.g.Meter.Pause(s.service.Name, d)
-	if d > s.longest {
-		s.longest, s.pausedAt = d, s.events
-	}
-}
-
-// delivered reports whether the caller has an event already; ids increase.
-func (s *stream) delivered(id string) bool {
-	n, err := strconv.ParseInt(id, 10, 64)
-	if err != nil {
-		return false
-	}
-	last, err := strconv.ParseInt(s.last, 10, 64)
-	return err == nil && n <= last
-}
-
-// complete ends a stream that the endpoint has ended.
-func (s *stream) complete() {
-	for _, e := range s.held {
-		s.deliver(e)
-	}
-	s.finished = true
-	s.outcome = "answered"
-	if s.events == 0 {
-		s.w.WriteHeader(http.StatusOK)
-	}
-	s.g.Tally.End(time.Now(), s.current.endpoint.ID, false)
-	s.learn()
-	s.current.close(true)
-	s.g.Log.Request(event.Answered, s.ID, event.Fields{
-		"endpoint": s.current.endpoint.ID, "events": s.events, "sends": s.sends + 1, "route": s.rule.Name,
-		"rules": s.route.Version, "age_ms": s.age(), "first_ms": s.firstAt.Sub(s.start).Milliseconds(),
-		"pause_ms": s.longest.Milliseconds(), "pause_after": s.pausedAt,
-	})
-}
-
-// conclude answers a call that no endpoint serves; once events were passed on, only a cut tells so.
-func (s *stream) conclude(w *whole, err error) {
-	s.finished = true
-	if s.events == 0 {
-		s.call.conclude(w, err)
-		return
-	}
-	if err == nil {
-		err = errNoOther
-	}
-	s.cut(err)
-}
-
-// learn takes the length of a whole generation for forecasts.
-func (s *stream) learn() {
-	if s.service.Engine != nil && s.LastEvent == "" {
-		s.g.Expect.Ended(s.rule.Name, core.Tokens(s.events*s.service.Engine.EventTokens))
-	}
-}
-
 // broken handles the end of a leg before the end of its stream.
 func (s *stream) broken(l *leg, cause error) {
 	if s.ctx.Err() != nil {
@@ -428,34 +321,3 @@
 	}
 	return e.ID
 }
-
-// cut ends a stream that cannot go on; it never looks complete.
-func (s *stream) cut(cause error) {
-	s.finished = true
-	if s.events == 0 {
-		clear(s.w.Header())
-		s.fail(http.StatusBadGateway, cause)
-		return
-	}
-	s.outcome = "cut"
-	s.g.Log.Request(event.Cut, s.ID, event.Fields{
-		"endpoint": s.sentTo, "events": s.events, "error": cause, "age_ms": s.age(), "route": s.rule.Name,
-	})
-	panic(http.ErrAbortHandler)
-}
-
-// ended ends a stream whose caller left or whose deadline has passed.
-func (s *stream) ended(writeErr error) {
-	s.finished = true
-	switch {
-	case s.r.Context().Err() != nil || writeErr != nil:
-		s.left("relaying the stream")
-	case s.events > 0:
-		s.cut(errDeadline)
-	case s.current == nil && s.pending == nil && !s.mayHaveRun:
-		s.refuse(reasonFull, s.fullRetry())
-	default:
-		clear(s.w.Header())
-		s.fail(http.StatusGatewayTimeout, errDeadline)
-	}
-}
