--- a/core/entry.go
+++ b/core/entry.go
@@ -127,14 +127,6 @@
 	MaxTokens    Tokens
 	LengthHint   Tokens
 	LastEvent    string
-	// Parts are the ids and sizes of the prompt's parts, in order.
-	Parts []PromptPart
-}
-
-// PromptPart is a part of a prompt that other prompts may share.
-type PromptPart struct {
-	ID     string
-	Tokens Tokens
 }
 
 // Outbound is what an entry adds to a request for an endpoint.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -38,6 +38,9 @@
 	memoryShare = 0.75
 	// bodyShare is the part of the memory that bodies of open calls may take.
 	bodyShare = 0.2
+	// fileDescriptors are kept for files; a call takes one connection on each side, and one more while it is resumed.
+	fileDescriptors = 200
+	callDescriptors = 3
 	// watchers is the number of instances that read the store for all.
 	watchers = 2
 	// noticeTime is how long a stopping instance still takes calls: the balancer asks each second and needs two misses.
@@ -123,7 +126,7 @@
 		Allow: allow.New(e.cfg.GetRetryRatio(), e.cfg.GetRetrySlack(), window),
 		Dial:  e.dial, Expect: expect.New(), Log: e.log, Meter: gate.NewMeter(), Instances: func() int { return e.pulse.Instances() },
 		Tell: func() { e.pulse.Wake() },
-	}, int64(bodyShare*float64(e.cfg.GetMemoryMb()<<20)))
+	}, int64(bodyShare*float64(e.cfg.GetMemoryMb()<<20)), (e.cfg.GetMaxDescriptors()-fileDescriptors)/callDescriptors)
 	e.gate.Meter.Gauge(e.gauges)
 }
 
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -49,12 +49,13 @@
 	refusing  *refusing
 	bodyBytes atomic.Int64 // bodies held
 	maxBody   int64        // bound of bodyBytes
+	maxOpen   int64        // bound of open calls
 	stopsAt   atomic.Pointer[time.Time]
 }
 
-// New returns a Gate that holds at most maxBody bytes of bodies.
-func New(p Parts, maxBody int64) *Gate {
-	return &Gate{Parts: p, streams: newRegistry(), refusing: newRefusing(), maxBody: maxBody}
+// New returns a Gate that holds at most maxBody bytes of bodies and maxOpen calls.
+func New(p Parts, maxBody, maxOpen int64) *Gate {
+	return &Gate{Parts: p, streams: newRegistry(), refusing: newRefusing(), maxBody: maxBody, maxOpen: maxOpen}
 }
 
 // Leaving tells the streams of an endpoint that it leaves.
@@ -161,6 +162,10 @@
 		return false
 	}
 	c.route = table
+	if c.g.Meter.Open.Load() > c.g.maxOpen {
+		c.refuse(reasonOpen, busyRetry)
+		return false
+	}
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	c.rule = table.Find(c.r.Host, path)
 	if c.rule == nil {
--- a/io/gate/leg.go
+++ b/io/gate/leg.go
@@ -93,6 +93,7 @@
 	if l.unread > 0 {
 		l.s.g.Tally.Add(l.endpoint.ID, tally.Use{Unread: -l.unread})
 		l.unread = 0
+		l.s.g.Tell()
 	}
 }
 
@@ -107,6 +108,7 @@
 	l.once.Do(func() {
 		close(l.done)
 		l.count(-1)
+		l.s.g.Tell()
 		l.s.g.streams.remove(l.endpoint.ID, l.s)
 		if l.backup != nil {
 			l.s.g.streams.remove(l.backup.ID, l.s)
--- a/io/gate/refuse.go
+++ b/io/gate/refuse.go
@@ -18,6 +18,7 @@
 const (
 	reasonNotReady   reason = "the configuration or the endpoints are not known yet"
 	reasonMemory     reason = "this instance holds too many bodies"
+	reasonOpen       reason = "this instance serves as many calls as it has descriptors for"
 	reasonNoEndpoint reason = "the service has no endpoint that takes calls"
 	reasonFull       reason = "no endpoint has room before the call's objective"
 	reasonTooLarge   reason = "the prompt is larger than an engine's memory"
--- a/io/gate/room.go
+++ b/io/gate/room.go
@@ -10,15 +10,16 @@
 	"snipeshed/core"
 	"snipeshed/core/fleet"
 	"snipeshed/core/place"
+	"snipeshed/core/route"
 )
 
 const (
 	// roomShare is the part of the objective for which a stream waits for room.
 	roomShare = 0.85
-	// urgentInterval and longInterval are the times between two looks for room; short generations look more often, so
-	// that they find it first.
-	urgentInterval = 10 * time.Millisecond
-	longInterval   = 30 * time.Millisecond
+	// urgentInterval is the time between two looks for room of the most urgent rank; each further rank looks less often,
+	// so that urgent calls find it first.
+	urgentInterval  = 10 * time.Millisecond
+	longestInterval = 50 * time.Millisecond
 	// settleTime is some times as long as it takes to tell the other instances of a call.
 	settleTime = 30 * time.Millisecond
 	// holdTries is the number of engines that are asked for room in one look.
@@ -78,10 +79,8 @@
 }
 
 func (s *stream) lookInterval() time.Duration {
-	d := urgentInterval
-	if s.movable() {
-		d = longInterval
-	}
+	rank := time.Duration(max(route.Rank(s.rule, s.team), 0))
+	d := min(urgentInterval*(1+rank), longestInterval)
 	return d/2 + rand.N(d)
 }
 
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -23,6 +23,8 @@
 	maxBackoff   = 800 * time.Millisecond
 	// batch is the wait after a change, so that changes of the same moment cost one call of the store.
 	batch = 50 * time.Millisecond
+	// settleTime is the time in which instances that start together find each other; before it, all would watch.
+	settleTime = 700 * time.Millisecond
 	// peersFirst is how long a starting instance waits for other instances before it reads the store.
 	peersFirst = 150 * time.Millisecond
 	// maxObjects bounds the reading of one kind.
@@ -44,8 +46,10 @@
 	log   *event.Log
 	turns Turns
 	down  atomic.Bool
-	up    atomic.Int64 // when the store last answered, in ns since start
-	start time.Time
+	// historyGone is set when the store no longer has the changes after the known revision of the endpoint list.
+	historyGone atomic.Bool
+	up          atomic.Int64 // when the store last answered, in ns since start
+	start       time.Time
 	// refresh asks for one reading of the store.
 	refresh chan struct{}
 	ctx     context.Context
@@ -98,6 +102,9 @@
 
 func (w *Watch) run() {
 	w.first()
+	if !w.sleep(settleTime) {
+		return
+	}
 	for w.ctx.Err() == nil {
 		if w.turn() {
 			w.watch()
@@ -135,20 +142,19 @@
 	w.regained()
 }
 
-// first reads the store once, unless other instances gave everything before.
+// first reads the store once, unless other instances gave everything before. What is not there yet reaches those that
+// watch first.
 func (w *Watch) first() {
-	for backoff := peersFirst; !w.news.Known(); backoff = min(max(2*backoff, firstBackoff), maxBackoff) {
-		if !w.sleep(jitter(backoff)) {
+	for backoff := peersFirst; !w.news.Known(); backoff = min(2*backoff, maxBackoff) {
+		if !w.sleep(jitter(backoff)) || w.news.Known() {
 			return
 		}
-		if w.news.Known() {
+		err := w.read(w.ctx)
+		if err == nil {
+			w.regained()
 			return
 		}
-		if err := w.read(w.ctx); err != nil && !errors.Is(err, core.ErrNotFound) {
-			w.lost(err)
-			continue
-		}
-		w.regained()
+		w.lost(err)
 	}
 }
 
@@ -170,6 +176,15 @@
 	return at, nil
 }
 
+// endpointsSince returns the revision of the endpoint list that this instance knows, or lists it. A history that is gone
+// is found by the watch.
+func (w *Watch) endpointsSince(ctx context.Context) (core.Version, error) {
+	if _, known := w.news.Versions(); known > 0 && !w.historyGone.Swap(false) {
+		return known, nil
+	}
+	return w.listEndpoints(ctx)
+}
+
 func (w *Watch) takeRules(o core.Object) {
 	if o.Key == w.Rules+"/"+w.MainRules {
 		w.news.TakeRules(o.Value, "store")
@@ -198,7 +213,7 @@
 	w.log.Emit(event.WatchBegan, nil)
 	var g sync.WaitGroup
 	g.Go(func() { w.follow(ctx, w.Rules, w.listRules, w.changedRules) })
-	g.Go(func() { w.follow(ctx, w.Endpoints, w.listEndpoints, w.changedEndpoint) })
+	g.Go(func() { w.follow(ctx, w.Endpoints, w.endpointsSince, w.changedEndpoint) })
 	for w.turn() && w.sleep(turnInterval) {
 	}
 	cancel()
@@ -251,6 +266,7 @@
 			return
 		}
 		if errors.Is(err, core.ErrHistoryGone) {
+			w.historyGone.Store(true)
 			since = 0
 			continue
 		}
