Open connections to the store and to endpoints in one place

Cause: the options that find connections which went silent stood in platform and in io/dial, with two copies of the same timeout; engines' side calls had only one of them. io/sock holds them once. Keep-alive probes go out each second, twice, so that a silent end shows after 3 s; the system rounded the interval of 0.5 s up to a second anyway. TestOptions reads the options back; it failed with three probes (4 s).

--- a/io/dial/conn.go
+++ b/io/dial/conn.go
@@ -8,15 +8,9 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
-const (
-	readBuffer = 4 << 10
-	// unackedTimeout ends a connection whose other end acknowledges nothing.
-	unackedTimeout = 1500 * time.Millisecond
-)
+const readBuffer = 4 << 10
 
 // conn is a connection to an endpoint that carries one request at a time.
 type conn struct {
@@ -67,11 +61,3 @@
 }
 
 var errUnsolicited = errors.New("the endpoint sent bytes after its answer")
-
-// tune sets the options that find connections that went silent.
-func tune(_, _ string, raw syscall.RawConn) error {
-	return raw.Control(func(fd uintptr) {
-		// A system without the option still has the deadlines of the calls.
-		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-}
--- a/io/dial/dial.go
+++ b/io/dial/dial.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -14,6 +13,7 @@
 	"time"
 
 	"snipeshed/core"
+	"snipeshed/io/sock"
 )
 
 const (
@@ -32,7 +32,7 @@
 // Dial keeps the connections to endpoints; it is safe for concurrent use.
 type Dial struct {
 	codec  core.Codec
-	dialer net.Dialer
+	dialer *sock.Dialer
 
 	mu     sync.Mutex
 	idle   map[core.EndpointID][]*conn
@@ -44,10 +44,7 @@
 func New(codec core.Codec) *Dial {
 	return &Dial{
 		codec: codec, idle: map[core.EndpointID][]*conn{},
-		dialer: net.Dialer{
-			Timeout: connectTimeout, Control: tune,
-			KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: 500 * time.Millisecond, Count: 3},
-		},
+		dialer: sock.New(connectTimeout),
 	}
 }
 
