Tell of load at once only where it matters in a large fleet

Cause: each open, first event and close of a stream was told to all 126 instances of a grown deployment at once, some 30,000 datagrams a second, and each choice weighed engines of other failure domains like those of the own one (2 ms), so that all of them had to be known to all. From 33 live instances on, a change is told at once to the instances of the engine's failure domain and of the sender's, to the others with the next regular datagram; an engine of another domain then costs 80 to 160 ms in the choice, drawn anew for each call, so that instances with old news spread.

Ruled out: coalescing for longer, as an instance of a grown deployment opens a stream every two seconds and there is little to merge.

Tests: TestTellNear (36 instances over sockets), TestLateNews and TestOwnDomain, which fail without the cost of distance (36 of 36 calls at one engine).

--- a/core/members.go
+++ b/core/members.go
@@ -9,6 +9,10 @@
 	FailureDomain FailureDomain
 }
 
+// LargeFleet is the number of live instances from which the load of an endpoint is told at once only to the instances of
+// its failure domain and of the sender's; the others hear of it later.
+const LargeFleet = 33
+
 // Members gives the live instances and the state of endpoints' instances.
 type Members interface {
 	// Self returns this instance.
--- a/core/place/place.go
+++ b/core/place/place.go
@@ -41,6 +41,10 @@
 	priorOutcomes = 3
 	// otherDomainMs prefers an endpoint of the own failure domain between equals.
 	otherDomainMs = 2
+	// farMs and farSpreadMs do so in a large fleet, in which an instance knows the load of other domains late: it goes
+	// there only for a clear gain, and not to the same endpoint as the other instances of its domain.
+	farMs       = 80
+	farSpreadMs = 80
 	// callWaitMs is the delay that one more call at a plain service adds, per slot.
 	callWaitMs = 100
 )
@@ -63,19 +67,31 @@
 
 // Place chooses endpoints for the calls of one instance.
 type Place struct {
-	domain core.FailureDomain
-	tally  *tally.Tally
-	draw   func() float64
+	domain    core.FailureDomain
+	tally     *tally.Tally
+	draw      func() float64
+	instances func() int
 }
 
+// Option changes how a Place is made.
+type Option func(*Place)
+
+// WithInstances gives the number of live instances; without it the fleet is taken to be small.
+func WithInstances(n func() int) Option { return func(p *Place) { p.instances = n } }
+
 // New returns a Place for an instance of a failure domain.
-func New(domain core.FailureDomain, t *tally.Tally) *Place {
-	return &Place{domain: domain, tally: t, draw: rand.Float64}
+func New(domain core.FailureDomain, t *tally.Tally, opts ...Option) *Place {
+	p := &Place{domain: domain, tally: t, draw: rand.Float64, instances: func() int { return 1 }}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
 }
 
 // Choose returns the endpoint where a call is expected to begin first, or nil; tried ones and those that leave are left out.
 func (p *Place) Choose(now time.Time, s core.Service, all []*fleet.Status, d Demand, tried map[core.EndpointID]bool) *fleet.Status {
 	failures := p.failures(now, all)
+	large := p.instances() >= core.LargeFleet
 	var best *fleet.Status
 	var least float64
 	for i, e := range all {
@@ -86,6 +102,9 @@
 			continue
 		}
 		cost := p.cost(now, s, e, d) + failureWaitMs*failures[i] + p.draw()
+		if e.Domain != p.domain {
+			cost += p.farCost(large)
+		}
 		if best == nil || cost < least {
 			best, least = e, cost
 		}
@@ -103,15 +122,20 @@
 	return true
 }
 
+// farCost is what it costs to go to another failure domain.
+func (p *Place) farCost(large bool) float64 {
+	if large {
+		return farMs + farSpreadMs*p.draw()
+	}
+	return otherDomainMs
+}
+
 // cost is the expected delay of a call in ms, and what it costs the others.
 func (p *Place) cost(now time.Time, s core.Service, e *fleet.Status, d Demand) float64 {
 	u := p.tally.Of(now, e.ID)
 	cost := 0.0
-	if e.Domain != p.domain {
-		cost += otherDomainMs
-	}
 	if s.Engine == nil {
-		return cost + callWaitMs*float64(u.Calls)/float64(max(e.Slots, 1))
+		return callWaitMs * float64(u.Calls) / float64(max(e.Slots, 1))
 	}
 	if now.Before(e.Warm) {
 		cost += warmupWaitMs
--- a/core/place/place_test.go
+++ b/core/place/place_test.go
@@ -176,3 +176,53 @@
 	all[3].Warm = now.Add(time.Second)
 	is.True(p.Copy(now, service(), all, source, d, false, nil).ID != "e3")
 }
+
+// TestLateNews guards against herds between failure domains: in a large fleet the instances of a domain whose engines are
+// full know the load of other domains late, and must not all send their calls to the same engine there (pattern: a surge
+// in one failure domain).
+func TestLateNews(t *testing.T) {
+	is := is.New(t)
+	const instances, engines = 36, 30
+	var all []*fleet.Status
+	for i := range engines {
+		all = append(all, &fleet.Status{Endpoint: core.Endpoint{
+			ID: core.EndpointID(fmt.Sprint("e", i)), Service: "lm", Domain: core.FailureDomain(fmt.Sprint("d", i%2)),
+		}})
+	}
+	calls, most := map[core.EndpointID]int{}, 0
+	for range instances {
+		y := tally.New()
+		uses := map[core.EndpointID]tally.Use{}
+		for j, e := range all {
+			if e.Domain == "d0" {
+				uses[e.ID] = tally.Use{Calls: 9, Tokens: 33_000}
+			} else {
+				uses[e.ID] = tally.Use{Calls: 1, Tokens: core.Tokens(3000 + 10*j)}
+			}
+		}
+		y.Report(now, now.Add(time.Minute), "peer", uses)
+		p := place.New("d0", y, place.WithInstances(func() int { return 126 }))
+		e := p.Choose(now, service(), all, long, nil)
+		is.Equal(e.Domain, core.FailureDomain("d1")) // d0 is full
+		calls[e.ID]++
+		most = max(most, calls[e.ID])
+	}
+	is.True(most <= 12) // evenly 2.4; without a spread 36
+}
+
+// TestOwnDomain guards against calls that go to another failure domain for a difference that is older than the choice
+// (pattern: a calm large fleet).
+func TestOwnDomain(t *testing.T) {
+	is := is.New(t)
+	all := fleetOf(6)
+	y := tally.New()
+	y.Report(now, now.Add(time.Minute), "peer", map[core.EndpointID]tally.Use{"e0": {Calls: 1, Tokens: 2500}, "e3": {Calls: 1, Tokens: 2500}})
+	large := place.New("d0", y, place.WithInstances(func() int { return 126 }))
+	for range 50 {
+		is.Equal(large.Choose(now, service(), all, long, nil).Domain, core.FailureDomain("d0"))
+	}
+	y.Report(now, now.Add(time.Minute), "peer", map[core.EndpointID]tally.Use{
+		"e0": {Calls: 2, Tokens: 7000, Unread: 6000}, "e3": {Calls: 2, Tokens: 7000, Unread: 6000},
+	})
+	is.True(large.Choose(now, service(), all, long, nil).Domain != core.FailureDomain("d0")) // two prompts are read there first
+}
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -1,6 +1,7 @@
 package tally
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -143,7 +144,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.subtract(t.peers[from].uses)
-	t.peers[from] = peer{until: until, uses: uses}
+	t.peers[from] = peer{until: until, uses: maps.Clone(uses)} // what is subtracted must not change
 	for ep, u := range uses {
 		s := t.sums[ep]
 		s.add(u)
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -122,10 +122,10 @@
 	window := time.Duration(e.cfg.GetRetryWindowS() * float64(time.Second))
 	e.gate = gate.New(gate.Parts{
 		Codec: platform.Codec{}, Mover: e.mover, News: e.news, Fleet: e.fleet, Tally: e.tally,
-		Place: place.New(e.self.FailureDomain, e.tally),
+		Place: place.New(e.self.FailureDomain, e.tally, place.WithInstances(func() int { return e.pulse.Instances() })),
 		Allow: allow.New(e.cfg.GetRetryRatio(), e.cfg.GetRetrySlack(), window),
 		Dial:  e.dial, Expect: expect.New(), Log: e.log, Meter: gate.NewMeter(), Instances: func() int { return e.pulse.Instances() },
-		Tell: func() { e.pulse.Wake() },
+		Tell: func(d core.FailureDomain) { e.pulse.Tell(d) }, TellAll: func() { e.pulse.Wake() },
 	}, int64(bodyShare*float64(e.cfg.GetMemoryMb()<<20)), (e.cfg.GetMaxDescriptors()-fileDescriptors)/callDescriptors)
 	e.gate.Meter.Gauge(e.gauges)
 }
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -36,8 +36,10 @@
 	Expect *expect.Expect
 	Log    *event.Log
 	Meter  *Meter
-	// Tell sends the other instances what this one has in flight, now.
-	Tell func()
+	// Tell tells other instances that this one has more or less in flight at an endpoint of a failure domain.
+	Tell func(core.FailureDomain)
+	// TellAll tells all other instances what this one knows, now.
+	TellAll func()
 	// Instances returns the number of live instances.
 	Instances func() int
 }
@@ -76,7 +78,7 @@
 		g.streams.tell(id)
 		g.Log.Emit(event.Unreachable, event.Fields{"endpoint": id, "refused": refused})
 		if refused {
-			g.Tell()
+			g.TellAll()
 		}
 	}
 }
--- a/io/gate/leg.go
+++ b/io/gate/leg.go
@@ -45,7 +45,7 @@
 	s.pending = l
 	s.sentTo = e.ID
 	l.count(1)
-	s.g.Tell()
+	s.g.Tell(e.Domain)
 	s.g.streams.add(e.ID, s)
 	if backup != nil {
 		s.g.streams.add(backup.ID, s)
@@ -93,7 +93,7 @@
 	if l.unread > 0 {
 		l.s.g.Tally.Add(l.endpoint.ID, tally.Use{Unread: -l.unread})
 		l.unread = 0
-		l.s.g.Tell()
+		l.s.g.Tell(l.endpoint.Domain)
 	}
 }
 
@@ -108,7 +108,7 @@
 	l.once.Do(func() {
 		close(l.done)
 		l.count(-1)
-		l.s.g.Tell()
+		l.s.g.Tell(l.endpoint.Domain)
 		l.s.g.streams.remove(l.endpoint.ID, l.s)
 		if l.backup != nil {
 			l.s.g.streams.remove(l.backup.ID, l.s)
--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -12,6 +13,7 @@
 // member is what is known of another instance.
 type member struct {
 	core.Peer
+	to        netip.AddrPort // Address, parsed
 	run, seq  uint64
 	heard     time.Time // zero until its first datagram
 	rules     core.Version
@@ -43,10 +45,27 @@
 	if m := p.all[q.ID]; m != nil {
 		return false
 	}
-	p.all[q.ID] = &member{Peer: q}
+	m := &member{}
+	if m.name(q) != nil {
+		return false
+	}
+	p.all[q.ID] = m
 	return true
 }
 
+// name sets who the instance is and where its datagrams go.
+func (m *member) name(q core.Peer) error {
+	if m.Peer == q {
+		return nil
+	}
+	to, err := netip.ParseAddrPort(q.Address)
+	if err != nil {
+		return err
+	}
+	m.Peer, m.to = q, to
+	return nil
+}
+
 // hear takes a datagram and reports whether it is news, and whether its sender was not live before.
 func (p *peers) hear(now time.Time, d *wire.Pulse) (fresh, found bool) {
 	id := core.InstanceID(d.GetFrom())
@@ -58,14 +77,18 @@
 	m := p.all[id]
 	if m == nil {
 		m = &member{}
-		p.all[id] = m
-		p.dropSeed(d.GetAddress())
 	}
 	if m.run == d.GetRun() && d.GetSeq() <= m.seq {
 		return false, false
 	}
+	if m.name(core.Peer{ID: id, Address: d.GetAddress(), FailureDomain: core.FailureDomain(d.GetDomain())}) != nil {
+		return false, false
+	}
+	if p.all[id] == nil {
+		p.dropSeed(d.GetAddress())
+		p.all[id] = m
+	}
 	found = !m.live
-	m.Peer = core.Peer{ID: id, Address: d.GetAddress(), FailureDomain: core.FailureDomain(d.GetDomain())}
 	m.run, m.seq, m.heard, m.live = d.GetRun(), d.GetSeq(), now, true
 	m.rules, m.endpoints = core.Version(d.GetRules()), core.Version(d.GetEndpoints())
 	m.members = int(d.GetMembers())
@@ -126,14 +149,27 @@
 	return out
 }
 
-// targets returns the addresses to which datagrams go; those that are not live get one only when probe is set.
-func (p *peers) targets(probe bool) []string {
+// targets returns the addresses to which datagrams for all go; those that are not live get one only when probe is set.
+func (p *peers) targets(probe bool) []netip.AddrPort {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	out := make([]string, 0, len(p.all))
+	out := make([]netip.AddrPort, 0, len(p.all))
 	for _, m := range p.all {
 		if m.live || probe {
-			out = append(out, m.Address)
+			out = append(out, m.to)
+		}
+	}
+	return out
+}
+
+// near returns the addresses of the live instances of some failure domains and of the own one.
+func (p *peers) near(domains map[core.FailureDomain]bool) []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var out []netip.AddrPort
+	for _, m := range p.all {
+		if m.live && (m.FailureDomain == p.self.FailureDomain || domains[m.FailureDomain]) {
+			out = append(out, m.to)
 		}
 	}
 	return out
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -69,6 +70,7 @@
 	run   uint64
 	seq   atomic.Uint64
 	wake  chan struct{}
+	due   due
 	ctx   context.Context
 	stop  context.CancelFunc
 	group sync.WaitGroup
@@ -104,8 +106,22 @@
 	}
 }
 
-// Wake sends a datagram now.
+// Wake sends a datagram to all now.
 func (p *Pulse) Wake() {
+	p.due.addAll()
+	p.wakeUp()
+}
+
+// Tell tells of a change of load at an endpoint of a failure domain.
+//
+// In a large fleet the instances of that domain and of the own one are told at once, since instances prefer endpoints of
+// their own domain; the others hear of it with the next regular datagram.
+func (p *Pulse) Tell(d core.FailureDomain) {
+	p.due.add(d)
+	p.wakeUp()
+}
+
+func (p *Pulse) wakeUp() {
 	select {
 	case p.wake <- struct{}{}:
 	default:
@@ -138,8 +154,7 @@
 func (p *Pulse) lostAfter() time.Duration { return quietFactor * lostIntervals * p.interval() }
 
 func (p *Pulse) send() {
-	var sent, probed time.Time
-	var before content
+	r := regular{}
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
@@ -153,22 +168,38 @@
 		case <-t.C:
 		}
 		now := time.Now()
-		interval := p.interval()
-		p.drop(now, p.lostAfter())
-		state := p.State(now)
-		current := content{state.Rules, state.Endpoints, state.StoreDown, state.StoreUp, state.Stopping, len(state.Leaving), p.tally.Changes()}
-		if woken || current != before || now.Sub(sent) >= quietFactor*interval {
-			probe := now.Sub(probed) >= probeInterval
-			if probe {
-				probed = now
-			}
-			p.write(p.message(now, state), probe)
-			sent, before = now, current
+		domains, all := p.due.take()
+		if woken && !all && p.live() >= core.LargeFleet {
+			p.write(p.message(now, p.State(now)), p.near(domains))
+			continue
 		}
-		t.Reset(interval)
+		p.sendRegular(now, woken, &r)
+		t.Reset(p.interval())
 	}
 }
 
+// regular is the state of the datagrams that go to all.
+type regular struct {
+	sent, probed time.Time
+	before       content
+}
+
+// sendRegular sends a datagram to all when it was asked for, says something new or is due.
+func (p *Pulse) sendRegular(now time.Time, asked bool, r *regular) {
+	p.drop(now, p.lostAfter())
+	state := p.State(now)
+	current := content{state.Rules, state.Endpoints, state.StoreDown, state.StoreUp, state.Stopping, len(state.Leaving), p.tally.Changes()}
+	if !asked && current == r.before && now.Sub(r.sent) < quietFactor*p.interval() {
+		return
+	}
+	probe := now.Sub(r.probed) >= probeInterval
+	if probe {
+		r.probed = now
+	}
+	p.write(p.message(now, state), p.targets(probe))
+	r.sent, r.before = now, current
+}
+
 func (p *Pulse) drop(now time.Time, after time.Duration) {
 	for _, id := range p.lost(now, after) {
 		p.log.Emit(event.PeerLost, event.Fields{"peer": id, "silent_ms": after.Milliseconds()})
@@ -206,24 +237,22 @@
 	return d
 }
 
-func (p *Pulse) write(d *wire.Pulse, probe bool) {
+func (p *Pulse) write(d *wire.Pulse, to []netip.AddrPort) {
 	d.Seq = p.seq.Add(1)
 	b, err := proto.Marshal(d)
 	if err != nil || len(b) > maxDatagram {
 		p.log.Emit(event.LinesDropped, event.Fields{"of": "datagram", "bytes": len(b), "error": err})
 		return
 	}
-	for _, address := range p.targets(probe) {
-		if addr, err := net.ResolveUDPAddr("udp", address); err == nil {
-			_, _ = p.conn.WriteToUDP(b, addr) // a lost datagram is made up for by the next
-		}
+	for _, address := range to {
+		_, _ = p.conn.WriteToUDPAddrPort(b, address) // a lost datagram is made up for by the next
 	}
 }
 
 func (p *Pulse) receive() {
 	buf := make([]byte, maxDatagram)
 	for {
-		n, _, err := p.conn.ReadFromUDP(buf)
+		n, _, err := p.conn.ReadFromUDPAddrPort(buf)
 		if p.ctx.Err() != nil {
 			return
 		}
--- a/io/pulse/pulse_test.go
+++ b/io/pulse/pulse_test.go
@@ -1,6 +1,7 @@
 package pulse_test
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -26,9 +27,14 @@
 }
 
 func start(t *testing.T, id string) *node {
+	t.Helper()
+	return startIn(t, id, "d")
+}
+
+func startIn(t *testing.T, id string, domain core.FailureDomain) *node {
 	t.Helper()
 	n := &node{
-		self: core.Peer{ID: core.InstanceID(id), Address: plat.Unused(), FailureDomain: "d"}, tally: tally.New(),
+		self: core.Peer{ID: core.InstanceID(id), Address: plat.Unused(), FailureDomain: domain}, tally: tally.New(),
 		leaving: map[core.EndpointID]bool{},
 	}
 	log := event.New(t.Output(), n.self.ID, logrus.ErrorLevel)
@@ -144,3 +150,54 @@
 	nodes[3].set(pulse.State{StoreUp: true})
 	eventually(t, "one that reaches it ends the outage", func() bool { return !nodes[0].Outage(true, false) })
 }
+
+// TestTellNear guards against a large fleet in which each call is told to every instance at once, which took the bandwidth
+// between failure domains, and against one in which those far away are never told.
+func TestTellNear(t *testing.T) {
+	const size, domains = 36, 3
+	var nodes []*node
+	for i := range size {
+		n := startIn(t, fmt.Sprint("i", i), core.FailureDomain(fmt.Sprint("d", i%domains)))
+		if i > 0 {
+			n.Add(nodes[0].self)
+		}
+		nodes = append(nodes, n)
+		for _, m := range nodes {
+			nodes[0].Add(m.self)
+			n.Add(m.self)
+			m.Add(n.self)
+		}
+	}
+	sender := nodes[0]
+	eventually(t, "all are live", func() bool {
+		for _, n := range nodes {
+			if n.Instances() != size {
+				return false
+			}
+		}
+		return true
+	})
+	heard := func(domain core.FailureDomain, calls int) (n int) {
+		for _, m := range nodes[1:] {
+			if m.self.FailureDomain == domain && m.tally.Of(time.Now(), "e").Calls == calls {
+				n++
+			}
+		}
+		return n
+	}
+	farLater := 0
+	for calls := 1; calls <= 5; calls++ {
+		sender.tally.Add("e", tally.Use{Calls: 1})
+		sender.Tell("d1")
+		eventually(t, "the endpoint's domain and the own one have heard", func() bool {
+			return heard("d1", calls) == size/domains && heard("d0", calls) == size/domains-1
+		})
+		if heard("d2", calls) < size/domains {
+			farLater++ // unless a regular datagram has come in between
+		}
+		eventually(t, "all have heard", func() bool { return heard("d2", calls) == size/domains })
+	}
+	if farLater == 0 {
+		t.Error("each call was told to all domains at once")
+	}
+}
--- a/stand/plat/engine.go
+++ b/stand/plat/engine.go
@@ -310,12 +310,19 @@
 	return e.noRoom
 }
 
-// Unused returns an address on loopback at which nothing listens.
+// Unused returns an address on loopback at which nothing listens, neither for connections nor for datagrams.
 func Unused() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err) // loopback is always there
+	for {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			panic(err) // loopback is always there
+		}
+		address := ln.Addr().String()
+		packets, err := net.ListenPacket("udp", address)
+		ln.Close()
+		if err == nil {
+			packets.Close()
+			return address
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
 }
