Check settings of entry instances offline, and disturb more links in the soak

The soak now also puts links between callers and instances and between instances and engines, and delays, cuts, stalls and partitions them or silences one direction, in series that overlap (stand/link gains HoldAnswers, with a test).

--- a/cmds/check.go
+++ b/cmds/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"os"
 
 	"github.com/urfave/cli/v3"
@@ -20,15 +21,17 @@
 		Name:  "check",
 		Usage: "checks settings and tickets without calling an instance",
 		Description: "Tickets are checked one after another, each against the configuration after those before it.\n" +
-			"Example: snipeshed check --settings instance.json --ticket examples/kodusvahetus.json",
+			"Example: snipeshed check --settings instance.json --ticket examples/kodusvahetus.json\n" +
+			"Exit code 0 means that all is valid, 1 that something is not; the reason and its remedy are on standard error.",
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "settings", Usage: "settings file to check"},
+			&cli.StringFlag{Name: "settings", Usage: "settings file of an instance to check"},
+			&cli.StringFlag{Name: "edge-settings", Usage: "settings file of an entry instance to check; prints each value and where it comes from"},
 			&cli.StringSliceFlag{Name: "ticket", Usage: "ticket file to check; may be repeated"},
 			&cli.StringFlag{Name: "configuration", Usage: "output of snipeshed ticket show that the first ticket changes; empty without it"},
 		},
 		Action: func(_ context.Context, c *cli.Command) error {
-			if !c.IsSet("settings") && !c.IsSet("ticket") {
-				return root.UsageError(c, "nothing to check; give --settings or --ticket")
+			if !c.IsSet("settings") && !c.IsSet("ticket") && !c.IsSet("edge-settings") {
+				return root.UsageError(c, "nothing to check; give --settings, --edge-settings or --ticket")
 			}
 			if path := c.String("settings"); path != "" {
 				if _, err := conf.Load(path); err != nil {
@@ -36,11 +39,32 @@
 				}
 				fmt.Fprintf(c.Root().Writer, "%s: settings are valid\n", path)
 			}
+			if path := c.String("edge-settings"); path != "" {
+				if err := explainSettings(c.Root().Writer, path); err != nil {
+					return err
+				}
+			}
 			return checkTickets(c)
 		},
 	}
 }
 
+func explainSettings(w io.Writer, path string) error {
+	all, err := conf.ExplainEdge(path)
+	if err != nil {
+		return err
+	}
+	rows := [][]string{{"SETTING", "VALUE", "UNIT", "FROM"}}
+	for _, s := range all {
+		rows = append(rows, []string{s.Name, s.Value, s.Unit, string(s.Origin)})
+	}
+	if err := writeTable(w, rows); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "%s: settings are valid\n", path)
+	return err
+}
+
 func checkTickets(c *cli.Command) error {
 	s := state.New()
 	if path := c.String("configuration"); path != "" {
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -44,15 +46,16 @@
 
 	mu      sync.Mutex
 	engines map[string]*plat.Engine // live ones, by id
+	links   map[string]*link.Link   // in front of engines, by engine id
 	past    []*plat.Engine
 	lives   int
 	sent    []soakCall
 }
 
 type soakInstance struct {
-	name, client, ready, settings string
-	toStore                       *link.Link
-	cmd                           *exec.Cmd
+	name, ready, settings string
+	toStore, fromCallers  *link.Link
+	cmd                   *exec.Cmd
 }
 
 // soakCall is a protected call or a stream and what its caller saw.
@@ -94,7 +97,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &soak{t: t, seed: seed, dir: dir, procs: p, store: plat.NewStore(0), engines: map[string]*plat.Engine{}}
+	s := &soak{t: t, seed: seed, dir: dir, procs: p, store: plat.NewStore(0), engines: map[string]*plat.Engine{}, links: map[string]*link.Link{}}
 	for range 3 {
 		s.addEngine("lm")
 		s.addEngine("app")
@@ -111,6 +114,10 @@
 	s.procs.Close()
 	for _, m := range s.members {
 		_ = m.toStore.Close() // nothing uses it any more
+		_ = m.fromCallers.Close()
+	}
+	for _, l := range s.links {
+		_ = l.Close() // as above
 	}
 	for _, e := range s.engines {
 		e.Close()
@@ -122,10 +129,20 @@
 	s.lives++
 	e := plat.NewEngine(fmt.Sprintf("%s-%d", service, s.lives))
 	e.Events, e.Interval = 60, 10*time.Millisecond
-	s.engines[e.ID] = e
+	l := s.link(e.Address())
+	e.SetVia(l.Addr())
+	s.engines[e.ID], s.links[e.ID] = e, l
 	s.store.Put("servers", e.ID, e.Entry(service, "d1", "ready"))
 }
 
+func (s *soak) link(target string) *link.Link {
+	l := link.New(target)
+	if err := l.Start(); err != nil {
+		s.t.Fatal(err)
+	}
+	return l
+}
+
 func (s *soak) configure() {
 	route := func(name, kind, service string, attempts int) map[string]any {
 		return map[string]any{
@@ -143,15 +160,12 @@
 }
 
 func (s *soak) addInstance(i int) {
-	l := link.New(s.store.Address())
-	if err := l.Start(); err != nil {
-		s.t.Fatal(err)
-	}
-	m := &soakInstance{name: fmt.Sprintf("edge-%d", i), client: plat.Unused(), ready: plat.Unused(), toStore: l}
+	client := plat.Unused()
+	m := &soakInstance{name: fmt.Sprintf("edge-%d", i), ready: plat.Unused(), toStore: s.link(s.store.Address()), fromCallers: s.link(client)}
 	m.settings = filepath.Join(s.dir, m.name+".json")
 	b, err := json.Marshal(map[string]any{
-		"instance": m.name, "failure_domain": "d1", "client_address": m.client, "ready_address": m.ready, "peer_address": plat.Unused(),
-		"store_address": l.Addr(), "memory_mb": 200, "max_descriptors": 1000, "stop_timeout_s": 3, "retry_slack": 100,
+		"instance": m.name, "failure_domain": "d1", "client_address": client, "ready_address": m.ready, "peer_address": plat.Unused(),
+		"store_address": m.toStore.Addr(), "memory_mb": 200, "max_descriptors": 1000, "stop_timeout_s": 3, "retry_slack": 100,
 	})
 	if err == nil {
 		err = os.WriteFile(m.settings, b, 0o600)
@@ -201,7 +215,7 @@
 	m := s.members[r.IntN(len(s.members))]
 	span := time.Duration(200+r.IntN(1200)) * time.Millisecond
 	storeFault := []plat.Fault{plat.FaultBusy, plat.FaultMany, plat.FaultReset, plat.FaultLost}[r.IntN(4)]
-	kind := r.IntN(9)
+	kind := r.IntN(12)
 	s.t.Logf("fault %d at %s for %v", kind, m.name, span)
 	switch kind {
 	case 0:
@@ -224,9 +238,44 @@
 		m.toStore.Stall()
 		time.Sleep(span)
 		_ = m.toStore.Restore() // fails only when it is closed
-	default:
+	case 8:
 		m.toStore.Cut()
+	case 9:
+		s.trouble(r, m.fromCallers, span, g)
+	default:
+		s.mu.Lock()
+		l := s.links[s.anyEngine(r)]
+		s.mu.Unlock()
+		s.trouble(r, l, span, g)
+	}
+}
+
+// trouble disturbs the connections of a link for a while.
+func (s *soak) trouble(r *rand.Rand, l *link.Link, span time.Duration, g *sync.WaitGroup) {
+	how := r.IntN(5)
+	s.t.Logf("trouble %d", how)
+	switch how {
+	case 0:
+		l.Delay(time.Duration(5+r.IntN(100)) * time.Millisecond)
+	case 1: // one way
+		l.HoldAnswers()
+	case 2:
+		l.Stall()
+	case 3:
+		l.Partition()
+	default:
+		l.Cut()
 	}
+	g.Go(func() {
+		time.Sleep(span)
+		l.Delay(0)
+		_ = l.Restore() // fails only when it is closed
+	})
+}
+
+// anyEngine draws a live engine's id, in an order that the seed decides.
+func (s *soak) anyEngine(r *rand.Rand) string {
+	return slices.Sorted(maps.Keys(s.engines))[r.IntN(len(s.engines))]
 }
 
 // pick returns a live engine, in an order that the seed decides.
@@ -262,15 +311,24 @@
 	g.Go(func() {
 		time.Sleep(1500*time.Millisecond + span)
 		s.store.Remove("servers", e.ID)
-		e.Close()
+		s.end(e)
 	})
 }
 
+// end ends an engine; its address refuses connections from then on.
+func (s *soak) end(e *plat.Engine) {
+	s.mu.Lock()
+	l := s.links[e.ID]
+	s.mu.Unlock()
+	l.Refuse()
+	e.Close()
+}
+
 // crash takes an engine away without one.
 func (s *soak) crash(r *rand.Rand) {
 	if e, service := s.pick(r); e != nil {
 		s.replace(e, service)
-		e.Close()
+		s.end(e)
 		s.store.Remove("servers", e.ID)
 	}
 }
@@ -289,7 +347,7 @@
 }
 
 func (s *soak) one(c *http.Client, m *soakInstance, path, attempt string) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+m.client+path, strings.NewReader(""))
+	req, err := http.NewRequest(http.MethodPost, "http://"+m.fromCallers.Addr()+path, strings.NewReader(""))
 	if err != nil {
 		s.t.Error(err)
 		return
--- a/stand/link/link.go
+++ b/stand/link/link.go
@@ -85,6 +85,16 @@
 	}
 }
 
+// HoldAnswers makes all open connections silent in one direction: what clients send reaches the target, what the target
+// sends is held back.
+func (l *Link) HoldAnswers() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for p := range l.open {
+		p.holdAnswers()
+	}
+}
+
 // Blackhole makes all open connections silent like Stall, and their kernel sockets too: no packet that arrives is
 // acknowledged, as when the network drops the packets of a connection. Stall's kernel still acknowledges them. It needs Linux.
 func (l *Link) Blackhole() error {
--- a/stand/link/link_test.go
+++ b/stand/link/link_test.go
@@ -89,6 +89,15 @@
 			c.NoErr(c.Restore())
 			c.NoErr(c.await(conn, time.Second))
 		}},
+		{"hold answers", "a one-way cut that also stops what clients send", func(c *caller) {
+			conn := c.dial()
+			c.NoErr(c.ping(conn, time.Second))
+			c.HoldAnswers()
+			c.True(errors.Is(c.ping(conn, silence), os.ErrDeadlineExceeded))
+			c.NoErr(c.ping(c.dial(), time.Second))
+			c.NoErr(c.Restore())
+			c.NoErr(c.await(conn, time.Second))
+		}},
 		{"partition", "new connections that work during a partition", func(c *caller) {
 			c.Partition()
 			conn := c.dial()
--- a/stand/link/pair.go
+++ b/stand/link/pair.go
@@ -17,7 +17,9 @@
 	mu     sync.Mutex
 	server net.Conn
 	gate   chan struct{} // closed by restore; nil while bytes pass
-	ended  bool
+	// answers is the same for bytes from the target only.
+	answers chan struct{}
+	ended   bool
 	// dropping is set while the sockets drop every packet.
 	dropping bool
 }
@@ -30,6 +32,15 @@
 	}
 }
 
+// holdAnswers stalls what comes from the target.
+func (p *pair) holdAnswers() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.answers == nil {
+		p.answers = make(chan struct{})
+	}
+}
+
 // blackhole stalls the pair and lets its sockets drop every packet.
 func (p *pair) blackhole() error {
 	p.stall()
@@ -64,13 +75,20 @@
 		close(p.gate)
 		p.gate = nil
 	}
+	if p.answers != nil {
+		close(p.answers)
+		p.answers = nil
+	}
 }
 
-// wait waits while the pair is stalled and reports whether it is still open.
-func (p *pair) wait() bool {
+// wait waits while the pair is stalled, for answers also while those are, and reports whether it is still open.
+func (p *pair) wait(answers bool) bool {
 	for {
 		p.mu.Lock()
 		gate := p.gate
+		if gate == nil && answers {
+			gate = p.answers
+		}
 		p.mu.Unlock()
 		if gate == nil {
 			select {
@@ -98,7 +116,7 @@
 	stalled := p.gate != nil
 	p.mu.Unlock()
 	if !stalled {
-		return nil, p.wait()
+		return nil, p.wait(false)
 	}
 	var sent []byte
 	var err error
@@ -110,7 +128,7 @@
 			n, err = p.client.Read(buf)
 		}
 	}()
-	open := p.wait()
+	open := p.wait(false)
 	_ = p.client.SetReadDeadline(time.Now().Add(holdGrace)) // fails only when the connection is closed already
 	<-read
 	_ = p.client.SetReadDeadline(time.Time{}) // as above
@@ -168,6 +186,7 @@
 
 // pass copies from src to dst, each chunk after the delay, and then passes on the end.
 func (p *pair) pass(dst, src net.Conn, delay func() time.Duration) {
+	answers := src != p.client
 	chunks := make(chan chunk, inFlight)
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -196,14 +215,14 @@
 				continue
 			}
 		}
-		if !p.wait() {
+		if !p.wait(answers) {
 			continue
 		}
 		if _, err := dst.Write(c.data); err != nil {
 			p.cut()
 		}
 	}
-	if !p.wait() {
+	if !p.wait(answers) {
 		return
 	}
 	if t, ok := dst.(*net.TCPConn); ok {
--- a/stand/plat/engine.go
+++ b/stand/plat/engine.go
@@ -22,6 +22,7 @@
 	Interval time.Duration
 	// Answer replaces the answer of plain calls.
 	Answer http.HandlerFunc
+	via    string // address of a link in front of the engine, or empty
 
 	mu     sync.Mutex
 	runs   map[string]int    // starts of each attempt
@@ -51,8 +52,20 @@
 	return e
 }
 
-// Address returns IP number and port.
-func (e *Engine) Address() string { return strings.TrimPrefix(e.URL, "http://") }
+// Address returns the IP number and port at which the engine is reached.
+func (e *Engine) Address() string {
+	if e.via != "" {
+		return e.via
+	}
+	return e.Listener.Addr().String()
+}
+
+// SetVia gives the address of a link through which the engine is reached; it must be called before the engine is used.
+func (e *Engine) SetVia(address string) {
+	fleet.Delete(e.Address())
+	e.via = address
+	fleet.Store(address, e)
+}
 
 // Close ends the engine as a crash does.
 func (e *Engine) Close() {
