Ask for the list of members only when there is one that was never heard of

Cause: an instance whose neighbours counted more live instances than it did fetched their list of members, again and again. After an instance has been killed the others notice at different moments, up to seconds apart in a large fleet, and until the last one did the first ones fetched lists that taught them nothing. The count is now compared with all instances that are known, live or not. TestEndedInstance fails without the change (2 instances were to be asked).

--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -175,14 +175,15 @@
 	return out
 }
 
-// newer returns live instances that know something newer or more instances.
+// newer returns live instances that know something newer, or more instances than this one has ever heard of. One that is
+// known and not live is not asked for: it has ended, and the others have yet to notice.
 func (p *peers) newer(rules, endpoints core.Version) []core.Peer {
-	live := p.live()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	known := len(p.all) + 1
 	var out []core.Peer
 	for _, m := range p.all {
-		if m.live && (m.rules > rules || m.endpoints > endpoints || m.members > live) {
+		if m.live && (m.rules > rules || m.endpoints > endpoints || m.members > known) {
 			out = append(out, m.Peer)
 		}
 	}
