--- a/core/place/place.go
+++ b/core/place/place.go
@@ -43,8 +43,8 @@
 	otherDomainMs = 2
 	// farMs and farSpreadMs do so in a large fleet, in which an instance knows the load of other domains late: it goes
 	// there only for a clear gain, and not to the same endpoint as the other instances of its domain.
-	farMs       = 80
-	farSpreadMs = 80
+	farMs       = 250
+	farSpreadMs = 100
 	// callWaitMs is the delay that one more call at a plain service adds, per slot.
 	callWaitMs = 100
 )
@@ -161,6 +161,11 @@
 	return float64(u.Tokens+d.Tokens) <= d.limit()*float64(s.Engine.Capacity)
 }
 
+// Reading returns how long an engine takes for the prompts that were sent to it and are not read yet, as far as is known.
+func (p *Place) Reading(now time.Time, id core.EndpointID) time.Duration {
+	return time.Duration(p.tally.Of(now, id).Unread) * time.Millisecond / readPerMs
+}
+
 // failures returns for each endpoint by how much it fails more often than the endpoints of its service on average.
 func (p *Place) failures(now time.Time, all []*fleet.Status) []float64 {
 	rates := make([]float64, len(all))
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -117,7 +118,8 @@
 		Rules: platform.KindRules, MainRules: platform.MainRules, Endpoints: platform.KindEndpoints,
 	}, e.news, e.log, watch.Turns{
 		Watches: func(down, up bool) bool { return !e.stopping.Load() && e.pulse.Watches(watchers, down, up) },
-		Outage:  func(down, up bool) bool { return e.pulse.Outage(down, up) }, Instances: func() int { return e.pulse.Instances() },
+		Leads:   func(down, up bool) bool { return e.pulse.Watches(1, down, up) }, Seed: e.isSeed(),
+		Outage: func(down, up bool) bool { return e.pulse.Outage(down, up) }, Instances: func() int { return e.pulse.Instances() },
 	})
 	window := time.Duration(e.cfg.GetRetryWindowS() * float64(time.Second))
 	e.gate = gate.New(gate.Parts{
@@ -192,12 +194,25 @@
 	w.WriteHeader(http.StatusOK)
 }
 
+// seeds returns the addresses of the instances to look for first; the seeds of the settings name another port.
+func (e *Edge) seeds() []string {
+	_, port, _ := net.SplitHostPort(e.self.Address) // checked with the settings
+	var out []string
+	for _, seed := range e.cfg.GetSeeds() {
+		host, _, _ := net.SplitHostPort(seed) // as above
+		out = append(out, net.JoinHostPort(host, port))
+	}
+	return out
+}
+
+// isSeed reports whether others look for this instance first; without seeds all are alike.
+func (e *Edge) isSeed() bool {
+	return len(e.cfg.GetSeeds()) == 0 || slices.Contains(e.seeds(), e.self.Address)
+}
+
 func (e *Edge) start() {
-	for i, seed := range e.cfg.GetSeeds() {
-		if host, _, err := net.SplitHostPort(seed); err == nil {
-			_, port, _ := net.SplitHostPort(e.self.Address) // checked when it was bound
-			e.pulse.Add(core.Peer{ID: core.InstanceID(fmt.Sprintf("seed-%d", i)), Address: net.JoinHostPort(host, port)})
-		}
+	for i, address := range e.seeds() {
+		e.pulse.Add(core.Peer{ID: core.InstanceID(fmt.Sprintf("seed-%d", i)), Address: address})
 	}
 	e.pulse.Start()
 	e.watch.Start()
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -296,3 +296,21 @@
 	is.True(err != nil)
 	is.True(strings.Contains(err.Error(), "cannot be read"))
 }
+
+// TestStartTogether guards against a fleet whose instances all watch the store after a common start, because they have yet
+// to find each other: each change of an endpoint then costs as many calls as there are instances (pattern: all instances
+// are killed at once).
+func TestStartTogether(t *testing.T) {
+	d := deploy(t, 16)
+	d.eventually("ready", 5*time.Second, (*instance).ready)
+	time.Sleep(3 * time.Second)
+	watched := 0
+	for _, i := range d.instances {
+		if strings.Contains(i.log.String(), "watch_began") {
+			watched++
+		}
+	}
+	if watched < 1 || watched > 4 {
+		t.Errorf("%d of 16 instances have watched the store", watched)
+	}
+}
--- a/io/gate/deliver.go
+++ b/io/gate/deliver.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"snipeshed/core"
 )
 
 // onEvent takes an event or the end of the current leg.
@@ -51,12 +53,46 @@
 	if e.id != "" {
 		s.last = e.id
 	}
+	if s.movable() && s.events%growthEvents == 0 {
+		s.grow()
+	}
 	if !s.rule.Resumable {
 		s.silentAt = now.Add(silence)
 	}
 	s.arm()
 }
 
+const (
+	// growthEvents is the number of events after which the memory of a generation is compared with its forecast.
+	growthEvents = 8
+	// growthAhead is the time for which a generation's growth is counted ahead, some times as long as other instances take
+	// to hear of it.
+	growthAhead = 2 * time.Second
+)
+
+// grow counts more memory for a generation that has outgrown its forecast, so that its engine is not filled until others
+// lose their place in the middle of their streams.
+func (s *stream) grow() {
+	made := core.Tokens(s.events * s.service.Engine.EventTokens)
+	ahead := made
+	if age := time.Since(s.firstAt); age > growthAhead {
+		ahead = core.Tokens(float64(made) * float64(growthAhead) / float64(age))
+	}
+	size := s.PromptTokens + made + ahead
+	if s.MaxTokens > 0 {
+		size = min(size, s.PromptTokens+s.MaxTokens)
+	}
+	if size <= s.memory {
+		return
+	}
+	for _, l := range []*leg{s.current, s.pending} {
+		if l != nil {
+			l.grow(size - s.memory)
+		}
+	}
+	s.memory = size
+}
+
 func (s *stream) paused(d time.Duration) {
 	s.g.Meter.Pause(s.service.Name, d)
 	if d > s.longest {
--- a/io/gate/leg.go
+++ b/io/gate/leg.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// grow counts more memory at the engine, and at the one that keeps a copy.
+func (l *leg) grow(more core.Tokens) {
+	use := tally.Use{Tokens: more}
+	if l.backup == nil {
+		use.Bare = more
+	} else {
+		l.s.g.Tally.Add(l.backup.ID, tally.Use{Tokens: more})
+	}
+	l.s.g.Tally.Add(l.endpoint.ID, use)
+}
+
 // dropBackup stops counting on the copy that the backup keeps.
 func (l *leg) dropBackup() {
 	l.s.g.Tally.Add(l.backup.ID, tally.Use{Tokens: -l.s.memory})
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -33,6 +33,7 @@
 	lastAt   time.Time
 	longest  time.Duration // longest pause between two events
 	pausedAt int           // number of events before that pause
+	sentAt   time.Time     // when a resumable stream's first leg was sent
 	silentAt time.Time     // when the silence of the current leg is taken for a failure
 	whole    bool          // the current leg has ended well while the generation was to be stopped
 	finished bool
@@ -41,8 +42,12 @@
 const (
 	// silence is the time without an event after which a generation with a copy elsewhere is resumed there.
 	silence = 700 * time.Millisecond
-	// firstShare is the part of the objective after which a resumable stream without an event is sent elsewhere.
+	// firstShare is the part of the objective after which a resumable stream without an event is sent elsewhere, unless
+	// its engine still has prompts to read.
 	firstShare = 0.65
+	// readMargin and readSlack are what reading a prompt may take beyond the expected time.
+	readMargin = 1.3
+	readSlack  = 100 * time.Millisecond
 	// fullRetryShare is the part of the time left after which a refused caller shall come back; callers wait for a third
 	// at most.
 	fullRetryShare = 0.2
@@ -98,11 +103,19 @@
 	s.open(e.Endpoint, "", backup)
 	s.silentAt = time.Time{}
 	if s.rule.Resumable && s.sends+1 < s.rule.MaxAttempts {
+		s.sentAt = now
 		s.silentAt = now.Add(time.Duration(firstShare * float64(s.rule.Objective)))
 	}
 	s.arm()
 }
 
+// readUntil returns when the engine that reads the prompt has read it, and all others that it has not read yet. An engine
+// may read a prompt that came later first. After the objective nothing is gained by waiting on.
+func (s *stream) readUntil(now time.Time) time.Time {
+	reading := time.Duration(readMargin*float64(s.g.Place.Reading(now, s.pending.endpoint.ID))) + readSlack
+	return s.sentAt.Add(min(reading, s.rule.Objective))
+}
+
 func (s *stream) lastErr() error {
 	if s.sends == 0 {
 		return nil
@@ -177,6 +190,11 @@
 func (s *stream) onSilence() {
 	switch {
 	case s.events == 0 && s.rule.Resumable && s.pending != nil && s.move.idle():
+		now := time.Now()
+		if until := s.readUntil(now); now.Before(until) {
+			s.silentAt = until
+			return
+		}
 		s.broken(s.pending, errSilent)
 	case s.events > 0 && s.current != nil && s.pending == nil && !s.move.stopped:
 		s.resumeFromBackup()
--- a/io/pulse/due.go
+++ b/io/pulse/due.go
@@ -10,6 +10,7 @@
 type due struct {
 	mu      sync.Mutex
 	all     bool
+	unheard bool // those that were never heard as well
 	domains map[core.FailureDomain]bool
 }
 
@@ -19,6 +20,12 @@
 	d.all = true
 }
 
+func (d *due) addUnheard() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.all, d.unheard = true, true
+}
+
 func (d *due) add(domain core.FailureDomain) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -28,11 +35,17 @@
 	d.domains[domain] = true
 }
 
+// told is who is to be told.
+type told struct {
+	all, unheard bool
+	domains      map[core.FailureDomain]bool
+}
+
 // take returns what was collected and begins anew.
-func (d *due) take() (domains map[core.FailureDomain]bool, all bool) {
+func (d *due) take() told {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	domains, all = d.domains, d.all
-	d.domains, d.all = nil, false
-	return domains, all
+	t := told{all: d.all, unheard: d.unheard, domains: d.domains}
+	d.domains, d.all, d.unheard = nil, false, false
+	return t
 }
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -102,7 +102,8 @@
 // Add makes an instance from a list known.
 func (p *Pulse) Add(q core.Peer) {
 	if p.add(q) {
-		p.Wake()
+		p.due.addUnheard()
+		p.wakeUp()
 	}
 }
 
@@ -168,12 +169,12 @@
 		case <-t.C:
 		}
 		now := time.Now()
-		domains, all := p.due.take()
-		if woken && !all && p.live() >= core.LargeFleet {
-			p.write(p.message(now, p.State(now)), p.near(domains))
+		to := p.due.take()
+		if woken && !to.all && p.live() >= core.LargeFleet {
+			p.write(p.message(now, p.State(now)), p.near(to.domains))
 			continue
 		}
-		p.sendRegular(now, woken, &r)
+		p.sendRegular(now, woken, to.unheard, &r)
 		t.Reset(p.interval())
 	}
 }
@@ -185,14 +186,14 @@
 }
 
 // sendRegular sends a datagram to all when it was asked for, says something new or is due.
-func (p *Pulse) sendRegular(now time.Time, asked bool, r *regular) {
+func (p *Pulse) sendRegular(now time.Time, asked, unheard bool, r *regular) {
 	p.drop(now, p.lostAfter())
 	state := p.State(now)
 	current := content{state.Rules, state.Endpoints, state.StoreDown, state.StoreUp, state.Stopping, len(state.Leaving), p.tally.Changes()}
 	if !asked && current == r.before && now.Sub(r.sent) < quietFactor*p.interval() {
 		return
 	}
-	probe := now.Sub(r.probed) >= probeInterval
+	probe := unheard || now.Sub(r.probed) >= probeInterval
 	if probe {
 		r.probed = now
 	}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -21,12 +21,18 @@
 	upSpan       = 3 * time.Second
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
-	// batch is the wait after a change, so that changes of the same moment cost one call of the store.
-	batch = 50 * time.Millisecond
-	// settleTime is the time in which instances that start together find each other; before it, all would watch.
-	settleTime = 700 * time.Millisecond
+	// batch is the wait after a change, so that changes of the same moment cost one call of the store; standbyBatch is that
+	// of instances that watch in case the first one fails.
+	batch        = 50 * time.Millisecond
+	standbyBatch = 300 * time.Millisecond
+	// Instances that start together find each other before any of them watches, or all would: until their number has not
+	// grown for settleTime, and no longer than longestSettle.
+	settleTime    = 700 * time.Millisecond
+	longestSettle = 1800 * time.Millisecond
 	// peersFirst is how long a starting instance waits for other instances before it reads the store.
 	peersFirst = 150 * time.Millisecond
+	// seedFirst is the same for an instance that is not among the seeds, which those that start together hear from first.
+	seedFirst = 500 * time.Millisecond
 	// maxObjects bounds the reading of one kind.
 	maxObjects = 100_000
 )
@@ -61,6 +67,10 @@
 type Turns struct {
 	// Watches reports whether it is one of those that watch.
 	Watches func(storeDown, storeUp bool) bool
+	// Leads reports whether it is the first of them.
+	Leads func(storeDown, storeUp bool) bool
+	// Seed is set if other instances look for this one when they start.
+	Seed bool
 	// Outage reports whether the store is down for all.
 	Outage func(storeDown, storeUp bool) bool
 	// Instances returns the number of live instances.
@@ -102,7 +112,7 @@
 
 func (w *Watch) run() {
 	w.first()
-	if !w.sleep(settleTime) {
+	if !w.settle() {
 		return
 	}
 	for w.ctx.Err() == nil {
@@ -117,6 +127,21 @@
 	}
 }
 
+// settle waits until the instances that start together have found each other.
+func (w *Watch) settle() bool {
+	begun := time.Now()
+	grown, n := begun, w.turns.Instances()
+	for time.Since(grown) < settleTime && time.Since(begun) < longestSettle {
+		if !w.sleep(turnInterval) {
+			return false
+		}
+		if now := w.turns.Instances(); now > n {
+			grown, n = time.Now(), now
+		}
+	}
+	return true
+}
+
 func (w *Watch) turn() bool { return w.turns.Watches(w.Down(), w.Up()) }
 
 // try reads the store once when it was asked to, or at random in an outage, as the store may be down only for those that
@@ -145,7 +170,11 @@
 // first reads the store once, unless other instances gave everything before. What is not there yet reaches those that
 // watch first.
 func (w *Watch) first() {
-	for backoff := peersFirst; !w.news.Known(); backoff = min(2*backoff, maxBackoff) {
+	wait := seedFirst
+	if w.turns.Seed {
+		wait = peersFirst
+	}
+	for backoff := wait; !w.news.Known(); backoff = min(2*backoff, maxBackoff) {
 		if !w.sleep(jitter(backoff)) || w.news.Known() {
 			return
 		}
@@ -257,7 +286,7 @@
 				}
 				if changed {
 					changed = false
-					sleep(ctx, batch)
+					sleep(ctx, w.batch())
 				}
 				return ctx.Err()
 			})
@@ -278,6 +307,13 @@
 	}
 }
 
+func (w *Watch) batch() time.Duration {
+	if w.turns.Leads(w.Down(), w.Up()) {
+		return batch
+	}
+	return standbyBatch
+}
+
 func (w *Watch) lost(err error) {
 	if !w.down.Swap(true) {
 		w.log.Emit(event.StoreLost, event.Fields{"error": err})
