Spread waiting calls over more time, and keep them from engines without room

Instances now tell how many calls wait; when room appears each call waits for a random moment of 15 ms per waiting call (30 ms before, for all), and a new long call no longer goes to an engine without room when those with room refuse.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -230,6 +230,11 @@
 	return float64(u.Tokens+d.Tokens) > crowdedShare*float64(s.Engine.Capacity) || u.Calls+1 >= s.Engine.Slots
 }
 
+// Room reports whether an engine has room for a call, as far as is known.
+func (p *Place) Room(now time.Time, s core.Service, e *fleet.Status, d Demand) bool {
+	return s.Engine == nil || room(s, p.tally.Of(now, e.ID), d)
+}
+
 // Full reports whether no endpoint that stays has room for a call.
 func (p *Place) Full(now time.Time, s core.Service, all []*fleet.Status, d Demand) bool {
 	if s.Engine == nil {
--- a/core/tally/tally.go
+++ b/core/tally/tally.go
@@ -44,6 +44,9 @@
 	sums  map[core.EndpointID]Use // of the peers' reports
 	next  time.Time               // no report in sums expires before it; zero without reports
 
+	waiting    int // calls that wait for room at this instance
+	othersWait int // the same at the others
+
 	changes uint64
 }
 
@@ -55,8 +58,9 @@
 }
 
 type peer struct {
-	until time.Time // when its report no longer counts
-	uses  map[core.EndpointID]Use
+	until   time.Time // when its report no longer counts
+	uses    map[core.EndpointID]Use
+	waiting int
 }
 
 // New returns an empty Tally.
@@ -144,7 +148,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.subtract(t.peers[from].uses)
-	t.peers[from] = peer{until: until, uses: maps.Clone(uses)} // what is subtracted must not change
+	p := t.peers[from]
+	p.until, p.uses = until, maps.Clone(uses) // what is subtracted must not change
+	t.peers[from] = p
 	for ep, u := range uses {
 		s := t.sums[ep]
 		s.add(u)
@@ -156,6 +162,35 @@
 	t.expire(now)
 }
 
+// ReportWaiting takes how many calls wait for room at another instance, until its report expires.
+func (t *Tally) ReportWaiting(from core.InstanceID, n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[from]
+	if !ok {
+		return
+	}
+	t.othersWait += n - p.waiting
+	p.waiting = n
+	t.peers[from] = p
+}
+
+// Wait changes the number of calls that wait for room at this instance.
+func (t *Tally) Wait(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.waiting += n
+	t.changes++
+}
+
+// Waiting returns the number of calls that wait for room, at this instance and at all.
+func (t *Tally) Waiting(now time.Time) (own, all int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	return t.waiting, t.waiting + t.othersWait
+}
+
 // subtract takes a report out of the sums.
 func (t *Tally) subtract(uses map[core.EndpointID]Use) {
 	for ep, u := range uses {
@@ -178,6 +213,7 @@
 	for id, p := range t.peers {
 		if now.After(p.until) {
 			t.subtract(p.uses)
+			t.othersWait -= p.waiting
 			delete(t.peers, id)
 			continue
 		}
--- a/core/tally/tally_test.go
+++ b/core/tally/tally_test.go
@@ -40,6 +40,22 @@
 	is.Equal(y.Of(start.Add(20*time.Second), "e"), tally.Use{})
 }
 
+// TestWaiting guards against calls that are counted as waiting after their instance has fallen silent.
+func TestWaiting(t *testing.T) {
+	is := is.New(t)
+	y := tally.New()
+	y.ReportWaiting("p", 9) // never reported
+	y.Report(start, start.Add(time.Second), "p", nil)
+	y.ReportWaiting("p", 3)
+	y.Report(start, start.Add(time.Second), "p", nil)
+	y.ReportWaiting("p", 2)
+	y.Wait(1)
+	own, all := y.Waiting(start)
+	is.Equal([]int{own, all}, []int{1, 3})
+	own, all = y.Waiting(start.Add(2 * time.Second))
+	is.Equal([]int{own, all}, []int{1, 1})
+}
+
 // TestChanges guards against changes that other instances are not told of.
 func TestChanges(t *testing.T) {
 	is := is.New(t)
--- a/io/gate/room.go
+++ b/io/gate/room.go
@@ -20,8 +20,6 @@
 	// so that urgent calls find it first.
 	urgentInterval  = 10 * time.Millisecond
 	longestInterval = 50 * time.Millisecond
-	// settleTime is some times as long as it takes to tell the other instances of a call.
-	settleTime = 30 * time.Millisecond
 	// holdTries is the number of engines that are asked for room in one look.
 	holdTries = 3
 )
@@ -31,24 +29,27 @@
 // could not leave again.
 func (s *stream) reserve(wait bool) (*fleet.Status, string) {
 	until := s.start.Add(time.Duration(roomShare * float64(s.rule.Objective)))
-	settled := true
-	for {
+	stopWaiting := func() {}
+	defer func() { stopWaiting() }()
+	for first := true; ; first = false {
 		now := time.Now()
 		all := s.g.Fleet.Of(s.service.Name)
 		if s.g.Place.Choose(now, s.service, all, s.demand(), s.tried) == nil {
 			s.conclude(nil, s.lastErr())
 			return nil, ""
 		}
-		if settled {
-			if e, hold := s.look(now, all); e != nil {
+		if s.mayLook(now, all, first) {
+			if e, hold := s.look(time.Now(), s.g.Fleet.Of(s.service.Name)); e != nil {
 				return e, hold
 			}
 		}
-		settled = s.settle(now, all)
 		if !wait || now.After(until) {
 			s.noRoom()
 			return nil, ""
 		}
+		if first {
+			stopWaiting = s.wait()
+		}
 		select {
 		case <-s.ctx.Done():
 			s.ended(nil)
@@ -58,13 +59,29 @@
 	}
 }
 
-// settle spreads the calls that wait at all instances over settleTime when room appears, so that each sees where those
-// before it went; it reports whether this call may look again.
-func (s *stream) settle(now time.Time, all []*fleet.Status) bool {
-	if !s.movable() || s.g.Place.Full(now, s.service, all, s.demand()) {
+// wait counts the call among those that wait for room, until the returned function is called.
+func (s *stream) wait() func() {
+	if !s.movable() {
+		return func() {}
+	}
+	s.g.Tally.Wait(1)
+	return func() { s.g.Tally.Wait(-1) }
+}
+
+// mayLook reports whether the call may look for room now. When room appears while long calls wait at several instances,
+// each of them waits for a moment first, so that it hears where those before it went.
+func (s *stream) mayLook(now time.Time, all []*fleet.Status, first bool) bool {
+	if !s.movable() {
+		return true
+	}
+	_, waiting := s.g.Tally.Waiting(now)
+	if first && waiting == 0 {
+		return true
+	}
+	if s.g.Place.Full(now, s.service, all, s.demand()) {
 		return false
 	}
-	time.Sleep(rand.N(settleTime))
+	time.Sleep(rand.N(place.Settle(waiting)))
 	return true
 }
 
@@ -96,6 +113,9 @@
 		if e == nil {
 			return nil, ""
 		}
+		if d.Long && !s.g.Place.Room(now, s.service, e, d) {
+			return nil, "" // engines with room have none in fact; at this one the call would wait longer than here
+		}
 		if !s.g.Place.Crowded(now, s.service, e, d) {
 			return e, ""
 		}
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -223,6 +223,8 @@
 		Rules: uint64(s.Rules), Endpoints: uint64(s.Endpoints), StoreDown: s.StoreDown, Stopping: s.Stopping,
 		Members: uint32(p.live()), StoreUp: s.StoreUp,
 	}
+	waiting, _ := p.tally.Waiting(now)
+	d.Waiting = uint32(max(waiting, 0))
 	for _, id := range s.Leaving {
 		d.Leaving = append(d.Leaving, string(id))
 	}
@@ -286,6 +288,7 @@
 		}
 	}
 	p.tally.Report(now, now.Add(p.lostAfter()), from, uses)
+	p.tally.ReportWaiting(from, int(d.GetWaiting()))
 	for _, id := range d.GetLeaving() {
 		p.Leaving(now, core.EndpointID(id))
 	}
