Tell all of long generations, let engines refuse moves, refuse a call once

Long generations are told to all at once again, short ones only near; a move may go to an engine up to 0.97 of its memory, which refuses by itself when it has none.

--- a/core/place/place.go
+++ b/core/place/place.go
@@ -20,8 +20,9 @@
 	longShare = 0.72
 	// copyShare is the share of an engine's memory up to which copies of other engines' generations are placed.
 	copyShare = 0.55
-	// moveShare is the share up to which generations that leave another engine are placed while others have less.
-	moveShare = 0.88
+	// moveShare is the share up to which generations that leave another engine are placed; an engine that is fuller than
+	// forecast refuses by itself.
+	moveShare = 0.97
 	// busyCopyShare is the same while the source has more than it can move.
 	busyCopyShare = 0.75
 	// movableSeconds is the time of a notice, in s, that is left for copies.
--- a/io/gate/leg.go
+++ b/io/gate/leg.go
@@ -45,7 +45,7 @@
 	s.pending = l
 	s.sentTo = e.ID
 	l.count(1)
-	s.g.Tell(e.Domain)
+	l.tell()
 	s.g.streams.add(e.ID, s)
 	if backup != nil {
 		s.g.streams.add(backup.ID, s)
@@ -80,6 +80,16 @@
 	}
 }
 
+// tell tells the other instances that the leg has begun or ended. What holds memory for long is told to all: others may be
+// about to send a generation there, or to move one.
+func (l *leg) tell() {
+	if l.s.movable() {
+		l.s.g.TellAll()
+		return
+	}
+	l.s.g.Tell(l.endpoint.Domain)
+}
+
 // grow counts more memory at the engine, and at the one that keeps a copy.
 func (l *leg) grow(more core.Tokens) {
 	use := tally.Use{Tokens: more}
@@ -119,7 +129,7 @@
 	l.once.Do(func() {
 		close(l.done)
 		l.count(-1)
-		l.s.g.Tell(l.endpoint.Domain)
+		l.tell()
 		l.s.g.streams.remove(l.endpoint.ID, l.s)
 		if l.backup != nil {
 			l.s.g.streams.remove(l.backup.ID, l.s)
--- a/io/gate/room.go
+++ b/io/gate/room.go
@@ -16,6 +16,11 @@
 const (
 	// roomShare is the part of the objective for which a stream waits for room.
 	roomShare = 0.85
+	// returnedShare is the part of the time left for which a stream waits whose caller was refused before: it is late
+	// already, and would be lost if it was refused once more.
+	returnedShare = 0.4
+	// freshShare is the part of the route's timeout that a call has left when it comes for the first time.
+	freshShare = 0.95
 	// urgentInterval is the time between two looks for room of the most urgent rank; each further rank looks less often,
 	// so that urgent calls find it first.
 	urgentInterval  = 10 * time.Millisecond
@@ -28,7 +33,7 @@
 // An engine that is likely to be crowded is asked to hold room, so that the call does not wait in its queue, which it
 // could not leave again.
 func (s *stream) reserve(wait bool) (*fleet.Status, string) {
-	until := s.start.Add(time.Duration(roomShare * float64(s.rule.Objective)))
+	until := s.waitUntil()
 	stopWaiting := func() {}
 	defer func() { stopWaiting() }()
 	for first := true; ; first = false {
@@ -59,6 +64,15 @@
 	}
 }
 
+// waitUntil returns until when the call waits for room.
+func (s *stream) waitUntil() time.Time {
+	d := time.Duration(roomShare * float64(s.rule.Objective))
+	if left := s.end.Sub(s.start); left < time.Duration(freshShare*float64(s.rule.Timeout)) {
+		d = max(d, time.Duration(returnedShare*float64(left)))
+	}
+	return s.start.Add(d)
+}
+
 // wait counts the call among those that wait for room, until the returned function is called.
 func (s *stream) wait() func() {
 	if !s.movable() {
--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/matryer/is"
 
+	"snipeshed/core"
+	"snipeshed/core/tally"
 	"snipeshed/stand/plat"
 )
 
@@ -220,3 +222,26 @@
 	is.Equal(runs(list, "r1"), 0)            // as the refusal says
 	is.True(strings.Contains(s.log.String(), "msg=refused"))
 }
+
+// TestRefusedOnce guards against a caller that came back as it was told and is refused again although room appears soon: it
+// gets no answer at all then (pattern: a surge that lasts longer than the objective).
+func TestRefusedOnce(t *testing.T) {
+	for _, tt := range []struct {
+		name, left string
+		status     int
+	}{
+		{"first time", "5000", http.StatusServiceUnavailable}, // the whole timeout of the route; the objective is 1 s
+		{"came back", "3800", http.StatusOK},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			list := engines(1, 5*time.Millisecond)
+			s := start(t, false, list...)
+			full := time.Now().Add(1200 * time.Millisecond)
+			s.tally.Report(time.Now(), full, "peer", map[core.EndpointID]tally.Use{"lm-1": {Calls: 8, Tokens: 9900}})
+			resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", "r1", "Snipeshed-Deadline-Ms", tt.left)
+			defer resp.Body.Close()
+			is.Equal(resp.StatusCode, tt.status)
+		})
+	}
+}
