Say how many calls waited where a call was refused

Cause: a refusal for want of room did not tell a surge (others waited too) from one engine's trouble, nor how much time the caller had left, which now decides how long it waits.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -138,6 +138,9 @@
 	add("endpoints_revision", int64(endpoints))
 	add("instances", int64(e.pulse.Instances()))
 	add("connections_opened_total", e.dial.Opened())
+	own, all := e.tally.Waiting(time.Now())
+	add("calls_waiting", int64(own))
+	add("calls_waiting_everywhere", int64(all))
 	for id, u := range e.tally.Own(time.Now()) {
 		add(fmt.Sprintf("calls_in_flight{endpoint=%q}", id), int64(u.Calls))
 		add(fmt.Sprintf("memory_forecast_tokens{endpoint=%q}", id), int64(u.Tokens))
--- a/io/gate/refuse.go
+++ b/io/gate/refuse.go
@@ -49,15 +49,25 @@
 	c.outcome = "refused"
 	c.g.Codec.Refusal(c.w.Header(), c.ID, after)
 	o := c.outlook()
+	_, waiting := c.g.Tally.Waiting(time.Now())
 	c.g.Log.Request(event.Refused, c.ID, event.Fields{
 		"reason": why, "status": http.StatusServiceUnavailable, "retry_after_ms": after.Milliseconds(),
 		"route": c.routeName(), "service": c.service.Name, "sends": c.sends, "rules": c.version(), "age_ms": c.age(),
 		"endpoints": o.Endpoints, "leaving": o.Leaving, "unreachable": o.Unreachable, "room": o.Room,
 		"least_share": fmt.Sprintf("%.2f", o.LeastShare), "endpoints_revision": c.g.Fleet.Revision(),
+		"waiting": waiting, "left_ms": c.timeLeft().Milliseconds(),
 	})
 	c.write(http.StatusServiceUnavailable, "not run: "+string(why))
 }
 
+// timeLeft is the time in which an answer is of use to the caller, as far as it is known yet.
+func (c *call) timeLeft() time.Duration {
+	if c.end.IsZero() {
+		return c.Deadline
+	}
+	return time.Until(c.end)
+}
+
 // outlook is what the choice of an endpoint was based on.
 func (c *call) outlook() place.Outlook {
 	if c.rule == nil {
