--- a/io/gate/explain_test.go
+++ b/io/gate/explain_test.go
@@ -27,6 +27,9 @@
 		for _, l := range got.Lines {
 			if l.Event == k {
 				found = l
+				if err := got.Write(t.Output()); err != nil {
+					t.Error(err)
+				}
 				return true
 			}
 		}
