Give an endpoint up only when another one may be tried

An endpoint is now left only while another one with room and a retry are there, for short generations and for plain calls that may be repeated.

Tests: TestSlowReading, no other engine (fails before), TestMay.

--- a/core/allow/allow.go
+++ b/core/allow/allow.go
@@ -50,16 +50,28 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	w, i := a.at(now, s)
+	if !a.left(w, instances) {
+		return false
+	}
+	w.retries[i]++
+	return true
+}
+
+// May reports whether Retry would allow a retry now.
+func (a *Allow) May(now time.Time, s core.ServiceName, instances int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	w, _ := a.at(now, s)
+	return a.left(w, instances)
+}
+
+func (a *Allow) left(w *window, instances int) bool {
 	calls, retries := 0, 0
 	for j := range w.calls {
 		calls += w.calls[j]
 		retries += w.retries[j]
 	}
-	if float64(retries+1) > margin*(a.ratio*float64(calls)+a.slack/float64(max(instances, 1))) {
-		return false
-	}
-	w.retries[i]++
-	return true
+	return float64(retries+1) <= margin*(a.ratio*float64(calls)+a.slack/float64(max(instances, 1)))
 }
 
 // Force takes one retry whether there is one or not, for a call that would be lost without it.
--- a/core/allow/allow_test.go
+++ b/core/allow/allow_test.go
@@ -78,3 +78,17 @@
 	is.True(a.Retry(now.Add(11*time.Second), "s", 1)) // the window has passed
 	is.True(!a.Retry(now, "fresh", 100))              // an even share of the slack is less than one retry
 }
+
+// TestMay guards against calls that give up an endpoint for a retry which they are not allowed.
+func TestMay(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	a := allow.New(0, 2/0.7, time.Second) // two retries in a window
+	is.True(a.May(now, "s", 1))
+	is.True(a.May(now, "s", 1)) // takes none
+	is.True(a.Retry(now, "s", 1))
+	is.True(a.May(now, "s", 1))
+	is.True(a.Retry(now, "s", 1))
+	is.True(!a.May(now, "s", 1))
+	is.True(a.May(now.Add(2*time.Second), "s", 1))
+}
--- a/io/gate/plain.go
+++ b/io/gate/plain.go
@@ -100,7 +100,7 @@
 
 // tryContext bounds one try of an idempotent call, so that time for another is left.
 func (c *call) tryContext() (context.Context, context.CancelFunc) {
-	if c.rule.Kind != core.KindIdempotent || c.sends+1 >= c.rule.MaxAttempts {
+	if c.rule.Kind != core.KindIdempotent || c.sends+1 >= c.rule.MaxAttempts || !c.mayTryAnother() {
 		return context.WithCancel(c.ctx)
 	}
 	bound := max(time.Duration(tryShare*float64(c.rule.Objective)), minTry)
@@ -110,6 +110,13 @@
 	return context.WithTimeoutCause(c.ctx, bound, errSlow)
 }
 
+// mayTryAnother reports whether an endpoint that takes too long may be given up for another one.
+func (c *call) mayTryAnother() bool {
+	now := time.Now()
+	return c.g.Allow.May(now, c.service.Name, c.g.Instances()) &&
+		c.g.Place.Choose(now, c.service, c.g.Fleet.Of(c.service.Name), place.Demand{}, c.tried) != nil
+}
+
 var errSlow = errors.New("the endpoint took too long")
 
 // final reports whether an answer is the one for the caller, whatever else could be tried.
--- a/io/gate/reading_test.go
+++ b/io/gate/reading_test.go
@@ -9,7 +9,6 @@
 
 	"snipeshed/core"
 	"snipeshed/core/tally"
-	"snipeshed/stand/plat"
 )
 
 // TestSlowReading guards against short generations that are taken off an engine which still reads prompts: their own prompt
@@ -17,16 +16,18 @@
 func TestSlowReading(t *testing.T) {
 	for _, tt := range []struct {
 		name, tokens string
+		engines      int
 		unread       core.Tokens // prompts of another instance at the same engine
 		runs         int
 	}{
-		{"large prompt", "5500,10", 0, 1},
-		{"prompts of others", "500,10", 5000, 1},
-		{"the engine ought to have answered", "500,10", 0, 2},
+		{"large prompt", "5500,10", 2, 0, 1},
+		{"prompts of others", "500,10", 2, 5000, 1},
+		{"the engine ought to have answered", "500,10", 2, 0, 2},
+		{"no other engine", "500,10", 1, 0, 1},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			list := engines(2, 800*time.Millisecond) // the objective is 1 s, the engine is given up after 0.65 s
+			list := engines(tt.engines, 800*time.Millisecond) // the objective is 1 s, the engine is given up after 0.65 s
 			for _, e := range list {
 				e.Events = 1
 			}
@@ -42,7 +43,7 @@
 			events, err := ids(<-got)
 			is.NoErr(err)
 			wholeStream(is, events, 1)
-			is.Equal(runs([]*plat.Engine{list[0], list[1]}, "r1"), tt.runs)
+			is.Equal(runs(list, "r1"), tt.runs)
 		})
 	}
 }
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -48,6 +48,8 @@
 	// readMargin and readSlack are what reading a prompt may take beyond the expected time.
 	readMargin = 1.3
 	readSlack  = 100 * time.Millisecond
+	// silentRetry is the time until another endpoint is looked for again.
+	silentRetry = 100 * time.Millisecond
 	// fullRetryShare is the part of the time left after which a refused caller shall come back; callers wait for a third
 	// at most.
 	fullRetryShare = 0.2
@@ -191,16 +193,27 @@
 	switch {
 	case s.events == 0 && s.rule.Resumable && s.pending != nil && s.move.idle():
 		now := time.Now()
-		if until := s.readUntil(now); now.Before(until) {
+		switch until := s.readUntil(now); {
+		case now.Before(until):
 			s.silentAt = until
-			return
+		case !s.mayGoElsewhere(now):
+			s.silentAt = now.Add(silentRetry)
+		default:
+			s.broken(s.pending, errSilent)
 		}
-		s.broken(s.pending, errSilent)
 	case s.events > 0 && s.current != nil && s.pending == nil && !s.move.stopped:
 		s.resumeFromBackup()
 	}
 }
 
+// mayGoElsewhere reports whether another endpoint with room may be tried. Without one a silent endpoint is still the most
+// likely to answer.
+func (s *stream) mayGoElsewhere(now time.Time) bool {
+	d := s.demand()
+	e := s.g.Place.Choose(now, s.service, s.g.Fleet.Of(s.service.Name), d, s.tried)
+	return e != nil && s.g.Place.Room(now, s.service, e, d) && s.g.Allow.May(now, s.service.Name, s.g.Instances())
+}
+
 var errSilent = errors.New("the endpoint sent nothing for too long")
 
 // onOpened takes the outcome of sending a leg's request.
