Let long calls wait on when they are late, behind those that can be in time

A late call now waits on, for two fifths of its time left and three objectives at most, looks for room every 150 ms and only while no call waits that can still be in time.

--- a/io/gate/room.go
+++ b/io/gate/room.go
@@ -3,24 +3,23 @@
 import (
 	"errors"
 	"maps"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"snipeshed/core"
 	"snipeshed/core/fleet"
 	"snipeshed/core/place"
-	"snipeshed/core/route"
 )
 
 const (
-	// roomShare is the part of the objective for which a stream waits for room.
+	// roomShare is the part of the objective after which a call that waits for room is late.
 	roomShare = 0.85
-	// returnedShare is the part of the time left for which a stream waits whose caller was refused before: it is late
-	// already, and would be lost if it was refused once more.
-	returnedShare = 0.4
-	// freshShare is the part of the route's timeout that a call has left when it comes for the first time.
-	freshShare = 0.95
+	// A long call waits on when it is late, for a part of the time left and no longer than some objectives: callers give up
+	// after four without an event.
+	lateShare      = 0.4
+	lateObjectives = 3
+	// lateInterval is the time between two looks for room of a call that is late.
+	lateInterval = 150 * time.Millisecond
 	// urgentInterval is the time between two looks for room of the most urgent rank; each further rank looks less often,
 	// so that urgent calls find it first.
 	urgentInterval  = 10 * time.Millisecond
@@ -33,9 +32,8 @@
 // An engine that is likely to be crowded is asked to hold room, so that the call does not wait in its queue, which it
 // could not leave again.
 func (s *stream) reserve(wait bool) (*fleet.Status, string) {
-	until := s.waitUntil()
-	stopWaiting := func() {}
-	defer func() { stopWaiting() }()
+	w := s.newWaiting()
+	defer w.close()
 	for first := true; ; first = false {
 		now := time.Now()
 		all := s.g.Fleet.Of(s.service.Name)
@@ -43,62 +41,25 @@
 			s.conclude(nil, s.lastErr())
 			return nil, ""
 		}
-		if s.mayLook(now, all, first) {
+		if w.mayLook(now, all, first) {
 			if e, hold := s.look(time.Now(), s.g.Fleet.Of(s.service.Name)); e != nil {
 				return e, hold
 			}
 		}
-		if !wait || now.After(until) {
+		if !wait || now.After(w.until) {
 			s.noRoom()
 			return nil, ""
 		}
-		if first {
-			stopWaiting = s.wait()
-		}
+		w.count(now)
 		select {
 		case <-s.ctx.Done():
 			s.ended(nil)
 			return nil, ""
-		case <-time.After(s.lookInterval()):
+		case <-time.After(w.interval(now)):
 		}
 	}
 }
 
-// waitUntil returns until when the call waits for room.
-func (s *stream) waitUntil() time.Time {
-	d := time.Duration(roomShare * float64(s.rule.Objective))
-	if left := s.end.Sub(s.start); left < time.Duration(freshShare*float64(s.rule.Timeout)) {
-		d = max(d, time.Duration(returnedShare*float64(left)))
-	}
-	return s.start.Add(d)
-}
-
-// wait counts the call among those that wait for room, until the returned function is called.
-func (s *stream) wait() func() {
-	if !s.movable() {
-		return func() {}
-	}
-	s.g.Tally.Wait(1)
-	return func() { s.g.Tally.Wait(-1) }
-}
-
-// mayLook reports whether the call may look for room now. When room appears while long calls wait at several instances,
-// each of them waits for a moment first, so that it hears where those before it went.
-func (s *stream) mayLook(now time.Time, all []*fleet.Status, first bool) bool {
-	if !s.movable() {
-		return true
-	}
-	_, waiting := s.g.Tally.Waiting(now)
-	if first && waiting == 0 {
-		return true
-	}
-	if s.g.Place.Full(now, s.service, all, s.demand()) {
-		return false
-	}
-	time.Sleep(rand.N(place.Settle(waiting)))
-	return true
-}
-
 // noRoom answers a call for which no engine has room.
 func (s *stream) noRoom() {
 	if s.mayHaveRun || s.events > 0 {
@@ -109,12 +70,6 @@
 	s.refuse(reasonFull, s.fullRetry())
 }
 
-func (s *stream) lookInterval() time.Duration {
-	rank := time.Duration(max(route.Rank(s.rule, s.team), 0))
-	d := min(urgentInterval*(1+rank), longestInterval)
-	return d/2 + rand.N(d)
-}
-
 // look tries the engines with the shortest expected wait, best first.
 func (s *stream) look(now time.Time, all []*fleet.Status) (*fleet.Status, string) {
 	d := s.demand()
