--- a/core/place/place.go
+++ b/core/place/place.go
@@ -164,9 +164,12 @@
 
 // Reading returns how long an engine takes for the prompts that were sent to it and are not read yet, as far as is known.
 func (p *Place) Reading(now time.Time, id core.EndpointID) time.Duration {
-	return time.Duration(p.tally.Of(now, id).Unread) * time.Millisecond / readPerMs
+	return ReadTime(p.tally.Of(now, id).Unread)
 }
 
+// ReadTime returns how long a busy engine takes to read prompts of so many tokens.
+func ReadTime(n core.Tokens) time.Duration { return time.Duration(n) * time.Millisecond / readPerMs }
+
 // failures returns for each endpoint by how much it fails more often than the endpoints of its service on average.
 func (p *Place) failures(now time.Time, all []*fleet.Status) []float64 {
 	rates := make([]float64, len(all))
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -114,10 +114,15 @@
 // readUntil returns when the engine that reads the prompt has read it, and all others that it has not read yet. An engine
 // may read a prompt that came later first. After the objective nothing is gained by waiting on.
 func (s *stream) readUntil(now time.Time) time.Time {
-	reading := time.Duration(readMargin*float64(s.g.Place.Reading(now, s.pending.endpoint.ID))) + readSlack
+	reading := withMargin(s.g.Place.Reading(now, s.pending.endpoint.ID))
 	return s.sentAt.Add(min(reading, s.rule.Objective))
 }
 
+// withMargin returns what reading prompts takes at most, nearly always.
+func withMargin(expected time.Duration) time.Duration {
+	return time.Duration(readMargin*float64(expected)) + readSlack
+}
+
 func (s *stream) lastErr() error {
 	if s.sends == 0 {
 		return nil
--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -266,3 +266,30 @@
 	is.Equal(<-late, http.StatusServiceUnavailable) // after two fifths of its time
 	is.Equal(runs(list, "late"), 0)
 }
+
+// TestLargePromptIsLateSooner guards against calls that get room so late that their prompts cannot be read in time, in place
+// of others that could have been in time (pattern: a surge of long work, prompts of all sizes).
+func TestLargePromptIsLateSooner(t *testing.T) {
+	is := is.New(t)
+	list := engines(1, 50*time.Millisecond)
+	list[0].Events = 100
+	s := start(t, false, list...)
+	others := func(calls int) {
+		s.tally.Report(time.Now(), time.Now().Add(time.Minute), "peer", map[core.EndpointID]tally.Use{"lm-1": {Calls: calls, Tokens: 100}})
+	}
+	others(8) // as many as the engine has slots
+	status := func(attempt, tokens string) chan int {
+		out := make(chan int, 1)
+		go func() {
+			resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", attempt, "Snipeshed-Token-Count", tokens)
+			out <- resp.StatusCode
+			body(resp)
+		}()
+		return out
+	}
+	large, small := status("large", "4000,100"), status("small", "500,100") // 0.84 and 0.19 s to read; the objective is 1 s
+	time.Sleep(400 * time.Millisecond)
+	others(7)
+	is.Equal(<-small, http.StatusOK)
+	is.Equal(<-large, http.StatusServiceUnavailable)
+}
--- a/io/gate/waiting.go
+++ b/io/gate/waiting.go
@@ -13,7 +13,7 @@
 // which are worth little more to their callers now than in some seconds.
 type waiting struct {
 	s       *stream
-	late    time.Time // from when on the call is late
+	late    time.Time // from when on its first event is likely to be late
 	until   time.Time // when it is refused
 	counted bool      // among those that wait and are not late
 }
@@ -22,6 +22,7 @@
 	objective := time.Duration(roomShare * float64(s.rule.Objective))
 	w := &waiting{s: s, late: s.start.Add(objective), until: s.start.Add(objective)}
 	if s.movable() {
+		w.late = s.start.Add(min(objective, s.rule.Objective-withMargin(place.ReadTime(s.PromptTokens))))
 		longest := min(time.Duration(lateShare*float64(s.end.Sub(s.start))), lateObjectives*s.rule.Objective)
 		w.until = s.start.Add(max(objective, longest))
 	}
