--- a/core/members.go
+++ b/core/members.go
@@ -9,8 +9,8 @@
 	FailureDomain FailureDomain
 }
 
-// LargeFleet is the number of live instances from which the load of an endpoint is told at once only to the instances of
-// its failure domain and of the sender's; the others hear of it later.
+// LargeFleet is the number of live instances from which the load of short calls is told at once only to the instances of
+// the endpoint's failure domain and of the sender's; the others hear of it later.
 const LargeFleet = 33
 
 // Members gives the live instances and the state of endpoints' instances.
