Check the way of a call at an entry instance by a model

Cause: the specifications in models/ followed the product's own interface only. Ruled out: nothing, no fault of the code was found. Not modelled: configurations that instances pass to each other.

--- a/models/check.sh
+++ b/models/check.sh
@@ -62,6 +62,11 @@
 restart violated -DFAULT_CONTACT
 restart violated -DLIVE -DFAULT_RETRY
 action violated -DLIVE -DFAULT_RETRY
+edge holds
+edge holds -DREPEATABLE
+edge violated -DFAULT_CUT
+edge violated -DREPEATABLE -DFAULT_FORGET
+edge violated -DFAULT_SALVAGE
 RUNS
   echo "models: a check did not end as expected" >&2
   exit 1
