--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -115,6 +115,11 @@
 	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"d1","slots":8,"state":%q,"born":1}`, service, e.Address(), state)
 }
 
+// others says that other instances have so many calls at the engine lm-1.
+func (s *system) others(calls int) {
+	s.tally.Report(time.Now(), time.Now().Add(time.Minute), "peer", map[core.EndpointID]tally.Use{"lm-1": {Calls: calls, Tokens: 100}})
+}
+
 // leave marks an engine as leaving.
 func (s *system) leave(e *plat.Engine) { s.news.ChangeEndpoint(100, e.ID, entry(e, "draining")) }
 
--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -243,10 +243,7 @@
 	list := engines(1, 50*time.Millisecond)
 	list[0].Events = 100
 	s := start(t, false, list...)
-	others := func(calls int) {
-		s.tally.Report(time.Now(), time.Now().Add(time.Minute), "peer", map[core.EndpointID]tally.Use{"lm-1": {Calls: calls, Tokens: 100}})
-	}
-	others(8) // as many as the engine has slots
+	s.others(8) // as many as the engine has slots
 	late := make(chan int, 1)
 	go func() {
 		resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", "late")
@@ -261,7 +258,7 @@
 		body(resp)
 	}()
 	time.Sleep(100 * time.Millisecond)
-	others(7)
+	s.others(7)
 	is.Equal(<-soon, http.StatusOK)
 	is.Equal(<-late, http.StatusServiceUnavailable) // after two fifths of its time
 	is.Equal(runs(list, "late"), 0)
@@ -274,10 +271,7 @@
 	list := engines(1, 50*time.Millisecond)
 	list[0].Events = 100
 	s := start(t, false, list...)
-	others := func(calls int) {
-		s.tally.Report(time.Now(), time.Now().Add(time.Minute), "peer", map[core.EndpointID]tally.Use{"lm-1": {Calls: calls, Tokens: 100}})
-	}
-	others(8) // as many as the engine has slots
+	s.others(8) // as many as the engine has slots
 	status := func(attempt, tokens string) chan int {
 		out := make(chan int, 1)
 		go func() {
@@ -289,7 +283,7 @@
 	}
 	large, small := status("large", "4000,100"), status("small", "500,100") // 0.84 and 0.19 s to read; the objective is 1 s
 	time.Sleep(400 * time.Millisecond)
-	others(7)
+	s.others(7)
 	is.Equal(<-small, http.StatusOK)
 	is.Equal(<-large, http.StatusServiceUnavailable)
 }
