Relay no text of an error in the middle of a stream

Callers saw: a stream had begun and broke off, and the next engine answered with something else than the rest. Its text, or the head of a failure that an engine wrote into its own stream, stood in the middle of the caller's stream, or the stream ended as if it were complete (a head without a length and then a close; plain text; data without an id).

Cause: each block of lines up to an empty one counted as an event; a close right after a head without a length counted as the end; an event without an id was delivered although nothing told its position.

Change: a line that belongs to no event ends the upstream; so does an answer that ends before its first event unless its length or its chunks say that it has none; data without an id from an engine that continues a stream is not delivered, and a stream whose last data had no id is not resumed from a copy either.

--- a/io/gate/deliver.go
+++ b/io/gate/deliver.go
@@ -15,11 +15,15 @@
 	switch {
 	case errors.Is(e.err, io.EOF) && s.migration.stopped:
 		s.sawEOF = true
+	case errors.Is(e.err, io.EOF) && s.endsBeforeEvents():
+		s.onUpstreamFailed(s.current, errNoEvents)
 	case errors.Is(e.err, io.EOF):
 		s.complete()
 	case e.err != nil:
 		s.onUpstreamFailed(s.current, e.err)
 	case !s.checkEventCount():
+	case s.current.continues && e.id == "" && e.hasData():
+		s.onUpstreamFailed(s.current, errNoPosition)
 	case s.pending != nil || s.migration.stopped:
 		s.hold(e)
 	default:
@@ -27,6 +31,18 @@
 	}
 }
 
+var (
+	errNoEvents   = errors.New("the endpoint's answer has neither a length nor an event")
+	errNoPosition = errors.New("an event of the engine that continues the stream has no id, so it may repeat an earlier one")
+)
+
+// endsBeforeEvents reports whether the current upstream ended without an event and without a length that says that it has none.
+// The connection may have broken right after the head then.
+func (s *stream) endsBeforeEvents() bool {
+	a := s.current.answer
+	return s.current.eventsRead == 0 && a.ContentLength < 0 && len(a.TransferEncoding) == 0
+}
+
 // deliver writes an event to the caller, unless the caller already has it.
 func (s *stream) deliver(e streamEvent) {
 	if s.alreadyDelivered(e.id) {
--- a/io/gate/events.go
+++ b/io/gate/events.go
@@ -24,6 +24,10 @@
 // errPartialEvent is returned for a stream that ended in the middle of an event.
 var errPartialEvent = errors.New("the endpoint's stream ended in the middle of an event")
 
+// errNotEvent is returned for a stream with a line that no event has, such as the head or the text of an error that the endpoint
+// wrote into it.
+var errNotEvent = errors.New("the endpoint's stream has a line that belongs to no event")
+
 // errEventTooLong is returned for a stream with an event that is larger than maxEventBytes or has no end.
 var errEventTooLong = fmt.Errorf("an event of the endpoint's stream exceeds %d bytes", maxEventBytes)
 
@@ -45,6 +49,9 @@
 		line := bytes.TrimSuffix(data[s.lineStart:s.searched+i], []byte{'\r'})
 		s.searched += i + 1
 		s.lineStart = s.searched
+		if !isEventLine(line) {
+			return 0, nil, errNotEvent
+		}
 		if len(line) == 0 && s.hasText {
 			return s.endEvent(data[:s.searched])
 		}
@@ -61,6 +68,22 @@
 	}
 }
 
+// isEventLine reports whether a line may stand in an event: it is blank, a comment, or starts with the name of a field. Names
+// that the gate does not know belong to extensions of the endpoint.
+func isEventLine(line []byte) bool {
+	name, _, _ := bytes.Cut(bytes.TrimSpace(line), []byte{':'})
+	for _, b := range name {
+		if !isNameByte(b) {
+			return false
+		}
+	}
+	return true
+}
+
+func isNameByte(b byte) bool {
+	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' || b == '-' || b == '_'
+}
+
 func (s *eventSplitter) endEvent(b []byte) (int, []byte, error) {
 	*s = eventSplitter{}
 	return len(b), b, nil
@@ -103,7 +126,8 @@
 // hasData reports whether an event has a data field; a comment that keeps the connection open has none.
 func (e streamEvent) hasData() bool {
 	for line := range bytes.Lines(e.bytes) {
-		if bytes.HasPrefix(line, []byte("data")) {
+		name, _, _ := bytes.Cut(bytes.TrimRight(line, "\r\n"), []byte{':'})
+		if string(name) == "data" {
 			return true
 		}
 	}
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -213,7 +213,7 @@
 // reports whether it could.
 func (s *stream) resumeAt(target core.Endpoint, from string) bool {
 	now := time.Now()
-	if s.g.Endpoints.Get(target.ID) == nil || now.After(s.end) || s.isQuarantined(now) {
+	if s.g.Endpoints.Get(target.ID) == nil || now.After(s.end) || s.lacksID || s.isQuarantined(now) {
 		return false
 	}
 	s.g.Retries.ForceRetry(now, s.service.Name)
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -17,6 +17,7 @@
 	endpoint   core.Endpoint
 	resumeFrom string         // location of the generation's memory; empty when the generation starts at this endpoint
 	backup     *core.Endpoint // keeps a copy of the generation's memory
+	continues  bool           // events with ids were delivered before this request, and it asks for those after them
 
 	ctx           context.Context
 	cancel        context.CancelCauseFunc
@@ -40,7 +41,7 @@
 
 // open sends a request to an endpoint in the background; its outcome arrives on s.openResults.
 func (s *stream) open(e core.Endpoint, from string, backup *core.Endpoint) {
-	up := &upstream{s: s, endpoint: e, resumeFrom: from, backup: backup, events: make(chan streamEvent), done: make(chan struct{})}
+	up := &upstream{s: s, endpoint: e, resumeFrom: from, backup: backup, continues: s.lastEventID != "", events: make(chan streamEvent), done: make(chan struct{})}
 	up.ctx, up.cancel = context.WithCancelCause(s.ctx)
 	if from == "" {
 		up.prefillTokens = s.PromptTokens
