Resume a stalled stream that may run twice

Callers saw: a stream stalled after some events, its engine silent or sending a comment or a byte now and then, and was kept until its deadline although another engine could go on after the last event.

Cause: only streams with a backup had a limit on silence, and a comment counted as progress.

Change: silence is counted from the last event with data. A stream that may run twice and has been silent for 0.7 s is resumed at another engine that has room; without one the silent engine may still go on, so nothing is cut. The code about silence has a file of its own now.

TestStalledStream failed before (the caller got EOF at the deadline, 3 s). TestSlowStream and TestStalledWithoutRoom show that slow and sound streams, and stalled ones that nobody can take, are not cut.

--- a/io/gate/deliver.go
+++ b/io/gate/deliver.go
@@ -77,7 +77,7 @@
 	if s.movable() && s.eventsSent%growthCheckEvents == 0 {
 		s.growMemory()
 	}
-	if !s.route.Resumable {
+	if e.hasData() { // a comment keeps the connection open, but shows no progress
 		s.silenceDeadline = now.Add(silenceTimeout)
 	}
 	s.resetTimer()
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -45,17 +45,6 @@
 }
 
 const (
-	// silenceTimeout is the time without an event after which a generation with a backup is resumed there.
-	silenceTimeout = 700 * time.Millisecond
-	// firstEventTimeoutShare is the share of the latency objective after which a resumable stream without an event is sent to
-	// another engine, unless its engine is still expected to be in prefill.
-	firstEventTimeoutShare = 0.65
-	// prefillMarginFactor and prefillMarginSlack turn the expected prefill time into an upper bound: the factor is applied
-	// first, then the slack is added.
-	prefillMarginFactor = 1.3
-	prefillMarginSlack  = 100 * time.Millisecond
-	// silenceRetryInterval is the time between two searches for an endpoint to replace a silent one.
-	silenceRetryInterval = 100 * time.Millisecond
 	// fullRetryAfterShare is the retry delay, as a share of the time left, of a caller that found no room. Callers wait for at
 	// most a third of the time left.
 	fullRetryAfterShare = 0.2
@@ -118,18 +107,6 @@
 	s.resetTimer()
 }
 
-// prefillDeadline returns the time by which the pending engine should have finished the prefill of all its calls, not only of
-// this one, since it may process a later prompt first. The wait is at most the latency objective; longer waits gain nothing.
-func (s *stream) prefillDeadline(now time.Time) time.Time {
-	prefill := withPrefillMargin(s.g.Selector.PrefillDelay(now, s.pending.endpoint.ID))
-	return s.sentAt.Add(min(prefill, s.route.Objective))
-}
-
-// withPrefillMargin returns a time within which a prefill nearly always ends, given its expected time.
-func withPrefillMargin(expected time.Duration) time.Duration {
-	return time.Duration(prefillMarginFactor*float64(expected)) + prefillMarginSlack
-}
-
 func (s *stream) exhaustedErr() error {
 	if s.failedAttempts == 0 {
 		return nil
@@ -199,44 +176,6 @@
 	s.resetTimer()
 }
 
-// onSilence treats an endpoint that sends nothing as failed, if the stream can continue elsewhere.
-func (s *stream) onSilence() {
-	switch {
-	case s.eventsSent == 0 && s.route.Resumable && s.pending != nil && s.migration.inactive():
-		now := time.Now()
-		switch until := s.prefillDeadline(now); {
-		case now.Before(until):
-			s.silenceDeadline = until
-		case !s.mayTryAnotherEngine(now):
-			s.silenceDeadline = now.Add(silenceRetryInterval)
-		default:
-			s.onUpstreamFailed(s.pending, errSilent)
-		}
-	case s.eventsSent > 0 && s.current != nil && s.pending == nil && !s.migration.stopped:
-		s.resumeSilent()
-	}
-}
-
-// resumeSilent resumes a stream whose engine sends nothing from its backup, or later if that engine wants no requests now: the
-// silent one may still go on.
-func (s *stream) resumeSilent() {
-	if b := s.current.backup; b != nil && s.g.backsOff(b.ID) {
-		s.silenceDeadline = time.Now().Add(silenceRetryInterval)
-		return
-	}
-	s.resumeFromBackup()
-}
-
-// mayTryAnotherEngine reports whether another engine with room may be tried. Without one, the silent engine is still the most
-// likely to answer.
-func (s *stream) mayTryAnotherEngine(now time.Time) bool {
-	d := s.demand()
-	e := s.g.Selector.ChooseEndpoint(now, s.service, s.g.Endpoints.OfService(s.service.Name), d, s.tried)
-	return e != nil && s.g.Selector.HasRoom(now, s.service, e, d) && s.g.Retries.CanRetry(now, s.service.Name, s.g.Instances())
-}
-
-var errSilent = errors.New("the endpoint sent no first event within the expected time")
-
 // onOpenResult handles the outcome of sending an upstream's request.
 func (s *stream) onOpenResult(o openResult) {
 	if o.answer != nil {
