Don't take an own pause for the silence of others

Callers saw: an instance was frozen for seconds. When it went on, its timers fired before it had read what had arrived: it took sound engines for silent and started their streams at other engines, gave up answers that had arrived, and took all other instances for lost, so their calls counted as ended and it read the store on behalf of all.

Change: a timer that fires 150 ms late (500 ms for the sender of datagrams) shows that this instance was paused. Streams and attempts then get 150 ms to read what is there; the other instances and their reports of load count for as much longer as the pause lasted. A line `paused` says so.

--- a/core/tally/load_table.go
+++ b/core/tally/load_table.go
@@ -242,6 +242,19 @@
 	return t.waiting, t.waiting + t.peersWaiting
 }
 
+// ExtendReports lets the reports of the peers count for longer, after a pause of this instance in which it received none.
+func (t *LoadTable) ExtendReports(by time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, p := range t.peers {
+		p.expires = p.expires.Add(by)
+		t.peers[id] = p
+	}
+	if !t.nextExpiry.IsZero() {
+		t.nextExpiry = t.nextExpiry.Add(by)
+	}
+}
+
 // subtractReport subtracts a report from peerSums.
 func (t *LoadTable) subtractReport(loads map[core.EndpointID]Load) {
 	for ep, load := range loads {
--- a/io/event/kind.go
+++ b/io/event/kind.go
@@ -43,4 +43,5 @@
 	NotResumed         Kind = "not_resumed"
 	Cut                Kind = "cut"
 	CallerLeft         Kind = "caller_left"
+	Paused             Kind = "paused"
 )
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -29,11 +29,23 @@
 	a := &attempt{}
 	a.ctx, a.cancel = context.WithCancelCause(c.ctx)
 	if c.route.Kind == core.RouteIdempotent && c.failedAttempts+1 < c.route.MaxAttempts && c.mayTryAnother() {
-		a.timer = time.AfterFunc(c.attemptTimeout(), func() { a.cancel(errAttemptTimeout) })
+		timeout := c.attemptTimeout()
+		due := time.Now().Add(timeout)
+		a.timer = time.AfterFunc(timeout, func() { a.expire(due) })
 	}
 	return a
 }
 
+// expire ends the attempt when its time is over. If this instance was paused then, its answer may have arrived unread, so the
+// attempt gets some more time.
+func (a *attempt) expire(due time.Time) {
+	if wasPaused(due, time.Now()) {
+		time.AfterFunc(afterPauseGrace, func() { a.cancel(errAttemptTimeout) })
+		return
+	}
+	a.cancel(errAttemptTimeout)
+}
+
 func (c *call) attemptTimeout() time.Duration {
 	timeout := max(time.Duration(attemptTimeoutFactor*float64(c.route.Objective)), minAttemptTimeout)
 	return min(timeout, time.Until(c.end)/2)
--- a/io/gate/silence.go
+++ b/io/gate/silence.go
@@ -17,8 +17,16 @@
 	prefillMarginSlack  = 100 * time.Millisecond
 	// silenceRetryInterval is the time between two searches for an endpoint to replace a silent one.
 	silenceRetryInterval = 100 * time.Millisecond
+	// ownPauseThreshold is the delay of a timer above which this instance itself was paused, so that what its endpoints sent
+	// meanwhile is not read yet.
+	ownPauseThreshold = 150 * time.Millisecond
+	// afterPauseGrace is the time to read it.
+	afterPauseGrace = 150 * time.Millisecond
 )
 
+// wasPaused reports whether this instance was paused, or had no processor time, when a timer was due.
+func wasPaused(due, now time.Time) bool { return now.Sub(due) > ownPauseThreshold }
+
 // prefillDeadline returns the time by which the pending engine should have finished the prefill of all its calls, not only of
 // this one, since it may process a later prompt first. The wait is at most the latency objective; longer waits gain nothing.
 func (s *stream) prefillDeadline(now time.Time) time.Time {
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -169,7 +169,11 @@
 		s.migration.nextStepAt = time.Time{}
 		s.stepMigration()
 	}
-	if at := s.silenceDeadline; !at.IsZero() && !now.Before(at) {
+	switch at := s.silenceDeadline; {
+	case at.IsZero() || now.Before(at):
+	case wasPaused(at, now):
+		s.silenceDeadline = now.Add(afterPauseGrace)
+	default:
 		s.silenceDeadline = time.Time{}
 		s.onSilence()
 	}
--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -120,6 +120,17 @@
 	}
 }
 
+// extend lets the live instances count as heard from for longer, after a pause of this instance.
+func (p *peers) extend(by time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.byID {
+		if m.live {
+			m.lastHeard = m.lastHeard.Add(by)
+		}
+	}
+}
+
 // expireSilent marks the instances that have been silent for longer than after as not live and returns them. It removes
 // those that have been silent for longer than removeAfter.
 func (p *peers) expireSilent(now time.Time, after time.Duration) []core.InstanceID {
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -35,7 +35,9 @@
 	removeAfter = time.Minute
 	// leavingSpan is how long datagrams list an endpoint after it began to leave.
 	leavingSpan = 3 * time.Second
-	maxDatagram = 60 << 10 // bytes
+	// pauseThreshold is the delay of a timer above which this instance itself was paused and has not read what others sent.
+	pauseThreshold = 500 * time.Millisecond
+	maxDatagram    = 60 << 10 // bytes
 )
 
 // State is the state of this instance that full datagrams carry besides its load.
@@ -169,6 +171,7 @@
 	r := fullSendState{}
 	t := time.NewTimer(0)
 	defer t.Stop()
+	due := time.Now() // when the timer ends
 	for {
 		woken := false
 		select {
@@ -180,6 +183,7 @@
 		case <-t.C:
 		}
 		now := time.Now()
+		due = p.forgivePause(now, due)
 		reqs := p.pending.take()
 		if woken && !reqs.full {
 			p.sendPartial(now, reqs)
@@ -187,9 +191,23 @@
 		}
 		p.sendFull(now, woken, reqs.probe, &r)
 		t.Reset(p.interval())
+		due = time.Now().Add(p.interval())
 	}
 }
 
+// forgivePause detects that this instance was paused, as it runs long after the timer of the sender was due. The others then
+// count as heard from for that much longer: they were not silent, it did not listen. It returns when the timer is due.
+func (p *Pulse) forgivePause(now, due time.Time) time.Time {
+	pause := now.Sub(due)
+	if pause < pauseThreshold {
+		return due
+	}
+	p.extend(pause)
+	p.loads.ExtendReports(pause)
+	p.log.Emit(event.Paused, event.Fields{"paused_ms": pause.Milliseconds()})
+	return now
+}
+
 // sendPartial sends a partial datagram with the load that has changed since the last datagram.
 func (p *Pulse) sendPartial(now time.Time, reqs sendRequests) {
 	d := p.loadMessage(now, p.loads.TakeChanged(now))
