End one call or one message by a panic, not the process

Any unexpected error while a datagram, an object of the store, an answer of another instance or an engine's stream was handled ended the whole process; read again after the restart, the same object would end it again.

Change: a panic ends the handling of that one message and is logged with its stack (line `panicked`); in a call it aborts the connection, which promises nothing, and is counted. The list of endpoints and the configuration are locked in functions that unlock them in any case.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -35,6 +35,7 @@
 	from := newer[rand.IntN(len(newer))]
 	e.group.Go(func() {
 		defer e.fetching.Store(false)
+		defer e.log.Recover("fetching from another instance")
 		if !e.waitFetchSpread() {
 			return
 		}
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -71,6 +72,14 @@
 	l.Emit(k, f)
 }
 
+// Recover ends a panic of the goroutine that defers it and logs it with its stack; what names the work that is given up. It
+// keeps one malformed message or unexpected error from ending the process.
+func (l *Log) Recover(what string) {
+	if v := recover(); v != nil {
+		l.Emit(Panicked, Fields{"while": what, "error": v, "stack": string(debug.Stack())})
+	}
+}
+
 // allow reports whether a line is within the rate limit of its kind. Once per second it logs how many lines were dropped.
 func (l *Log) allow(k Kind) bool {
 	second := time.Now().Unix()
--- a/io/event/kind.go
+++ b/io/event/kind.go
@@ -44,4 +44,5 @@
 	Cut                Kind = "cut"
 	CallerLeft         Kind = "caller_left"
 	Paused             Kind = "paused"
+	Panicked           Kind = "panicked"
 )
--- a/io/gate/failover.go
+++ b/io/gate/failover.go
@@ -15,10 +15,10 @@
 	s.migration.uncountMemory(s.g)
 	s.migration = migration{source: source, target: backup, moveRequestInFlight: true, finalCopy: true, stopped: true, stoppingFailedSource: true}
 	id, out := s.ID, s.moveResults
-	go func() {
+	s.inBackground("stopping the generation", func() {
 		m, err := s.g.Mover.StopAndMove(source, backup, id)
 		out <- moveResult{source: source.ID, final: true, MoveResult: m, err: err}
-	}()
+	})
 }
 
 // onFailedSourceStopped resumes the stream from the backup after the attempt to stop the failed engine.
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -136,6 +136,7 @@
 	}
 	g.Meter.OpenCalls.Add(1)
 	defer c.recordEnd()
+	defer c.abortOnPanic()
 	if !c.admit() {
 		return
 	}
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -245,10 +245,10 @@
 func (s *stream) requestMove(final bool) {
 	s.migration.moveRequestInFlight, s.migration.finalCopy, s.migration.moveRequestedAt = true, final, time.Now()
 	source, target, id, out := s.migration.source, s.migration.target, s.ID, s.moveResults
-	go func() {
+	s.inBackground("moving the generation", func() {
 		m, err := s.g.Mover.Move(source, target, id, final)
 		out <- moveResult{source: source.ID, final: final, MoveResult: m, err: err}
-	}()
+	})
 }
 
 // onMoveResult handles the outcome of a copy or stop request.
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -60,7 +60,7 @@
 		out.Backup = backup.Address
 	}
 	req := s.outboundRequest(out)
-	go func() {
+	s.inBackground("sending the request", func() {
 		a, err := s.send(up.ctx, e, req)
 		o := openResult{upstream: up, answer: a, err: err}
 		if err == nil && !isStream(a) {
@@ -73,7 +73,7 @@
 				a.Close(false)
 			}
 		}
-	}()
+	})
 }
 
 // countLoad adds the upstream's load to the load table if sign is 1, and subtracts it if sign is -1.
@@ -125,7 +125,7 @@
 // startReading starts to read events from an answer.
 func (up *upstream) startReading(a *dial.Answer) {
 	up.answer = a
-	go readEvents(a.Body, up.events, up.done)
+	up.s.inBackground("reading events", func() { readEvents(a.Body, up.events, up.done) })
 }
 
 // close ends the upstream. Unless fullyRead is set, which means that the stream was read to its end, it closes the
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -69,21 +69,27 @@
 		n.log.Emit(event.RulesPassedOver, event.Fields{"source": source, "error": err})
 		return
 	}
-	n.mu.Lock()
-	old := n.table.Load()
-	if old != nil && config.Version <= old.Version {
-		n.mu.Unlock()
+	if !n.storeConfig(config, compressed) {
 		return
 	}
-	n.table.Store(route.New(config))
-	n.compressed = compressed
-	n.mu.Unlock()
 	n.log.Emit(event.RulesTaken, event.Fields{
 		"version": config.Version, "source": source, "routes": len(config.Routes), "teams": len(config.Teams),
 	})
 	n.announce(source)
 }
 
+// storeConfig puts a configuration in force and reports whether it is newer than the one before.
+func (n *News) storeConfig(config *core.RoutingConfig, compressed []byte) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if old := n.table.Load(); old != nil && config.Version <= old.Version {
+		return false
+	}
+	n.table.Store(route.New(config))
+	n.compressed = compressed
+	return true
+}
+
 // announce calls onStoreChange for data that came from the store.
 func (n *News) announce(source string) {
 	if source == sourceStore {
@@ -93,10 +99,20 @@
 
 // ReplaceEndpoints replaces the whole endpoint list unless the revision is not newer than the known one.
 func (n *News) ReplaceEndpoints(revision core.Version, raw map[string][]byte, source string) {
+	count, ok := n.replaceEndpoints(revision, raw)
+	if !ok {
+		return
+	}
+	n.log.Emit(event.EndpointTaken, event.Fields{"revision": revision, "endpoints": count, "source": source})
+	n.announce(source)
+}
+
+// replaceEndpoints replaces the list and returns the number of endpoints, or false if the revision is not newer.
+func (n *News) replaceEndpoints(revision core.Version, raw map[string][]byte) (int, bool) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	if n.list != nil && revision <= n.revision {
-		n.mu.Unlock()
-		return
+		return 0, false
 	}
 	n.unreadable.retain(raw)
 	endpoints := make([]core.Endpoint, 0, len(raw))
@@ -113,17 +129,19 @@
 	n.list.replace(revision, sound)
 	n.revision = revision
 	n.fleet.ReplaceAll(time.Now(), revision, endpoints)
-	n.mu.Unlock()
-	n.log.Emit(event.EndpointTaken, event.Fields{"revision": revision, "endpoints": len(endpoints), "source": source})
-	n.announce(source)
+	return len(endpoints), true
 }
 
 // ChangeEndpoint applies a change of one entry in the store; raw is nil when the entry was removed.
 func (n *News) ChangeEndpoint(revision core.Version, name string, raw []byte) {
+	n.applyStoreChange(revision, name, raw)
+	n.announce(sourceStore)
+}
+
+func (n *News) applyStoreChange(revision core.Version, name string, raw []byte) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.applyChange(revision, name, raw)
-	n.mu.Unlock()
-	n.announce(sourceStore)
 }
 
 // applyChange applies a change of one entry. An entry that names no endpoint counts as removed, so that it is not sent to
--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -68,7 +68,10 @@
 		p.mu.Lock()
 		p.lastProbed[e.ID] = now
 		p.mu.Unlock()
-		p.wg.Go(func() { p.probeEngine(e.Endpoint) })
+		p.wg.Go(func() {
+			defer p.log.Recover("probing an engine")
+			p.probeEngine(e.Endpoint)
+		})
 	}
 }
 
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -312,10 +312,16 @@
 			time.Sleep(time.Millisecond) // the error may stem from an earlier send (ICMP); the delay avoids a busy loop
 			continue
 		}
-		d := &wire.Pulse{}
-		if proto.Unmarshal(buf[:n], d) == nil {
-			p.handleDatagram(time.Now(), d)
-		}
+		p.receive(time.Now(), buf[:n])
+	}
+}
+
+// receive handles one datagram. An error in one must not end the process, since its sender repeats it to every instance.
+func (p *Pulse) receive(now time.Time, b []byte) {
+	defer p.log.Recover("datagram")
+	d := &wire.Pulse{}
+	if proto.Unmarshal(b, d) == nil {
+		p.handleDatagram(now, d)
 	}
 }
 
--- a/io/pulse/pulse_test.go
+++ b/io/pulse/pulse_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,6 +27,8 @@
 	state   pulse.State
 	leaving map[core.Incarnation]bool
 	blame   *blame.Tracker
+
+	onUpdate func()
 }
 
 func start(t *testing.T, id string) *node {
@@ -55,7 +58,14 @@
 		},
 		OnRefusing: func(time.Time, core.EndpointID) {},
 		OnBlame:    func(now time.Time, r core.BlameReport) { n.blame.Merge(now, r) },
-		OnUpdate:   func() {},
+		OnUpdate: func() {
+			n.mu.Lock()
+			f := n.onUpdate
+			n.mu.Unlock()
+			if f != nil {
+				f()
+			}
+		},
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -236,3 +246,19 @@
 		t.Error("each load change went to all domains at once")
 	}
 }
+
+// TestPanicInDatagram guards against one malformed datagram, or an unexpected error while it is handled, that ends the process:
+// its sender repeats it to every instance.
+func TestPanicInDatagram(t *testing.T) {
+	a, b := start(t, "a"), start(t, "b")
+	var panics atomic.Int32
+	a.mu.Lock()
+	a.onUpdate = func() {
+		if panics.Add(1) <= 3 {
+			panic("unexpected")
+		}
+	}
+	a.mu.Unlock()
+	b.Add(a.self)
+	eventually(t, "datagrams are handled after a panic", func() bool { return panics.Load() > 3 && a.Instances() == 2 })
+}
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -201,11 +201,18 @@
 		return 0, err
 	}
 	for _, o := range list {
-		w.applyConfig(o)
+		w.apply(func() { w.applyConfig(o) })
 	}
 	return at, nil
 }
 
+// apply runs f, which applies what the store has sent. If f panics, that part of it is skipped: read again, it would end every
+// instance again and again.
+func (w *Watch) apply(f func()) {
+	defer w.log.Recover("applying an object of the store")
+	f()
+}
+
 // endpointsSince returns the revision of the known endpoint list, or lists the endpoints if none is known. Whether the store
 // still has the changes since that revision shows when the watch starts.
 func (w *Watch) endpointsSince(ctx context.Context) (core.Version, error) {
@@ -230,7 +237,7 @@
 	for _, o := range list {
 		raw[w.entryName(o.Key)] = o.Value
 	}
-	w.news.ReplaceEndpoints(at, raw, "store")
+	w.apply(func() { w.news.ReplaceEndpoints(at, raw, "store") })
 	return at, nil
 }
 
@@ -281,7 +288,7 @@
 				w.markUp()
 				backoff = firstBackoff
 				if c != nil {
-					onChange(c)
+					w.apply(func() { onChange(c) })
 					since = max(since, c.Version)
 					changed = true
 					return ctx.Err()
