Hold calls at a starting instance instead of refusing them

Callers saw: an instance that had just started refused every call until it had the configuration, with a retry delay of up to 4.5 s, though it is ready within about half a second; callers who return that late miss their objective (drafts 4 s, tags 1.5 s). After a loss of power of all instances this meets every caller of that half second.

Change: such a call waits for a quarter of its caller's timeout, one second at most, and is refused at once while the store is known not to answer.

TestCallsAtRestart (pattern: all instances lose power and callers arrive as they start again) got 503 before. TestNoWaitWithoutStore bounds the wait.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -136,6 +136,7 @@
 		Retries:  allow.New(e.cfg.GetRetryRatio(), e.cfg.GetRetrySlack(), window),
 		Client:   e.dial, Lengths: expect.New(), Blame: e.blame, Log: e.log, Meter: gate.NewMeter(),
 		Instances:   func() int { return e.pulse.Instances() },
+		MayLoad:     func() bool { return !e.watch.Down() },
 		NotifyPeers: func(d core.FailureDomain, allDomains bool) { e.pulse.SendLoadChanges(d, allDomains) },
 		SyncPeers:   func() { e.pulse.Broadcast() },
 	}, int64(bodyMemoryShare*float64(e.cfg.GetMemoryMb()<<20)), (e.cfg.GetMaxDescriptors()-reservedDescriptors)/descriptorsPerCall)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -46,6 +46,8 @@
 	SyncPeers func()
 	// Instances returns the number of live instances.
 	Instances func() int
+	// MayLoad reports whether an instance without a configuration or endpoints may have them soon.
+	MayLoad func() bool
 }
 
 // Gate is the HTTP handler that serves callers.
@@ -173,16 +175,16 @@
 
 // admit looks up the call's route and team and reports whether the call may proceed. If not, it has sent the response.
 func (c *call) admit() bool {
-	table := c.g.News.Table()
-	if table == nil || !c.g.News.Loaded() {
-		c.refuse(reasonNotReady, c.startRetryAfter())
-		return false
-	}
-	c.table = table
 	if c.g.Meter.OpenCalls.Load() > c.g.maxOpenCalls {
 		c.refuse(reasonOpenCalls, busyRetryAfter)
 		return false
 	}
+	if !c.awaitLoaded() {
+		c.refuse(reasonNotReady, c.startRetryAfter())
+		return false
+	}
+	table := c.g.News.Table()
+	c.table = table
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	c.route = table.Find(c.r.Host, path)
 	if c.route == nil {
--- a/io/gate/refuse.go
+++ b/io/gate/refuse.go
@@ -35,17 +35,8 @@
 	quarantineRetryAfter = 10 * time.Second
 	// stoppingRetryAfter is short because the caller's next connection goes to another instance.
 	stoppingRetryAfter = 20 * time.Millisecond
-	// startRetryShare is the retry delay, as a share of the caller's timeout, of an instance that has no configuration yet.
-	// Callers wait for at most a third of their timeout and retry once.
-	startRetryShare    = 0.22
-	maxStartRetryAfter = 3 * time.Second
 )
 
-// startRetryAfter returns the retry delay for a caller of an instance that has no configuration yet.
-func (c *call) startRetryAfter() time.Duration {
-	return min(max(time.Duration(startRetryShare*float64(c.Deadline)), busyRetryAfter/2), maxStartRetryAfter)
-}
-
 // refuse responds with status 503 that the call was not run and when to retry; the delay is randomized so that callers do
 // not all retry at once.
 func (c *call) refuse(why reason, after time.Duration) {
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -21,6 +21,7 @@
 	log   *event.Log
 	table atomic.Pointer[route.Table]
 
+	loaded        chan struct{} // closed once both are known
 	mu            sync.Mutex
 	compressed    []byte        // the configuration in force, compressed
 	list          *endpointList // nil until the endpoint list is known
@@ -31,7 +32,9 @@
 
 // New returns an empty News; onStoreChange is called after a newer configuration or endpoint list came from the store.
 func New(dec core.Decoder, f *fleet.Endpoints, log *event.Log, onStoreChange func()) *News {
-	return &News{dec: dec, fleet: f, log: log, unreadable: unreadableEntries{}, onStoreChange: onStoreChange}
+	return &News{
+		dec: dec, fleet: f, log: log, loaded: make(chan struct{}), unreadable: unreadableEntries{}, onStoreChange: onStoreChange,
+	}
 }
 
 // sourceStore is the source of data that was read from the store. Only this data is announced: data from another instance
@@ -43,9 +46,22 @@
 
 // Loaded reports whether both the configuration and the endpoint list are known.
 func (n *News) Loaded() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.list != nil && n.table.Load() != nil
+	select {
+	case <-n.loaded:
+		return true
+	default:
+		return false
+	}
+}
+
+// AwaitLoaded returns a channel that is closed once both the configuration and the endpoint list are known.
+func (n *News) AwaitLoaded() <-chan struct{} { return n.loaded }
+
+// signalLoaded closes the channel of AwaitLoaded if both are known now; n.mu is held.
+func (n *News) signalLoaded() {
+	if n.list != nil && n.table.Load() != nil && !n.Loaded() {
+		close(n.loaded)
+	}
 }
 
 // Versions returns the version of the configuration and the revision of the endpoint list; 0 means unknown.
@@ -87,6 +103,7 @@
 	}
 	n.table.Store(route.New(config))
 	n.compressed = compressed
+	n.signalLoaded()
 	return true
 }
 
@@ -129,6 +146,7 @@
 	n.list.replace(revision, sound)
 	n.revision = revision
 	n.fleet.ReplaceAll(time.Now(), revision, endpoints)
+	n.signalLoaded()
 	return len(endpoints), true
 }
 
@@ -149,6 +167,7 @@
 func (n *News) applyChange(revision core.Version, name string, raw []byte) {
 	if n.list == nil {
 		n.list = newEndpointList(revision)
+		n.signalLoaded()
 	}
 	now := time.Now()
 	n.revision = max(n.revision, revision)
