Read the store before trusting peers that don't reach it

Callers saw: an instance that was restarted took its first configuration from the first instance that it found. If that one was cut off from the store, a key that had been withdrawn, or an endpoint that had left, was in use again until the restarted instance watched the store itself, some 0.7 to 1.8 s later.

Change: unless a live instance reports that the store has answered in the last seconds, a starting instance first reads the store itself; it takes what others know once that has failed, or after 0.7 s.

TestRestartInOutage shows that instances still start from the others while the store refuses calls or does not answer.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -84,6 +84,7 @@
 
 	callerServer *drain.Server
 	servers      []*http.Server
+	started      time.Time
 	stopping     atomic.Bool
 	fetching     atomic.Bool
 	ctx          context.Context
@@ -226,6 +227,7 @@
 }
 
 func (e *Edge) startComponents() {
+	e.started = time.Now()
 	for i, address := range e.seeds() {
 		e.pulse.Add(core.Peer{ID: core.InstanceID(fmt.Sprintf("seed-%d", i)), Address: address})
 	}
@@ -272,6 +274,9 @@
 				e.endpoints.RecordStoreOutage(now)
 			}
 			e.endpoints.ExpireLapsed(now)
+			if !e.news.Loaded() {
+				e.catchUp() // mayTakeFromPeers has changed, perhaps
+			}
 		}
 	}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -29,7 +29,7 @@
 func (e *Edge) catchUp() {
 	config, endpoints := e.news.Versions()
 	newer := e.pulse.NewerPeers(config, endpoints)
-	if len(newer) == 0 || !e.fetching.CompareAndSwap(false, true) {
+	if len(newer) == 0 || !e.mayTakeFromPeers() || !e.fetching.CompareAndSwap(false, true) {
 		return
 	}
 	from := newer[rand.IntN(len(newer))]
@@ -56,6 +56,17 @@
 	})
 }
 
+// ownReadTime is how long a starting instance prefers its own first read of the store to what instances know that don't reach
+// the store.
+const ownReadTime = 700 * time.Millisecond
+
+// mayTakeFromPeers reports whether the instance takes its first configuration and endpoint list from others. Others that are cut
+// off from the store may know old ones, with keys that were withdrawn and endpoints that have left, so unless one of them reaches
+// the store, a starting instance first tries to read the store itself.
+func (e *Edge) mayTakeFromPeers() bool {
+	return e.news.Loaded() || e.pulse.StoreSeen() || e.watch.Down() || time.Since(e.started) > ownReadTime
+}
+
 // waitFetchSpread waits a random time that grows with the number of instances, so that they do not all fetch from the same
 // ones at once. It returns false if the instance was closed meanwhile.
 func (e *Edge) waitFetchSpread() bool {
--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -222,6 +222,18 @@
 	return out
 }
 
+// storeSeen reports whether a live instance has recently reached the store.
+func (p *peers) storeSeen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.byID {
+		if m.live && m.storeUp {
+			return true
+		}
+	}
+	return false
+}
+
 // minOutageReports is the number of instances that must fail to reach the store before it counts as down for all; in a
 // small fleet half of the live instances are enough.
 const minOutageReports = 4
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -154,6 +154,9 @@
 	return p.isWatcher(n, storeDown, storeUp)
 }
 
+// StoreSeen reports whether the store has answered another live instance in the last seconds.
+func (p *Pulse) StoreSeen() bool { return p.storeSeen() }
+
 // Outage reports whether the store counts as down for all instances.
 func (p *Pulse) Outage(storeDown, storeUp bool) bool { return p.outage(storeDown, storeUp) }
 
