Count the sends of a call in its log lines

The line `answered` of a call that failed at each endpoint said one send too many, because the last failed attempt was counted before the answer. TestSendsInLog failed before.

--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -25,7 +25,7 @@
 	s.recordLength()
 	s.current.close(true)
 	s.g.Log.EmitRequest(event.Answered, s.ID, event.Fields{
-		"endpoint": s.current.endpoint.ID, "events": s.eventsSent, "sends": s.failedAttempts + 1, "route": s.route.Name,
+		"endpoint": s.current.endpoint.ID, "events": s.eventsSent, "sends": s.sends, "route": s.route.Name,
 		"rules": s.table.Version, "age_ms": s.ageMs(), "first_ms": s.firstEventAt.Sub(s.start).Milliseconds(),
 		"pause_ms": s.longestPause.Milliseconds(), "pause_after": s.longestPauseAfter,
 	})
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -123,6 +123,7 @@
 	tried         map[core.EndpointID]bool
 	// failedAttempts counts the attempts that failed after an endpoint may have received the call; misdirected ones do not count.
 	failedAttempts int
+	sends          int // requests sent to endpoints, for the log
 	sentTo         core.EndpointID
 	outcome        string
 	// mayHaveRun is set once the call was sent to an endpoint that did not confirm that it did not run the call.
--- a/io/gate/plain.go
+++ b/io/gate/plain.go
@@ -66,6 +66,7 @@
 	c.g.Loads.AddOwn(e.ID, load)
 	defer c.g.Loads.AddOwn(e.ID, tally.Load{Calls: -1})
 	c.sentTo = e.ID
+	c.sends++
 	try := c.newAttempt()
 	a, err := c.send(try.ctx, e, c.outboundRequest(core.OutboundHeaders{Endpoint: e.ID, Urgency: noUrgency}))
 	if err != nil {
@@ -118,7 +119,7 @@
 		kind = event.NotRepeated
 	}
 	c.g.Log.EmitRequest(kind, c.ID, event.Fields{
-		"endpoint": c.sentTo, "cause": failureCause(ans, err), "sends": c.failedAttempts, "age_ms": c.ageMs(), "not_run": notRun,
+		"endpoint": c.sentTo, "cause": failureCause(ans, err), "sends": c.sends, "age_ms": c.ageMs(), "not_run": notRun,
 	})
 	return ok
 }
@@ -173,7 +174,7 @@
 	}
 	c.outcome = "answered"
 	c.g.Log.EmitRequest(event.Answered, c.ID, event.Fields{
-		"status": ans.StatusCode, "endpoint": ans.Endpoint, "sends": c.failedAttempts + 1, "route": c.route.Name, "rules": c.table.Version,
+		"status": ans.StatusCode, "endpoint": ans.Endpoint, "sends": c.sends, "route": c.route.Name, "rules": c.table.Version,
 		"age_ms": c.ageMs(), "bytes": len(ans.body),
 	})
 	c.w.WriteHeader(ans.StatusCode)
--- a/io/gate/quarantine.go
+++ b/io/gate/quarantine.go
@@ -56,7 +56,7 @@
 func (c *call) logQuarantined(q core.Quarantine) {
 	c.g.Meter.Count("quarantined")
 	c.g.Log.EmitRequest(event.Quarantined, c.ID, event.Fields{
-		"part": q.Part, "crashes": q.Crashes, "sends": c.failedAttempts, "endpoint": c.sentTo, "route": c.routeName(),
+		"part": q.Part, "crashes": q.Crashes, "sends": c.sends, "endpoint": c.sentTo, "route": c.routeName(),
 		"age_ms": c.ageMs(),
 	})
 }
--- a/io/gate/refuse.go
+++ b/io/gate/refuse.go
@@ -47,7 +47,7 @@
 	_, waiting := c.g.Loads.WaitingCalls(time.Now())
 	c.g.Log.EmitRequest(event.Refused, c.ID, event.Fields{
 		"reason": why, "status": http.StatusServiceUnavailable, "retry_after_ms": after.Milliseconds(),
-		"route": c.routeName(), "service": c.service.Name, "sends": c.failedAttempts, "rules": c.configVersion(), "age_ms": c.ageMs(),
+		"route": c.routeName(), "service": c.service.Name, "sends": c.sends, "rules": c.configVersion(), "age_ms": c.ageMs(),
 		"endpoints": o.Endpoints, "leaving": o.Leaving, "unreachable": o.Unreachable, "backing_off": o.BackingOff, "room": o.WithRoom,
 		"least_share": fmt.Sprintf("%.2f", o.LeastShare), "endpoints_revision": c.g.Endpoints.Revision(),
 		"waiting": waiting, "left_ms": c.timeLeft().Milliseconds(),
@@ -87,7 +87,7 @@
 	c.outcome = "failed"
 	c.g.Codec.SetRefusalHeaders(c.w.Header(), c.ID, 0)
 	c.g.Log.EmitRequest(event.Failed, c.ID, event.Fields{
-		"reason": why, "status": status, "route": c.routeName(), "endpoint": c.sentTo, "sends": c.failedAttempts, "age_ms": c.ageMs(),
+		"reason": why, "status": status, "route": c.routeName(), "endpoint": c.sentTo, "sends": c.sends, "age_ms": c.ageMs(),
 	})
 	c.writeText(status, "outcome unknown: "+why.Error())
 }
--- a/io/gate/upstream.go
+++ b/io/gate/upstream.go
@@ -48,6 +48,7 @@
 	}
 	s.pending = up
 	s.sentTo = e.ID
+	s.sends++
 	up.countLoad(1)
 	up.notifyPeers()
 	s.g.streams.add(e.ID, s)
