Start from other instances at once in an outage that several report

A starting instance would wait for its own first read of the store, up to 0.7 s, also when the fleet knows that the store is down. Four reports and no other instance that reaches the store are enough to take what the others know. TestOutageReported.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -62,9 +62,9 @@
 
 // mayTakeFromPeers reports whether the instance takes its first configuration and endpoint list from others. Others that are cut
 // off from the store may know old ones, with keys that were withdrawn and endpoints that have left, so unless one of them reaches
-// the store, a starting instance first tries to read the store itself.
+// the store, a starting instance first tries to read the store itself. In an outage, which several report, it does not.
 func (e *Edge) mayTakeFromPeers() bool {
-	return e.news.Loaded() || e.pulse.StoreSeen() || e.watch.Down() || time.Since(e.started) > ownReadTime
+	return e.news.Loaded() || e.pulse.StoreSeen() || e.pulse.OutageReported() || e.watch.Down() || time.Since(e.started) > ownReadTime
 }
 
 // waitFetchSpread waits a random time that grows with the number of instances, so that they do not all fetch from the same
--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -234,6 +234,23 @@
 	return false
 }
 
+// outageReported reports whether minOutageReports other instances fail to reach the store and none reaches it.
+func (p *peers) outageReported() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	down := 0
+	for _, m := range p.byID {
+		switch {
+		case !m.live:
+		case m.storeUp:
+			return false
+		case m.storeDown:
+			down++
+		}
+	}
+	return down >= minOutageReports
+}
+
 // minOutageReports is the number of instances that must fail to reach the store before it counts as down for all; in a
 // small fleet half of the live instances are enough.
 const minOutageReports = 4
--- a/io/pulse/peers_test.go
+++ b/io/pulse/peers_test.go
@@ -55,3 +55,26 @@
 	d.Run, d.Seq, d.Partial = 1<<63, 100_000, true
 	is.True(int64((proto.Size(d)+headers)*instances/bytesPerMs) < place.JitterWindow(10).Milliseconds()/10)
 }
+
+// TestOutageReported guards against a starting instance that trusts a few instances which are cut off from the store, and against
+// one that waits for the store in an outage that the fleet has noticed.
+func TestOutageReported(t *testing.T) {
+	is := is.New(t)
+	p := newPeers(core.Peer{ID: "self", Address: "127.0.0.1:1"})
+	seq := uint64(0)
+	report := func(n int, down, up bool) {
+		seq++
+		p.applyFull(time.Unix(1000, 0), &wire.Pulse{
+			From: fmt.Sprint("p", n), Address: fmt.Sprint("127.0.0.1:", 10+n), Run: 1, Seq: seq, StoreDown: down, StoreUp: up,
+		})
+	}
+	for n := range minOutageReports {
+		is.True(!p.outageReported())
+		report(n, true, false)
+	}
+	is.True(p.outageReported())
+	is.True(!p.storeSeen())
+	report(0, false, true)
+	is.True(!p.outageReported())
+	is.True(p.storeSeen())
+}
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -157,6 +157,9 @@
 // StoreSeen reports whether the store has answered another live instance in the last seconds.
 func (p *Pulse) StoreSeen() bool { return p.storeSeen() }
 
+// OutageReported reports whether several other instances fail to reach the store and none reaches it.
+func (p *Pulse) OutageReported() bool { return p.outageReported() }
+
 // Outage reports whether the store counts as down for all instances.
 func (p *Pulse) Outage(storeDown, storeUp bool) bool { return p.outage(storeDown, storeUp) }
 
