Bound the prefill backlog of an engine by the call's objective

Callers saw: long calls late at sites with a tight objective (drafts, 1.8 s) though engines had memory: an engine took new long calls while up to 9,000 tokens waited for prefill, which takes 1.3 s, too long for the objective.

Change: the backlog above which an engine gets no new long call is 0.32 of the call's objective (1.28 s for 4 s, as before; 0.58 s for 1.8 s). Pattern: several long calls arrive in the same moment. TestBacklogWithinObjective failed before.

--- a/core/place/selector.go
+++ b/core/place/selector.go
@@ -29,8 +29,11 @@
 	moveTimeSeconds = 0.8
 	// mayBeFullShare is the forecast share of an engine's memory above which its actual memory may be full.
 	mayBeFullShare = 0.65
-	// maxLongBacklogTokens is the number of pending prefill tokens above which an engine gets no new long generation.
-	maxLongBacklogTokens = 9000
+	// maxBacklogShare is the share of the latency objective that the prefill backlog of an engine may take; above it the engine
+	// gets no new long generation.
+	maxBacklogShare = 0.32
+	// defaultMaxBacklog replaces it for a call without an objective.
+	defaultMaxBacklog = 1300 * time.Millisecond
 	// noRoomCostMs ranks engines without room after all others.
 	noRoomCostMs = 20_000
 	// memoryCostMs is the cost of a full engine's memory relative to prefill delay; it spreads generations over engines.
@@ -58,6 +61,16 @@
 	PrefillTokens core.Tokens // prompt tokens that need prefill
 	// Long reports whether this is a new generation that is expected to hold its memory for a long time.
 	Long bool
+	// Objective is the time within which the first event is due; 0 if there is none.
+	Objective time.Duration
+}
+
+// maxBacklog returns the prefill backlog above which an engine does not get the call.
+func (d Demand) maxBacklog() time.Duration {
+	if d.Objective <= 0 {
+		return defaultMaxBacklog
+	}
+	return time.Duration(maxBacklogShare * float64(d.Objective))
 }
 
 // maxShare returns the share of an engine's memory up to which the call may be placed.
@@ -157,7 +170,7 @@
 // hasRoom reports whether an engine has free memory and a free slot for a call and, for a new long generation, a short
 // prefill backlog.
 func hasRoom(s core.Service, load tally.Load, d Demand) bool {
-	if d.Long && load.PrefillTokens > maxLongBacklogTokens {
+	if d.Long && PrefillTime(load.PrefillTokens) > d.maxBacklog() {
 		return false
 	}
 	if load.Calls >= s.Engine.Slots {
--- a/core/place/selector_test.go
+++ b/core/place/selector_test.go
@@ -113,6 +113,23 @@
 	is.True(!sel.AllFull(now, service(), all, longCall))
 }
 
+// TestBacklogWithinObjective guards against long generations whose first event is late although the fleet has memory to spare:
+// they wait in an engine for the prefill of others longer than their objective allows (load pattern: several long calls arrive
+// in the same moment).
+func TestBacklogWithinObjective(t *testing.T) {
+	is := is.New(t)
+	all := endpointStatuses(1)
+	loads := tally.New()
+	sel := place.New("d0", loads)
+	loads.AddOwn("e0", tally.Load{Calls: 2, Tokens: 7000, PrefillTokens: 6000}) // about 0.86 s of prefill
+	tight, loose := longCall, longCall
+	tight.Objective, loose.Objective = 1800*time.Millisecond, 4*time.Second
+	is.True(sel.AllFull(now, service(), all, tight))
+	is.True(!sel.AllFull(now, service(), all, loose))
+	loads.AddOwn("e0", tally.Load{PrefillTokens: -3000}) // the first prompt is read
+	is.True(!sel.AllFull(now, service(), all, tight))
+}
+
 // TestSkipsUnusableEndpoints guards against calls to endpoints that are leaving, tried, unreachable or failing (scenarios:
 // engine shutdown, a crash, an endpoint that fails part of its calls).
 func TestSkipsUnusableEndpoints(t *testing.T) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -267,7 +267,7 @@
 
 // demand returns the capacity that the call needs at an endpoint.
 func (c *call) demand() place.Demand {
-	return place.Demand{Tokens: c.forecastMemory(), PrefillTokens: c.PromptTokens, Long: c.movable()}
+	return place.Demand{Tokens: c.forecastMemory(), PrefillTokens: c.PromptTokens, Long: c.movable(), Objective: c.route.Objective}
 }
 
 // readBody reads the whole body, so that the call can be retried where that is allowed, and reports whether it succeeded.
