Keep a complete copy when another one fails

Callers saw: a stream was cut when its engine left, although a complete copy of its memory existed.

Cause: with a busy link the copy is made again while the generation goes on. When the engine left during that, the failed request discarded the handle of the copy before.

Change: a request that fails without an answer of the engine leaves the copy before it valid; the stream goes on from it. TestCopyOutlivesSource failed before.

--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -315,6 +315,11 @@
 		}
 	case m.final && s.migration.hasMemoryHandle():
 		s.resumeFromCopy(s.migration.target)
+	case status == 0 && s.migration.hasMemoryHandle():
+		// The source may have left. The copy made before stays complete, and the stream can go on from it when the source ends.
+		s.deliverHeld()
+		s.migration.nextStepAt = time.Now().Add(moveRetryInterval)
+		s.resetTimer()
 	default:
 		s.migration.stopped = false
 		s.migration.memoryHandle = ""
--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -286,3 +287,30 @@
 	is.Equal(<-small, http.StatusOK)
 	is.Equal(<-large, http.StatusServiceUnavailable)
 }
+
+// TestCopyOutlivesSource guards against a stream that is cut although a complete copy of its memory exists: the link of the leaving
+// engine is busy, so the copy is made again, and the engine leaves during that.
+func TestCopyOutlivesSource(t *testing.T) {
+	is := is.New(t)
+	list := newEngines(2, 15*time.Millisecond)
+	for _, e := range list {
+		var moves atomic.Int32
+		e.Events = 80
+		e.BeforeMove = func() {
+			if moves.Add(1) == 1 {
+				time.Sleep(100 * time.Millisecond) // longer than a copy that has the link to itself
+				return
+			}
+			go e.Close()
+			time.Sleep(200 * time.Millisecond) // the connection closes before the answer
+		}
+	}
+	s := start(t, false, list...)
+	resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", "r1")
+	source := waitForEngine(t, list, "r1")
+	s.markLeaving(source)
+	got, err := eventIDs(resp)
+	is.NoErr(err)
+	checkEvents(is, got, 80)
+	is.Equal(totalRuns(list, "r1"), 1)
+}
--- a/stand/plat/engine.go
+++ b/stand/plat/engine.go
@@ -25,6 +25,8 @@
 	CrashPart string
 	// MoveHandler, if set, handles requests to copy or stop a generation.
 	MoveHandler http.HandlerFunc
+	// BeforeMove, if set, is called before a request to copy or stop a generation is served.
+	BeforeMove  func()
 	linkAddress string // address of a TCP forwarder in front of the engine, or empty
 
 	mu             sync.Mutex
--- a/stand/plat/engine_serve.go
+++ b/stand/plat/engine_serve.go
@@ -202,6 +202,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if e.BeforeMove != nil {
+		e.BeforeMove()
+	}
 	e.mu.Lock()
 	stop, eventCount := e.stopFuncs[move.ID], e.eventCounts[move.ID]
 	e.mu.Unlock()
