Ask engines whether they leave as soon as the watchers lost the store

Callers saw: streams cut without a move when a silent store hid the notice of a leaving engine.

Change: engines are asked once two instances fail to reach the store and none has reached it for 2 s (before: four of the fleet, and 3 s).

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -236,7 +236,7 @@
 	e.probe = probe.New(e.mover, e.endpoints, e.log, func(ep core.Endpoint) bool {
 		t := e.news.Table()
 		return t != nil && t.Services[ep.Service].Engine != nil &&
-			e.pulse.Outage(e.watch.Down(), e.watch.Up()) && e.pulse.RanksFirst(string(ep.ID))
+			e.mayMissNotices() && e.pulse.RanksFirst(string(ep.ID))
 	}, func(id core.EndpointID) { e.gate.MarkUnreachable(id, true) }, e.pulse.Broadcast)
 	e.group.Go(e.register)
 	e.group.Go(e.trackOutage)
@@ -246,6 +246,14 @@
 	})
 }
 
+// mayMissNotices reports whether engines may leave without a notice from the store: the store counts as down, or no instance that
+// watched it reaches it any more. It takes another 1.5 s until those that take over know that a silent store is down, and engines
+// leave as soon.
+func (e *Edge) mayMissNotices() bool {
+	down, up := e.watch.Down(), e.watch.Up()
+	return e.pulse.Outage(down, up) || e.pulse.OutageSuspected(watcherCount, down, up)
+}
+
 // applyQuarantine ends requests whose prompts have a part that was quarantined after they were sent.
 func (e *Edge) applyQuarantine() {
 	t := time.NewTicker(quarantineInterval)
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -281,6 +281,26 @@
 	})
 }
 
+// TestNoticeInSilentOutage guards against engines that leave unnoticed while a silent store is only suspected to be down: those that
+// watched it have lost it, and those that take over wait 1.5 s for their first answer.
+func TestNoticeInSilentOutage(t *testing.T) {
+	d := deploy(t, 8)
+	d.eventually("ready", 3*time.Second, (*instance).ready)
+	time.Sleep(2500 * time.Millisecond) // two instances watch, the others have had no answer for longer than 2 s
+	d.store.SetFault(plat.FaultNoAnswer)
+	lost := func() (n int) {
+		for _, i := range d.instances {
+			n += min(strings.Count(i.log.String(), "msg=store_lost"), 1)
+		}
+		return n
+	}
+	d.eventually("both watchers lose the store", 3*time.Second, func(*instance) bool { return lost() >= 2 })
+	d.engines[2].SetLeaving()
+	d.eventually("the leaving engine is noticed", 800*time.Millisecond, func(i *instance) bool {
+		return strings.Contains(i.log.String(), "msg=endpoint_leaving endpoint=lm-1")
+	})
+}
+
 // TestMetrics guards against metrics that are missing or not in the Prometheus text format.
 func TestMetrics(t *testing.T) {
 	is := is.New(t)
--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -235,10 +235,19 @@
 }
 
 // outageReported reports whether minOutageReports other instances fail to reach the store and none reaches it.
-func (p *peers) outageReported() bool {
+func (p *peers) outageReported() bool { return p.outageSuspected(minOutageReports, false, false) }
+
+// outageSuspected reports whether n instances fail to reach the store, this one included if selfDown is set, and none reaches it.
+func (p *peers) outageSuspected(n int, selfDown, selfUp bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if selfUp {
+		return false
+	}
 	down := 0
+	if selfDown {
+		down++
+	}
 	for _, m := range p.byID {
 		switch {
 		case !m.live:
@@ -248,7 +257,7 @@
 			down++
 		}
 	}
-	return down >= minOutageReports
+	return down >= n
 }
 
 // minOutageReports is the number of instances that must fail to reach the store before it counts as down for all; in a
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -160,6 +160,11 @@
 // OutageReported reports whether several other instances fail to reach the store and none reaches it.
 func (p *Pulse) OutageReported() bool { return p.outageReported() }
 
+// OutageSuspected reports whether n instances, which may include this one, fail to reach the store and none reaches it.
+func (p *Pulse) OutageSuspected(n int, storeDown, storeUp bool) bool {
+	return p.outageSuspected(n, storeDown, storeUp)
+}
+
 // Outage reports whether the store counts as down for all instances.
 func (p *Pulse) Outage(storeDown, storeUp bool) bool { return p.outage(storeDown, storeUp) }
 
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -17,8 +17,8 @@
 const (
 	// checkInterval is the time between two checks of whether this instance is to watch the store.
 	checkInterval = 50 * time.Millisecond
-	// upWindow is how long an answer counts as recent; it is longer than the store holds a watch open.
-	upWindow     = 3 * time.Second
+	// upWindow is how long an answer counts as recent; it is longer than a slow store takes to end a watch.
+	upWindow     = 2 * time.Second
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
 	// batchDelay is the delay after a change before the next watch call, so that changes close together cost one call of
