Notice lost instances of a large fleet within seconds

Callers saw: in a large fleet an instance that was killed or cut off counted as live until nine full datagrams were missing, 17.5 s at 195 instances and 27 s at 300. If both instances that watch the store were among them, nobody learned which engines leave or that the configuration had changed for that time, and the calls of the lost ones took up room in the counts of all.

Weighed: shorter intervals of full datagrams (their cost an instance grows with the fleet); a heartbeat to all (12 KB/s an instance at 195); three watchers each in the order of a hash, at ten small datagrams a second in a fleet of any size. The last is built: core/ring decides who watches whom and when one counts as lost; io/pulse sends the heartbeats and reports losses to all.

--- a/core/tally/load_table.go
+++ b/core/tally/load_table.go
@@ -255,6 +255,21 @@
 	}
 }
 
+// ExpirePeer lets the report of a peer count until a time at the latest.
+func (t *LoadTable) ExpirePeer(from core.InstanceID, at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p, ok := t.peers[from]
+	if !ok || !at.Before(p.expires) {
+		return
+	}
+	p.expires = at
+	t.peers[from] = p
+	if at.Before(t.nextExpiry) {
+		t.nextExpiry = at
+	}
+}
+
 // subtractReport subtracts a report from peerSums.
 func (t *LoadTable) subtractReport(loads map[core.EndpointID]Load) {
 	for ep, load := range loads {
--- a/io/pulse/pause_internal_test.go
+++ b/io/pulse/pause_internal_test.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"snipeshed/core"
+	"snipeshed/core/ring"
 	"snipeshed/core/tally"
 	"snipeshed/io/event"
 	"snipeshed/wire"
@@ -19,7 +20,7 @@
 	is := is.New(t)
 	log := event.New(t.Output(), "a", logrus.ErrorLevel)
 	defer log.Close()
-	p := &Pulse{peers: newPeers(core.Peer{ID: "a", Address: "127.0.0.1:1"}), loads: tally.New(), log: log}
+	p := &Pulse{peers: newPeers(core.Peer{ID: "a", Address: "127.0.0.1:1"}), loads: tally.New(), log: log, ring: ring.New("a")}
 	frozenAt := time.Unix(1000, 0)
 	p.applyFull(frozenAt, &wire.Pulse{From: "b", Address: "127.0.0.1:2", Run: 1, Seq: 1})
 	p.loads.ReplacePeer(frozenAt, frozenAt.Add(p.lostAfter()), "b", map[core.EndpointID]tally.Load{"e": {Calls: 3}})
--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -131,6 +131,57 @@
 	}
 }
 
+// lastHeard returns when each live instance was last heard from.
+func (p *peers) lastHeard() map[core.InstanceID]time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[core.InstanceID]time.Time, len(p.byID))
+	for id, m := range p.byID {
+		if m.live {
+			out[id] = m.lastHeard
+		}
+	}
+	return out
+}
+
+// addresses returns the datagram addresses of the given instances.
+func (p *peers) addresses(ids []core.InstanceID) []netip.AddrPort {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make([]netip.AddrPort, 0, len(ids))
+	for _, id := range ids {
+		if m := p.byID[id]; m != nil {
+			out = append(out, m.addrPort)
+		}
+	}
+	return out
+}
+
+// markLost marks a live instance as not live and returns its run; it does nothing to one that is not live.
+func (p *peers) markLost(id core.InstanceID) (run uint64, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.byID[id]
+	if m == nil || !m.live {
+		return 0, false
+	}
+	m.live = false
+	return m.run, true
+}
+
+// confirmLost marks an instance as not live on the report of another one, unless it has started anew or was heard from after
+// the given time. It reports whether it did.
+func (p *peers) confirmLost(id core.InstanceID, run uint64, heardAfter time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	m := p.byID[id]
+	if m == nil || !m.live || m.run != run || m.lastHeard.After(heardAfter) {
+		return false
+	}
+	m.live = false
+	return true
+}
+
 // expireSilent marks the instances that have been silent for longer than after as not live and returns them. It removes
 // those that have been silent for longer than removeAfter.
 func (p *peers) expireSilent(now time.Time, after time.Duration) []core.InstanceID {
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"snipeshed/core"
+	"snipeshed/core/ring"
 	"snipeshed/core/tally"
 	"snipeshed/io/event"
 	"snipeshed/wire"
@@ -78,6 +79,7 @@
 	seq     atomic.Uint64
 	wake    chan struct{}
 	pending pendingSends
+	ring    *ring.Detector // used by sendLoop only
 	ctx     context.Context
 	stop    context.CancelFunc
 	group   sync.WaitGroup
@@ -95,6 +97,7 @@
 	}
 	p := &Pulse{
 		Hooks: h, peers: newPeers(self), conn: conn, loads: t, log: log, runID: rand.Uint64(), wake: make(chan struct{}, 1),
+		ring: ring.New(self.ID),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	return p, nil
@@ -182,19 +185,27 @@
 	r := fullSendState{}
 	t := time.NewTimer(0)
 	defer t.Stop()
+	heartbeat := time.NewTicker(ring.Interval)
+	defer heartbeat.Stop()
 	due := time.Now() // when the timer ends
 	for {
-		woken := false
+		woken, watch := false, false
 		select {
 		case <-p.ctx.Done():
 			return
 		case <-p.wake:
 			woken = true
 			time.Sleep(coalesceDelay)
+		case <-heartbeat.C:
+			watch = true
 		case <-t.C:
 		}
 		now := time.Now()
 		due = p.forgivePause(now, due)
+		if watch {
+			p.watchRing(now)
+			continue
+		}
 		reqs := p.pending.take()
 		if woken && !reqs.full {
 			p.sendPartial(now, reqs)
@@ -214,6 +225,7 @@
 		return due
 	}
 	p.extend(pause)
+	p.ring.Extend(pause)
 	p.loads.ExtendReports(pause)
 	p.log.Emit(event.Paused, event.Fields{"paused_ms": pause.Milliseconds()})
 	return now
@@ -342,6 +354,7 @@
 		if p.applyPartial(now, d) {
 			p.loads.UpdatePeer(now, from, decodeLoads(d))
 			p.loads.SetPeerWaiting(from, int(d.GetWaiting()))
+			p.applyLost(now, from, d.GetLost())
 		}
 		return
 	}
