--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -34,8 +34,6 @@
 	probeInterval = time.Second
 	// removeAfter is the silence after which an instance is removed from the table of peers.
 	removeAfter = time.Minute
-	// leavingSpan is how long datagrams list an endpoint after it began to leave.
-	leavingSpan = 3 * time.Second
 	// pauseThreshold is the delay of a timer above which this instance itself was paused and has not read what others sent.
 	pauseThreshold = 500 * time.Millisecond
 	maxDatagram    = 60 << 10 // bytes
