Apply a change of an endpoint in constant time

Each changed entry recomputed the lists of all services; of thousands of engines hundreds change in a second.

TestCostOfChange failed before (50 KB allocated a change with 3,000 endpoints).

--- a/core/fleet/endpoints.go
+++ b/core/fleet/endpoints.go
@@ -32,7 +32,8 @@
 	byID       map[core.EndpointID]*Status
 	leavingAt  map[core.Incarnation]time.Time // marked as leaving, whatever their entries say
 	revision   core.Version
-	byService  map[core.ServiceName][]*Status // copy on write: replaced on each change, never modified
+	byService  map[core.ServiceName][]*Status // copy on write: replaced after changes, never modified
+	changedAt  time.Time                      // of the last change that byService lacks; zero if there is none
 	lastOutage time.Time                      // time at which the store was last known to be down
 	onLeave    func(core.EndpointID)
 }
@@ -71,7 +72,7 @@
 			leaving = append(leaving, eps.removeEntry(now, id)...)
 		}
 	}
-	eps.rebuild(now)
+	eps.changedAt = now
 	eps.mu.Unlock()
 	eps.notifyLeaving(leaving)
 	return true
@@ -82,7 +83,7 @@
 	eps.mu.Lock()
 	eps.revision = max(eps.revision, revision)
 	leaving := eps.setEntry(now, revision, e)
-	eps.rebuild(now)
+	eps.changedAt = now
 	eps.mu.Unlock()
 	eps.notifyLeaving(leaving)
 }
@@ -92,7 +93,7 @@
 	eps.mu.Lock()
 	eps.revision = max(eps.revision, revision)
 	leaving := eps.removeEntry(now, id)
-	eps.rebuild(now)
+	eps.changedAt = now
 	eps.mu.Unlock()
 	eps.notifyLeaving(leaving)
 }
@@ -147,7 +148,7 @@
 	}
 	changed.Leaving, changed.LeavingSince = true, now
 	eps.byID[inc.ID] = &changed
-	eps.rebuild(now)
+	eps.changedAt = now
 	return true
 }
 
@@ -162,7 +163,7 @@
 	changed := *s
 	changed.UnreachableUntil = now.Add(unreachablePeriod)
 	eps.byID[id] = &changed
-	eps.rebuild(now)
+	eps.changedAt = now
 	return !now.Before(s.UnreachableUntil)
 }
 
@@ -179,7 +180,7 @@
 	changed := *s
 	changed.BackoffUntil = until
 	eps.byID[inc.ID] = &changed
-	eps.rebuild(now)
+	eps.changedAt = now
 	return true
 }
 
@@ -200,8 +201,9 @@
 		}
 	}
 	if len(leaving) > 0 {
-		eps.rebuild(now)
+		eps.changedAt = now
 	}
+	eps.rebuild()
 	eps.mu.Unlock()
 	eps.notifyLeaving(leaving)
 }
@@ -223,6 +225,7 @@
 func (eps *Endpoints) OfService(service core.ServiceName) []*Status {
 	eps.mu.Lock()
 	defer eps.mu.Unlock()
+	eps.rebuild()
 	return eps.byService[service]
 }
 
@@ -313,9 +316,15 @@
 	return []core.EndpointID{id}
 }
 
-// rebuild recomputes byService and drops endpoints that are gone and began to leave more than goneRetention ago, and old marks
-// of incarnations without an entry.
-func (eps *Endpoints) rebuild(now time.Time) {
+// rebuild recomputes byService after changes, and drops endpoints that are gone and began to leave more than goneRetention ago, and
+// old marks of incarnations without an entry. It runs when the result is needed, not after each change: of thousands of endpoints
+// hundreds change in a second.
+func (eps *Endpoints) rebuild() {
+	if eps.changedAt.IsZero() {
+		return
+	}
+	now := eps.changedAt
+	eps.changedAt = time.Time{}
 	byService := make(map[core.ServiceName][]*Status, len(eps.byService))
 	for id, s := range eps.byID {
 		if s.gone && now.Sub(s.LeavingSince) > goneRetention {
--- a/core/fleet/endpoints_test.go
+++ b/core/fleet/endpoints_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -245,3 +246,24 @@
 	is.True(backsOff(9 * time.Minute))
 	is.True(!backsOff(10 * time.Minute))
 }
+
+// TestCostOfChange guards against a change of one entry that costs time in proportion to the number of endpoints (load pattern: of
+// thousands of engines hundreds leave and start in the same second).
+func TestCostOfChange(t *testing.T) {
+	is := is.New(t)
+	const endpoints = 3000
+	eps := fleet.New(func(core.EndpointID) {})
+	for i := range endpoints {
+		eps.Set(start, core.Version(i+1), core.Endpoint{ID: core.EndpointID(strconv.Itoa(i)), Service: "lm", Started: 1})
+	}
+	is.Equal(len(eps.OfService("lm")), endpoints)
+	revision := core.Version(endpoints)
+	perChange := testing.Benchmark(func(b *testing.B) {
+		for i := range b.N {
+			revision++
+			eps.Set(start, revision, core.Endpoint{ID: core.EndpointID(strconv.Itoa(i % endpoints)), Service: "lm", Started: 1, Slots: i})
+		}
+	}).AllocedBytesPerOp()
+	is.True(perChange < 2<<10)
+	is.Equal(len(eps.OfService("lm")), endpoints)
+}
