Pass announcements on in a large fleet

Cause: each full datagram listed all endpoints that began to leave in the last 3 s, some 500 or 12 KB, and each instance sends one to all others; each change of the store was sent by its two readers to all; each instance sent a full datagram to all whenever another one became live; each fetch named all members; all fetched from the two readers.

Change, from 33 instances on: an instance with newer data, or that learns of leaving endpoints, tells five random ones, which fetch the data and pass it on; a full datagram lists 32 leaving endpoints at most; an instance that becomes live gets the state of the others, not the whole fleet. In all fleets: members are named only to those that know fewer, answers to fetches are compressed, and a fetch is followed by the next while others have newer data.

Weighed: a tree from the reader, which needs the same list of members everywhere and loses a branch with each instance that is gone.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -122,7 +122,7 @@
 func (e *Edge) connectComponents() {
 	e.blame = blame.New(blame.WithTrials(func(part core.PromptPart) bool { return e.pulse.RanksFirst(string(part)) }))
 	e.endpoints = fleet.New(func(id core.EndpointID) { e.gate.OnEndpointLeaving(id) })
-	e.news = news.New(platform.Decoder{}, e.endpoints, e.log, func() { e.pulse.Broadcast() })
+	e.news = news.New(platform.Decoder{}, e.endpoints, e.log, e.onNews)
 	e.watch = watch.New(e.store, watch.Kinds{
 		Config: platform.KindConfig, ConfigName: platform.ConfigName, Endpoints: platform.KindEndpoints,
 	}, e.news, e.log, watch.Role{
@@ -177,7 +177,7 @@
 		return fmt.Errorf("listen for callers: %w", err)
 	}
 	e.group.Go(func() { _ = e.callerServer.Serve(ln) }) // ends with Close or Shutdown
-	if err := e.serveHTTP(e.cfg.GetPeerAddress(), wire.NewSyncServer(syncServer{e})); err != nil {
+	if err := e.serveHTTP(e.cfg.GetPeerAddress(), compressed(wire.NewSyncServer(syncServer{e}))); err != nil {
 		return err
 	}
 	if e.cfg.GetMetricsAddress() != "" {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -8,6 +8,7 @@
 
 	"snipeshed/core"
 	"snipeshed/io/event"
+	"snipeshed/io/news"
 	"snipeshed/io/pulse"
 	"snipeshed/wire"
 )
@@ -25,37 +26,54 @@
 // leavingSpan is how long the state that is sent to other instances lists an endpoint after it began to leave.
 const leavingSpan = 3 * time.Second
 
+// onNews announces newer data to other instances. In a small fleet the instance that has read it from the store tells all others;
+// in a large one each instance that has it tells a few.
+func (e *Edge) onNews(source string) {
+	if source == news.SourceStore || e.pulse.Instances() >= core.LargeFleetInstances {
+		e.pulse.Announce()
+	}
+}
+
 // catchUp fetches newer data from another instance that has it, if any; only one fetch runs at a time.
 func (e *Edge) catchUp() {
-	config, endpoints := e.news.Versions()
-	newer := e.pulse.NewerPeers(config, endpoints)
+	newer := e.pulse.NewerPeers(e.news.Versions())
 	if len(newer) == 0 || !e.mayTakeFromPeers() || !e.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	from := newer[rand.IntN(len(newer))]
 	e.group.Go(func() {
 		defer e.fetching.Store(false)
 		defer e.log.Recover("fetching from another instance")
-		if !e.waitFetchSpread() {
-			return
+		for range maxFetches {
+			if len(newer) == 0 || !e.waitFetchSpread() || !e.fetchFrom(newer[rand.IntN(len(newer))]) {
+				return
+			}
+			newer = e.pulse.NewerPeers(e.news.Versions())
 		}
-		ctx, cancel := context.WithTimeout(e.ctx, fetchTimeout)
-		defer cancel()
-		c := wire.NewSyncProtobufClient("http://"+from.Address, peerClient)
-		known := &wire.Known{Rules: uint64(config), Endpoints: uint64(endpoints)}
-		got, err := c.Fetch(ctx, known)
-		if err != nil {
-			e.log.Emit(event.PeerLost, event.Fields{"peer": from.ID, "while": "fetching", "error": err})
-			e.watch.Refresh()
-			return
-		}
-		for _, m := range got.GetMembers() {
-			e.pulse.Add(core.Peer{ID: core.InstanceID(m.GetId()), Address: m.GetAddress(), FailureDomain: core.FailureDomain(m.GetDomain())})
-		}
-		e.news.ApplyFetched(from.ID, known, got)
 	})
 }
 
+// maxFetches bounds the fetches in a row, as others may know newer data all the time.
+const maxFetches = 8
+
+// fetchFrom fetches from another instance what it has that is newer, and reports whether that succeeded.
+func (e *Edge) fetchFrom(from core.Peer) bool {
+	ctx, cancel := context.WithTimeout(e.ctx, fetchTimeout)
+	defer cancel()
+	config, endpoints := e.news.Versions()
+	known := &wire.Known{Rules: uint64(config), Endpoints: uint64(endpoints), Members: uint32(e.pulse.KnownPeers())}
+	got, err := wire.NewSyncProtobufClient("http://"+from.Address, peerClient).Fetch(ctx, known)
+	if err != nil {
+		e.log.Emit(event.PeerLost, event.Fields{"peer": from.ID, "while": "fetching", "error": err})
+		e.watch.Refresh()
+		return false
+	}
+	for _, m := range got.GetMembers() {
+		e.pulse.Add(core.Peer{ID: core.InstanceID(m.GetId()), Address: m.GetAddress(), FailureDomain: core.FailureDomain(m.GetDomain())})
+	}
+	e.news.ApplyFetched(from.ID, known, got)
+	return true
+}
+
 // ownReadTime is how long a starting instance prefers its own first read of the store to what instances know that don't reach
 // the store.
 const ownReadTime = 700 * time.Millisecond
@@ -67,13 +85,18 @@
 	return e.news.Loaded() || e.pulse.StoreSeen() || e.pulse.OutageReported() || e.watch.Down() || time.Since(e.started) > ownReadTime
 }
 
-// waitFetchSpread waits a random time that grows with the number of instances, so that they do not all fetch from the same
-// ones at once. It returns false if the instance was closed meanwhile.
+// waitFetchSpread waits a random time, so that instances do not all fetch from the same ones at once. The time grows with the
+// number of instances, up to the size from which on an announcement reaches only a few. It returns false if the instance was
+// closed meanwhile.
 func (e *Edge) waitFetchSpread() bool {
+	n := e.pulse.Instances()
+	if e.news.Loaded() {
+		n = min(n, core.LargeFleetInstances)
+	}
 	select {
 	case <-e.ctx.Done():
 		return false
-	case <-time.After(rand.N(time.Duration(e.pulse.Instances())*fetchSpreadPerInstance + 1)):
+	case <-time.After(rand.N(time.Duration(n)*fetchSpreadPerInstance + 1)):
 		return true
 	}
 }
@@ -91,7 +114,11 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, m := range s.e.pulse.Members() {
+	members := s.e.pulse.Members()
+	if int(known.GetMembers())+1 >= len(members) {
+		return out, nil
+	}
+	for _, m := range members {
 		out.Members = append(out.Members, &wire.Member{Id: string(m.ID), Address: m.Address, Domain: string(m.FailureDomain)})
 	}
 	return out, nil
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -77,7 +77,7 @@
 	s := &system{log: &logBuffer{}, loads: tally.New(), blame: blame.New()}
 	log := event.New(s.log, "edge-1", logrus.InfoLevel)
 	s.fleet = fleet.New(func(id core.EndpointID) { s.gate.OnEndpointLeaving(id) })
-	s.news = news.New(platform.Decoder{}, s.fleet, log, func() {})
+	s.news = news.New(platform.Decoder{}, s.fleet, log, func(string) {})
 	mover := platform.NewMover(platform.WithReplyObserver(func(e core.Endpoint, r core.ReplyHeaders) { s.gate.ObserveReply(e, r) }))
 	d := dial.New(platform.Codec{})
 	s.gate = gate.New(gate.Deps{
--- a/io/news/entries_test.go
+++ b/io/news/entries_test.go
@@ -61,7 +61,7 @@
 	is := is.New(t)
 	var out bytes.Buffer
 	log := event.New(&out, "edge-1", logrus.InfoLevel)
-	n := news.New(platform.Decoder{}, fleet.New(func(core.EndpointID) {}), log, func() {})
+	n := news.New(platform.Decoder{}, fleet.New(func(core.EndpointID) {}), log, func(string) {})
 	for revision := range core.Version(5) {
 		n.ReplaceEndpoints(10+revision, map[string][]byte{"e1": entry("ready"), "odd": entry("odd"), "deep": brackets}, "store")
 	}
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -21,25 +21,24 @@
 	log   *event.Log
 	table atomic.Pointer[route.Table]
 
-	loaded        chan struct{} // closed once both are known
-	mu            sync.Mutex
-	compressed    []byte        // the configuration in force, compressed
-	list          *endpointList // nil until the endpoint list is known
-	revision      core.Version
-	unreadable    unreadableEntries
-	onStoreChange func()
+	loaded     chan struct{} // closed once both are known
+	mu         sync.Mutex
+	compressed []byte        // the configuration in force, compressed
+	list       *endpointList // nil until the endpoint list is known
+	revision   core.Version
+	unreadable unreadableEntries
+	onChange   func(source string)
 }
 
-// New returns an empty News; onStoreChange is called after a newer configuration or endpoint list came from the store.
-func New(dec core.Decoder, f *fleet.Endpoints, log *event.Log, onStoreChange func()) *News {
+// New returns an empty News; onChange is called with the source after a newer configuration or endpoint list was applied.
+func New(dec core.Decoder, f *fleet.Endpoints, log *event.Log, onChange func(source string)) *News {
 	return &News{
-		dec: dec, fleet: f, log: log, loaded: make(chan struct{}), unreadable: unreadableEntries{}, onStoreChange: onStoreChange,
+		dec: dec, fleet: f, log: log, loaded: make(chan struct{}), unreadable: unreadableEntries{}, onChange: onChange,
 	}
 }
 
-// sourceStore is the source of data that was read from the store. Only this data is announced: data from another instance
-// was announced by the instance that read it.
-const sourceStore = "store"
+// SourceStore is the source of data that was read from the store.
+const SourceStore = "store"
 
 // Table returns the configuration in force, or nil.
 func (n *News) Table() *route.Table { return n.table.Load() }
@@ -91,7 +90,7 @@
 	n.log.Emit(event.RulesTaken, event.Fields{
 		"version": config.Version, "source": source, "routes": len(config.Routes), "teams": len(config.Teams),
 	})
-	n.announce(source)
+	n.onChange(source)
 }
 
 // storeConfig puts a configuration in force and reports whether it is newer than the one before.
@@ -107,13 +106,6 @@
 	return true
 }
 
-// announce calls onStoreChange for data that came from the store.
-func (n *News) announce(source string) {
-	if source == sourceStore {
-		n.onStoreChange()
-	}
-}
-
 // ReplaceEndpoints replaces the whole endpoint list unless the revision is not newer than the known one.
 func (n *News) ReplaceEndpoints(revision core.Version, raw map[string][]byte, source string) {
 	count, ok := n.replaceEndpoints(revision, raw)
@@ -121,7 +113,7 @@
 		return
 	}
 	n.log.Emit(event.EndpointTaken, event.Fields{"revision": revision, "endpoints": count, "source": source})
-	n.announce(source)
+	n.onChange(source)
 }
 
 // replaceEndpoints replaces the list and returns the number of endpoints, or false if the revision is not newer.
@@ -153,7 +145,7 @@
 // ChangeEndpoint applies a change of one entry in the store; raw is nil when the entry was removed.
 func (n *News) ChangeEndpoint(revision core.Version, name string, raw []byte) {
 	n.applyStoreChange(revision, name, raw)
-	n.announce(sourceStore)
+	n.onChange(SourceStore)
 }
 
 func (n *News) applyStoreChange(revision core.Version, name string, raw []byte) {
@@ -230,7 +222,9 @@
 	switch {
 	case !in.GetHasEndpoints():
 	case in.GetDelta():
-		n.applyDelta(core.Version(known.GetEndpoints()), in)
+		if n.applyDelta(core.Version(known.GetEndpoints()), in) {
+			n.onChange(source)
+		}
 	default:
 		raw := make(map[string][]byte, len(in.GetEndpoints()))
 		for _, r := range in.GetEndpoints() {
@@ -240,12 +234,12 @@
 	}
 }
 
-// applyDelta applies the changes after a revision, unless the list has a different revision by now.
-func (n *News) applyDelta(since core.Version, in *wire.News) {
+// applyDelta applies the changes after a revision, unless the list has a different revision by now, and reports whether it did.
+func (n *News) applyDelta(since core.Version, in *wire.News) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.revision != since {
-		return
+		return false
 	}
 	revision := core.Version(in.GetEndpointsRevision())
 	for _, r := range in.GetEndpoints() {
@@ -255,4 +249,5 @@
 		n.applyChange(revision, name, nil)
 	}
 	n.revision = max(n.revision, revision)
+	return true
 }
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -27,7 +27,11 @@
 	h := &peer{fleet: fleet.New(func(core.EndpointID) {})}
 	log := event.New(t.Output(), "edge-1", logrus.ErrorLevel)
 	t.Cleanup(log.Close)
-	h.News = news.New(platform.Decoder{}, h.fleet, log, func() { h.changes++ })
+	h.News = news.New(platform.Decoder{}, h.fleet, log, func(source string) {
+		if source == news.SourceStore {
+			h.changes++
+		}
+	})
 	return h
 }
 
--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -111,6 +111,15 @@
 	return true
 }
 
+// updateVersions records the versions that a live instance has announced.
+func (p *peers) updateVersions(id core.InstanceID, config, endpoints core.Version) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m := p.byID[id]; m != nil {
+		m.configVersion, m.endpointsRevision = max(m.configVersion, config), max(m.endpointsRevision, endpoints)
+	}
+}
+
 // removeSeed removes the entry of an instance that was known only by its address.
 func (p *peers) removeSeed(address string) {
 	for id, m := range p.byID {
@@ -213,6 +222,13 @@
 	return n
 }
 
+// knownCount returns the number of other instances, live or not.
+func (p *peers) knownCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.byID)
+}
+
 // liveMembers returns the live instances, this one included.
 func (p *peers) liveMembers() []core.Peer {
 	p.mu.Lock()
--- a/io/pulse/pending.go
+++ b/io/pulse/pending.go
@@ -13,6 +13,8 @@
 	probe      bool                        // send it to the instances that are not live as well
 	allDomains bool                        // send the load changes to all live instances
 	domains    map[core.FailureDomain]bool // send the load changes to these failure domains
+	announce   bool                        // announce newer data to a few live instances
+	load       bool                        // send the load changes
 }
 
 func (d *pendingSends) addFull() {
@@ -30,6 +32,7 @@
 func (d *pendingSends) addLoad(domain core.FailureDomain, allDomains bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.load = true
 	d.allDomains = d.allDomains || allDomains
 	if d.domains == nil {
 		d.domains = map[core.FailureDomain]bool{}
@@ -37,17 +40,25 @@
 	d.domains[domain] = true
 }
 
+func (d *pendingSends) addAnnouncement() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.announce = true
+}
+
 // sendRequests is the set of collected requests; its fields are those of pendingSends.
 type sendRequests struct {
-	full, probe, allDomains bool
-	domains                 map[core.FailureDomain]bool
+	full, probe, allDomains, announce, load bool
+	domains                                 map[core.FailureDomain]bool
 }
 
 // take returns the collected requests and clears them.
 func (d *pendingSends) take() sendRequests {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	t := sendRequests{full: d.full, probe: d.probe, allDomains: d.allDomains, domains: d.domains}
-	d.domains, d.full, d.probe, d.allDomains = nil, false, false, false
+	t := sendRequests{
+		full: d.full, probe: d.probe, allDomains: d.allDomains, domains: d.domains, announce: d.announce, load: d.load,
+	}
+	d.domains, d.full, d.probe, d.allDomains, d.announce, d.load = nil, false, false, false, false, false
 	return t
 }
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -70,17 +70,18 @@
 type Pulse struct {
 	Hooks
 	*peers
-	conn    *net.UDPConn
-	loads   *tally.LoadTable
-	log     *event.Log
-	runID   uint64
-	seq     atomic.Uint64
-	wake    chan struct{}
-	pending pendingSends
-	ring    *ring.Detector // used by sendLoop only
-	ctx     context.Context
-	stop    context.CancelFunc
-	group   sync.WaitGroup
+	conn      *net.UDPConn
+	loads     *tally.LoadTable
+	log       *event.Log
+	runID     uint64
+	seq       atomic.Uint64
+	wake      chan struct{}
+	pending   pendingSends
+	announced announcedSet
+	ring      *ring.Detector // used by sendLoop only
+	ctx       context.Context
+	stop      context.CancelFunc
+	group     sync.WaitGroup
 }
 
 // New binds the UDP address of self; Start begins the exchange.
@@ -141,6 +142,9 @@
 // Instances returns the number of live instances, this one included.
 func (p *Pulse) Instances() int { return p.liveCount() }
 
+// KnownPeers returns the number of other instances that this one knows, live or not.
+func (p *Pulse) KnownPeers() int { return p.knownCount() }
+
 // Members returns the live instances, this one included.
 func (p *Pulse) Members() []core.Peer { return p.liveMembers() }
 
@@ -205,8 +209,13 @@
 			continue
 		}
 		reqs := p.pending.take()
+		if reqs.announce {
+			p.sendAnnouncement(now)
+		}
 		if woken && !reqs.full {
-			p.sendPartial(now, reqs)
+			if reqs.load {
+				p.sendPartial(now, reqs)
+			}
 			continue
 		}
 		p.sendFull(now, woken, reqs.probe, &r)
@@ -285,10 +294,7 @@
 	d.Address, d.Domain = p.self.Address, string(p.self.FailureDomain)
 	d.Rules, d.Endpoints, d.Members = uint64(s.ConfigVersion), uint64(s.EndpointsRevision), uint32(p.liveCount())
 	d.StoreDown, d.StoreUp, d.Stopping = s.StoreDown, s.StoreUp, s.Stopping
-	for _, inc := range s.Leaving {
-		d.Leaving = append(d.Leaving, string(inc.ID))
-		d.LeavingStarted = append(d.LeavingStarted, inc.Started)
-	}
+	encodeLeaving(d, p.leavingInFull(s.Leaving))
 	for _, id := range s.Refusing {
 		d.Refusing = append(d.Refusing, string(id))
 	}
@@ -353,6 +359,9 @@
 			p.loads.UpdatePeer(now, from, decodeLoads(d))
 			p.loads.SetPeerWaiting(from, int(d.GetWaiting()))
 			p.applyLost(now, from, d.GetLost())
+			if d.GetAnnouncement() {
+				p.applyAnnouncement(now, d)
+			}
 		}
 		return
 	}
@@ -362,17 +371,11 @@
 	}
 	if becameLive {
 		p.log.Emit(event.PeerFound, event.Fields{"peer": from, "address": d.GetAddress(), "rules": d.GetRules()})
-		p.Broadcast()
+		p.greet(now, from)
 	}
 	p.loads.ReplacePeer(now, now.Add(p.lostAfter()), from, decodeLoads(d))
 	p.loads.SetPeerWaiting(from, int(d.GetWaiting()))
-	for i, id := range d.GetLeaving() {
-		inc := core.Incarnation{ID: core.EndpointID(id)}
-		if started := d.GetLeavingStarted(); i < len(started) {
-			inc.Started = started[i]
-		}
-		p.OnLeaving(now, core.Version(d.GetEndpoints()), inc)
-	}
+	p.applyLeaving(now, d)
 	for _, id := range d.GetRefusing() {
 		p.OnRefusing(now, core.EndpointID(id))
 	}
@@ -382,6 +385,16 @@
 	p.OnUpdate()
 }
 
+// greet sends the state of this instance to one that has become live. In a small fleet it sends it to all; in a large one, in
+// which many become live at the same time, that would fill the links.
+func (p *Pulse) greet(now time.Time, id core.InstanceID) {
+	if p.liveCount() < core.LargeFleetInstances {
+		p.Broadcast()
+		return
+	}
+	p.sendTo(p.fullMessage(now, p.State(now)), p.addresses([]core.InstanceID{id}))
+}
+
 func decodeLoads(d *wire.Pulse) map[core.EndpointID]tally.Load {
 	out := make(map[core.EndpointID]tally.Load, len(d.GetUses()))
 	for _, u := range d.GetUses() {
