Let returning callers yield to those in time

Cause: each attempt is a call of its own at another instance, which took it for one that can still be in time.

Change: a caller whose timeout is shorter than those of its route's other callers by more than they differ has spent time before (core/spent); once that is its objective, it looks for room only while no call in time waits, like calls that waited here for as long.

Pattern: a surge of long calls, refused ones come back.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -22,6 +22,7 @@
 	"snipeshed/core/expect"
 	"snipeshed/core/fleet"
 	"snipeshed/core/place"
+	"snipeshed/core/spent"
 	"snipeshed/core/tally"
 	"snipeshed/io/dial"
 	"snipeshed/io/drain"
@@ -135,7 +136,7 @@
 		Codec: platform.Codec{}, Mover: e.mover, News: e.news, Endpoints: e.endpoints, Loads: e.loads,
 		Selector: place.New(e.self.FailureDomain, e.loads, place.WithInstances(func() int { return e.pulse.Instances() })),
 		Retries:  allow.New(e.cfg.GetRetryRatio(), e.cfg.GetRetrySlack(), window),
-		Client:   e.dial, Lengths: expect.New(), Blame: e.blame, Log: e.log, Meter: gate.NewMeter(),
+		Client:   e.dial, Lengths: expect.New(), Spent: spent.New(), Blame: e.blame, Log: e.log, Meter: gate.NewMeter(),
 		Instances:   func() int { return e.pulse.Instances() },
 		MayLoad:     func() bool { return !e.watch.Down() },
 		NotifyPeers: func(d core.FailureDomain, allDomains bool) { e.pulse.SendLoadChanges(d, allDomains) },
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -17,6 +17,7 @@
 	"snipeshed/core/fleet"
 	"snipeshed/core/place"
 	"snipeshed/core/route"
+	"snipeshed/core/spent"
 	"snipeshed/core/tally"
 	"snipeshed/io/dial"
 	"snipeshed/io/event"
@@ -35,6 +36,8 @@
 	Client    *dial.Client
 	// Lengths forecasts the lengths of generations.
 	Lengths *expect.Predictor
+	// Spent estimates how much of their time callers had spent before.
+	Spent *spent.Estimator
 	// Blame attributes crashes of engines to parts of prompts.
 	Blame *blame.Tracker
 	Log   *event.Log
--- a/io/gate/roomwait.go
+++ b/io/gate/roomwait.go
@@ -25,10 +25,23 @@
 		w.lateAt = s.start.Add(min(objective, s.route.Objective-withPrefillMargin(place.PrefillTime(s.PromptTokens))))
 		longest := min(time.Duration(maxWaitShare*float64(s.end.Sub(s.start))), maxWaitObjectives*s.route.Objective)
 		w.giveUpAt = s.start.Add(max(objective, longest))
+		if s.isReturning() {
+			w.lateAt = s.start
+		}
 	}
 	return w
 }
 
+// isReturning reports whether the caller's objective had passed before this attempt: it was refused elsewhere and has come back. It
+// yields to calls that can still be in time, like those that have waited here for as long.
+func (s *stream) isReturning() bool {
+	limit := s.route.Timeout
+	if limit <= 0 || s.Deadline <= 0 {
+		return false
+	}
+	return s.g.Spent.AtLeast(s.start, s.route.Name, limit, s.Deadline) >= s.route.Objective
+}
+
 // mayPoll reports whether the call may search for room now. Unless this is its first search and no call waits anywhere,
 // it first sleeps for a random time, so that it sees the load of the calls that found room before it.
 func (w *roomWait) mayPoll(now time.Time, all []*fleet.Status, first bool) bool {
--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -264,6 +265,38 @@
 	is.Equal(totalRuns(list, "late"), 0)
 }
 
+// TestReturningCallerYields guards against callers that were refused in a surge, come back too late for their objective, and take the
+// room of calls that can still meet theirs.
+func TestReturningCallerYields(t *testing.T) {
+	is := is.New(t)
+	const returning = 4
+	list := newEngines(1, 50*time.Millisecond)
+	list[0].Events = 100
+	s := start(t, false, list...)
+	s.reportPeerCalls(8) // as many as the engine has slots
+	status := make(chan int, returning)
+	for n := range returning {
+		go func() {
+			resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", fmt.Sprint("back", n), "Snipeshed-Deadline-Ms", "2500")
+			resp.Body.Close()
+			status <- resp.StatusCode
+		}()
+	}
+	time.Sleep(100 * time.Millisecond)
+	inTime := make(chan int, 1)
+	go func() {
+		resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", "soon")
+		inTime <- resp.StatusCode
+		body(resp)
+	}()
+	time.Sleep(100 * time.Millisecond)
+	s.reportPeerCalls(7)
+	is.Equal(<-inTime, http.StatusOK)
+	for range returning {
+		is.Equal(<-status, http.StatusServiceUnavailable)
+	}
+}
+
 // TestLargePromptIsLateSooner guards against calls that get room too late for their prefill to end in time and so displace
 // calls that could have met their objective, as in a surge of prompts of all sizes.
 func TestLargePromptIsLateSooner(t *testing.T) {
