Ask once for all engines whether the store is down

Ten times a second each instance asked for each engine whether the store counts as down, which looks at every instance: 3,000 x 300 steps.

Change: it asks once for all engines.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -234,11 +234,13 @@
 	}
 	e.pulse.Start()
 	e.watch.Start()
-	e.probe = probe.New(e.mover, e.endpoints, e.log, func(ep core.Endpoint) bool {
-		t := e.news.Table()
-		return t != nil && t.Services[ep.Service].Engine != nil &&
-			e.mayMissNotices() && e.pulse.RanksFirst(string(ep.ID))
-	}, func(id core.EndpointID) { e.gate.MarkUnreachable(id, true) }, e.pulse.Broadcast)
+	e.probe = probe.New(e.mover, e.endpoints, e.log, probe.Hooks{
+		IsActive: e.mayMissNotices, OnRefused: func(id core.EndpointID) { e.gate.MarkUnreachable(id, true) }, OnLeaving: e.pulse.Broadcast,
+		IsAssigned: func(ep core.Endpoint) bool {
+			t := e.news.Table()
+			return t != nil && t.Services[ep.Service].Engine != nil && e.pulse.RanksFirst(string(ep.ID))
+		},
+	})
 	e.group.Go(e.register)
 	e.group.Go(e.trackOutage)
 	e.group.Go(e.applyQuarantine)
--- a/io/gate/room.go
+++ b/io/gate/room.go
@@ -32,9 +32,7 @@
 // reserveRoom returns an engine with room and the id of the reservation there, or "" if none was needed. If no engine has room
 // in time, it refuses the call and returns nil. It reserves room only at an engine that may lack it, so that the call does not
 // end up in the queue of that engine, which it could not leave.
-func (s *stream) reserveRoom(wait bool) (*fleet.Status, string) {
-	w := s.newRoomWait()
-	defer w.close()
+func (s *stream) reserveRoom(w *roomWait, wait bool) (*fleet.Status, string) {
 	for first := true; ; first = false {
 		if s.endQuarantined() {
 			return nil, ""
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -84,7 +84,9 @@
 
 // sendToEngine sends the call to an engine with room; with wait set it may wait until one has room.
 func (s *stream) sendToEngine(wait bool) {
-	e, reservationID := s.reserveRoom(wait)
+	w := s.newRoomWait()
+	defer w.close() // once the call counts at its engine, so that no late call sees room and nobody waiting in between
+	e, reservationID := s.reserveRoom(w, wait)
 	if e == nil {
 		return
 	}
--- a/io/gate/stream_test.go
+++ b/io/gate/stream_test.go
@@ -289,7 +289,10 @@
 		inTime <- resp.StatusCode
 		body(resp)
 	}()
-	time.Sleep(100 * time.Millisecond)
+	eventually(t, "the call in time waits", func() bool {
+		own, _ := s.loads.WaitingCalls(time.Now())
+		return own == 1
+	})
 	s.reportPeerCalls(7)
 	is.Equal(<-inTime, http.StatusOK)
 	for range returning {
--- a/io/probe/prober.go
+++ b/io/probe/prober.go
@@ -22,24 +22,32 @@
 
 // Prober polls engines until Close.
 type Prober struct {
-	mover      core.Mover
-	fleet      *fleet.Endpoints
-	log        *event.Log
-	isAssigned func(core.Endpoint) bool
-	// onRefused is called when an engine's host refuses a connection; the engine is then unreachable from all instances.
-	onRefused func(core.EndpointID)
-	// onLeaving is called when an engine reports that it is leaving.
-	onLeaving func()
-	cancel    context.CancelFunc
-	wg        sync.WaitGroup
+	Hooks
+	mover  core.Mover
+	fleet  *fleet.Endpoints
+	log    *event.Log
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
 
 	mu         sync.Mutex
 	lastProbed map[core.EndpointID]time.Time
 }
 
-// New starts a Prober; isAssigned reports whether this instance is the one to poll an engine now.
-func New(m core.Mover, f *fleet.Endpoints, log *event.Log, isAssigned func(core.Endpoint) bool, onRefused func(core.EndpointID), onLeaving func()) *Prober {
-	p := &Prober{mover: m, fleet: f, log: log, isAssigned: isAssigned, onRefused: onRefused, onLeaving: onLeaving, lastProbed: map[core.EndpointID]time.Time{}}
+// Hooks are the callbacks of a Prober.
+type Hooks struct {
+	// IsActive reports whether engines are to be polled now. It is called once for all of them, since it looks at every instance.
+	IsActive func() bool
+	// IsAssigned reports whether this instance is the one to poll an engine.
+	IsAssigned func(core.Endpoint) bool
+	// OnRefused is called when an engine's host refuses a connection; the engine is then unreachable from all instances.
+	OnRefused func(core.EndpointID)
+	// OnLeaving is called when an engine reports that it is leaving.
+	OnLeaving func()
+}
+
+// New starts a Prober.
+func New(m core.Mover, f *fleet.Endpoints, log *event.Log, h Hooks) *Prober {
+	p := &Prober{Hooks: h, mover: m, fleet: f, log: log, lastProbed: map[core.EndpointID]time.Time{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	p.wg.Go(func() { p.run(ctx) })
@@ -61,8 +69,11 @@
 
 // probeDue polls the assigned engines that are due.
 func (p *Prober) probeDue(now time.Time) {
+	if !p.IsActive() {
+		return
+	}
 	for _, e := range p.fleet.All() {
-		if e.Leaving || !p.isDue(now, e.ID) || !p.isAssigned(e.Endpoint) {
+		if e.Leaving || !p.isDue(now, e.ID) || !p.IsAssigned(e.Endpoint) {
 			continue
 		}
 		p.mu.Lock()
@@ -88,14 +99,14 @@
 		// engine.
 		p.log.Emit(event.ProbeFailed, event.Fields{"endpoint": e.ID, "error": err})
 		if errors.Is(err, syscall.ECONNREFUSED) {
-			p.onRefused(e.ID)
+			p.OnRefused(e.ID)
 		}
 		return
 	}
 	if r.Leaving {
 		p.log.Emit(event.ProbedLeaving, event.Fields{"endpoint": e.ID})
 		p.fleet.MarkLeaving(time.Now(), e.Incarnation())
-		p.onLeaving()
+		p.OnLeaving()
 	}
 }
 
