--- /dev/null
+++ b/io/pulse/members.go
@@ -0,0 +1,40 @@
+package pulse
+
+import "snipeshed/core"
+
+// Instances returns the number of live instances, this one included.
+func (p *Pulse) Instances() int { return p.liveCount() }
+
+// KnownPeers returns the number of other instances that this one knows, live or not.
+func (p *Pulse) KnownPeers() int { return p.knownCount() }
+
+// Members returns the live instances, this one included.
+func (p *Pulse) Members() []core.Peer { return p.liveMembers() }
+
+// NewerPeers returns the live instances that have a newer configuration or endpoint list than given, or count more members
+// than this instance has entries.
+func (p *Pulse) NewerPeers(configVersion, endpointsRevision core.Version) []core.Peer {
+	return p.newerPeers(configVersion, endpointsRevision)
+}
+
+// IsWatcher reports whether this instance is among the n that watch the store on behalf of all.
+func (p *Pulse) IsWatcher(n int, storeDown, storeUp bool) bool {
+	return p.isWatcher(n, storeDown, storeUp)
+}
+
+// StoreSeen reports whether the store has answered another live instance in the last seconds.
+func (p *Pulse) StoreSeen() bool { return p.storeSeen() }
+
+// OutageReported reports whether several other instances fail to reach the store and none reaches it.
+func (p *Pulse) OutageReported() bool { return p.outageReported() }
+
+// OutageSuspected reports whether n instances, which may include this one, fail to reach the store and none reaches it.
+func (p *Pulse) OutageSuspected(n int, storeDown, storeUp bool) bool {
+	return p.outageSuspected(n, storeDown, storeUp)
+}
+
+// Outage reports whether the store counts as down for all instances.
+func (p *Pulse) Outage(storeDown, storeUp bool) bool { return p.outage(storeDown, storeUp) }
+
+// RanksFirst reports whether rendezvous hashing of key chooses this instance among the live ones.
+func (p *Pulse) RanksFirst(key string) bool { return p.ranksFirst(key) }
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -34,9 +34,7 @@
 	probeInterval = time.Second
 	// removeAfter is the silence after which an instance is removed from the table of peers.
 	removeAfter = time.Minute
-	// pauseThreshold is the delay of a timer above which this instance itself was paused and has not read what others sent.
-	pauseThreshold = 500 * time.Millisecond
-	maxDatagram    = 60 << 10 // bytes
+	maxDatagram = 60 << 10 // bytes
 )
 
 // State is the state of this instance that full datagrams carry besides its load.
@@ -139,43 +137,6 @@
 	}
 }
 
-// Instances returns the number of live instances, this one included.
-func (p *Pulse) Instances() int { return p.liveCount() }
-
-// KnownPeers returns the number of other instances that this one knows, live or not.
-func (p *Pulse) KnownPeers() int { return p.knownCount() }
-
-// Members returns the live instances, this one included.
-func (p *Pulse) Members() []core.Peer { return p.liveMembers() }
-
-// NewerPeers returns the live instances that have a newer configuration or endpoint list than given, or count more members
-// than this instance has entries.
-func (p *Pulse) NewerPeers(configVersion, endpointsRevision core.Version) []core.Peer {
-	return p.newerPeers(configVersion, endpointsRevision)
-}
-
-// IsWatcher reports whether this instance is among the n that watch the store on behalf of all.
-func (p *Pulse) IsWatcher(n int, storeDown, storeUp bool) bool {
-	return p.isWatcher(n, storeDown, storeUp)
-}
-
-// StoreSeen reports whether the store has answered another live instance in the last seconds.
-func (p *Pulse) StoreSeen() bool { return p.storeSeen() }
-
-// OutageReported reports whether several other instances fail to reach the store and none reaches it.
-func (p *Pulse) OutageReported() bool { return p.outageReported() }
-
-// OutageSuspected reports whether n instances, which may include this one, fail to reach the store and none reaches it.
-func (p *Pulse) OutageSuspected(n int, storeDown, storeUp bool) bool {
-	return p.outageSuspected(n, storeDown, storeUp)
-}
-
-// Outage reports whether the store counts as down for all instances.
-func (p *Pulse) Outage(storeDown, storeUp bool) bool { return p.outage(storeDown, storeUp) }
-
-// RanksFirst reports whether rendezvous hashing of key chooses this instance among the live ones.
-func (p *Pulse) RanksFirst(key string) bool { return p.ranksFirst(key) }
-
 func (p *Pulse) interval() time.Duration {
 	return max(minInterval, time.Duration(p.liveCount())*intervalPerPeer)
 }
@@ -224,20 +185,6 @@
 	}
 }
 
-// forgivePause detects that this instance was paused, as it runs long after the timer of the sender was due. The others then
-// count as heard from for that much longer: they were not silent, it did not listen. It returns when the timer is due.
-func (p *Pulse) forgivePause(now, due time.Time) time.Time {
-	pause := now.Sub(due)
-	if pause < pauseThreshold {
-		return due
-	}
-	p.extend(pause)
-	p.ring.Extend(pause)
-	p.loads.ExtendReports(pause)
-	p.log.Emit(event.Paused, event.Fields{"paused_ms": pause.Milliseconds()})
-	return now
-}
-
 // sendPartial sends a partial datagram with the load that has changed since the last datagram.
 func (p *Pulse) sendPartial(now time.Time, reqs sendRequests) {
 	d := p.loadMessage(now, p.loads.TakeChanged(now))
