Don't fetch again from a peer that brought nothing newer

A fetch is followed by the next while others have newer data. If that data can't be read here, each datagram would have led to eight fetches in a row.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -55,7 +55,8 @@
 // maxFetches bounds the fetches in a row, as others may know newer data all the time.
 const maxFetches = 8
 
-// fetchFrom fetches from another instance what it has that is newer, and reports whether that succeeded.
+// fetchFrom fetches from another instance what it has that is newer, and reports whether this instance has newer data now. If not,
+// another fetch would bring no more: the other one may have data that can't be read here.
 func (e *Edge) fetchFrom(from core.Peer) bool {
 	ctx, cancel := context.WithTimeout(e.ctx, fetchTimeout)
 	defer cancel()
@@ -71,7 +72,8 @@
 		e.pulse.Add(core.Peer{ID: core.InstanceID(m.GetId()), Address: m.GetAddress(), FailureDomain: core.FailureDomain(m.GetDomain())})
 	}
 	e.news.ApplyFetched(from.ID, known, got)
-	return true
+	newConfig, newEndpoints := e.news.Versions()
+	return newConfig > config || newEndpoints > endpoints
 }
 
 // ownReadTime is how long a starting instance prefers its own first read of the store to what instances know that don't reach
