Send few whole endpoint lists at a time

Suspected cause, not shown by a play at that size: all others ask the first instance that has the list, which sends hundreds of them at once, each some 60 ms of processor time, and none arrives within its timeout; each failure also leads to a read of the store.

Change: an instance sends three whole lists at a time and refuses more at once; the next datagram of any instance leads to another try.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -88,6 +88,7 @@
 	started      time.Time
 	stopping     atomic.Bool
 	fetching     atomic.Bool
+	fullFetches  atomic.Int32 // whole endpoint lists that are being sent
 	ctx          context.Context
 	cancel       context.CancelFunc
 	group        sync.WaitGroup
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net/http"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"snipeshed/core"
 	"snipeshed/io/event"
 	"snipeshed/io/news"
@@ -63,6 +66,10 @@
 	config, endpoints := e.news.Versions()
 	known := &wire.Known{Rules: uint64(config), Endpoints: uint64(endpoints), Members: uint32(e.pulse.KnownPeers())}
 	got, err := wire.NewSyncProtobufClient("http://"+from.Address, peerClient).Fetch(ctx, known)
+	var refusal twirp.Error
+	if errors.As(err, &refusal) && refusal.Code() == twirp.ResourceExhausted {
+		return false // the next datagram, of this or of another instance, leads to another fetch
+	}
 	if err != nil {
 		e.log.Emit(event.PeerLost, event.Fields{"peer": from.ID, "while": "fetching", "error": err})
 		e.watch.Refresh()
@@ -110,8 +117,20 @@
 // syncServer serves the Sync service to other instances.
 type syncServer struct{ e *Edge }
 
-// Fetch returns what is newer than known, and the live instances.
+// maxFullFetches bounds the whole endpoint lists that an instance sends at the same time. When a large fleet starts, hundreds of
+// instances ask the first that have one; served all at once, none of them would get it before its timeout.
+const maxFullFetches = 3
+
+// Fetch returns what is newer than known, and the live instances. It refuses to send a further whole list while it sends
+// maxFullFetches.
 func (s syncServer) Fetch(ctx context.Context, known *wire.Known) (*wire.News, error) {
+	if known.GetEndpoints() == 0 {
+		if s.e.fullFetches.Add(1) > maxFullFetches {
+			s.e.fullFetches.Add(-1)
+			return nil, twirp.NewError(twirp.ResourceExhausted, "this instance sends as many whole endpoint lists as it may; retry")
+		}
+		context.AfterFunc(ctx, func() { s.e.fullFetches.Add(-1) }) // when the answer is written
+	}
 	out, err := s.e.news.ServeFetch(ctx, known)
 	if err != nil {
 		return nil, err
--- a/edge/restart_test.go
+++ b/edge/restart_test.go
@@ -55,3 +55,16 @@
 		d.eventually("ready", 1500*time.Millisecond, (*instance).ready)
 	}
 }
+
+// TestManyStart guards against instances that never get the whole list of endpoints from another one, because those that it has
+// sent still count, or all ask at once (load pattern: all instances of a fleet start in the same moment).
+func TestManyStart(t *testing.T) {
+	d := deploy(t, 0)
+	for n := range 1000 {
+		d.store.Put("servers", fmt.Sprint("i-", n), d.engines[2].ObjectSpec("lm", "d1", "ready"))
+	}
+	for range 20 {
+		d.start()
+	}
+	d.eventually("ready", 10*time.Second, (*instance).ready)
+}
