Finish an order under way when its owner stops

Cause: the context of a driver ends when its instance stops, and cut off an order being sent. The endpoint did not load, and the slot of the weight store stayed taken until its lease ended (a minute by default). Change: an order under way has one more second.

--- a/io/driver/reconciler.go
+++ b/io/driver/reconciler.go
@@ -143,8 +143,14 @@
 	return false
 }
 
-// sendOrder sends an order to the endpoint and records the outcome.
+// stopTimeout bounds an order that was being sent when Run was told to end, and the release of the slot after it.
+const stopTimeout = time.Second
+
+// sendOrder sends an order to the endpoint and records the outcome. An order under way is finished when ctx ends: if it were cut
+// off, the endpoint might not load, and its slot would stay taken until the lease ends.
 func (d *Reconciler) sendOrder(ctx context.Context, s order.Step) {
+	ctx, cancel := withGrace(ctx, stopTimeout)
+	defer cancel()
 	d.mu.Lock()
 	repeated := d.order.IneffectiveSends() > 0
 	d.order.Sending(s)
@@ -182,6 +188,19 @@
 	d.onChange()
 }
 
+// withGrace returns a context that ends a grace period after its parent.
+func withGrace(parent context.Context, grace time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(parent))
+	stop := context.AfterFunc(parent, func() {
+		t := time.AfterFunc(grace, cancel)
+		context.AfterFunc(ctx, func() { t.Stop() })
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // unlimitedSlots grants every request for a slot.
 type unlimitedSlots struct{}
 
--- a/io/driver/slot.go
+++ b/io/driver/slot.go
@@ -74,15 +74,12 @@
 	return true
 }
 
-// releaseTimeout bounds the release of the slot when Run ends.
-const releaseTimeout = time.Second
-
 // releaseOnExit releases the slot when Run ends, unless a load may still be running; its slot ends with its lease.
 func (d *Reconciler) releaseOnExit(ctx context.Context) {
 	if d.lease.Nonce == "" || d.Loading() {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), releaseTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
 	defer cancel()
 	_ = d.slots.Release(ctx, d.lease) // if this fails, the slot ends with its lease
 }
