Ask the peer whose contact expires first

Cause: an instance in one half of a divided fleet needs contact with each other instance of its half within 10 s, but asked only peers chosen at random, which may leave out the same one for as long. Change: an instance that is close to stale also asks the peer with the oldest contact that still counts.

--- a/io/relay/freshness.go
+++ b/io/relay/freshness.go
@@ -135,6 +135,20 @@
 	f.quorumContact.advance(f.base, contacts[need-1])
 }
 
+// expiresFirst returns the peer with the oldest contact that still counts, that is within the limit.
+func (f *freshness) expiresFirst(now time.Time, others []core.Peer) (oldest core.Peer, found bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var oldestAt time.Time
+	for _, p := range others {
+		at, known := f.lastContact[p.ID]
+		if known && now.Sub(at) < f.limit && (!found || at.Before(oldestAt)) {
+			oldest, oldestAt, found = p, at, true
+		}
+	}
+	return oldest, found
+}
+
 // hasQuorumSince reports whether there has been contact with a quorum since a time.
 func (f *freshness) hasQuorumSince(since time.Time, others []core.Peer) bool {
 	f.mu.Lock()
--- a/io/relay/gossip.go
+++ b/io/relay/gossip.go
@@ -94,8 +94,8 @@
 }
 
 // peersToAsk returns the peers to exchange digests with: one partner or the parent and, if the state is close to stale, up to
-// two more random peers. The parent is asked at every other tick only, so that random exchanges go on while no instance
-// reaches the store.
+// three more: two random ones and the one whose contact expires first. The parent is asked at every other tick only, so that
+// random exchanges go on while no instance reaches the store.
 func (g *Gossiper) peersToAsk(now time.Time, tick int) []core.Peer {
 	g.mu.Lock()
 	choices := [][]core.Peer{slices.Clone(g.partners)}
@@ -106,6 +106,10 @@
 		}
 	}
 	if g.freshness.age(now) > g.freshness.limit/2 {
+		// In half of a fleet each contact counts, and random choices may leave out the same peer for as long as the limit.
+		if p, found := g.freshness.expiresFirst(now, g.members.LivePeers()); found {
+			choices = append(choices, []core.Peer{p})
+		}
 		// LivePeers includes suspect peers and Peers does not. A suspect peer may have recovered, and if all peers are suspect
 		// there are no others to ask.
 		choices = append(choices, g.members.Peers(now), g.members.LivePeers())
