Delete old tickets beside objects of other writers

Cause: the pass that deletes old tickets ended with an error at the first object whose key is not that of a ticket, so the log grew without end. Change: such objects are passed over, as in reads of the log. Shown by TestStrayObjectInTrim, run on the parent: object is not a ticket.

--- a/io/relay/stray_test.go
+++ b/io/relay/stray_test.go
@@ -38,3 +38,24 @@
 		is.Equal(w.staleCount(), 0)
 	})
 }
+
+// TestStrayObjectInTrim guards against a log that grows without end because an object of another writer lies before its oldest
+// ticket.
+func TestStrayObjectInTrim(t *testing.T) {
+	inVirtualTime(t, func(t *testing.T, _ *testCluster) {
+		is := is.New(t)
+		w := newTrimCluster(t)
+		defer w.close()
+		_, err := w.store.Put(t.Context(), state.TicketPrefix+"!", []byte("\xff{"), 0)
+		is.NoErr(err)
+		for range 3 {
+			is.NoErr(w.step("accept"))
+			is.NoErr(w.step("snapshot"))
+		}
+		is.NoErr(w.step("wait"))
+		is.NoErr(w.step("wait"))
+		deleted, err := w.nodes[0].trimLog(t.Context())
+		is.NoErr(err)
+		is.True(deleted > 0)
+	})
+}
--- a/io/relay/trim.go
+++ b/io/relay/trim.go
@@ -56,6 +56,10 @@
 			return deleted, err
 		}
 		for _, o := range page {
+			after = o.Key
+			if !state.IsTicketKey(o.Key) {
+				continue // an object of another writer
+			}
 			t, err := state.DecodeTicket(o.Key, o.Value)
 			if err != nil {
 				return deleted, err // may be from a newer version; an operator has to decide
@@ -71,7 +75,6 @@
 				return deleted, err
 			}
 			deleted++
-			after = o.Key
 		}
 	}
 }
