Keep a panic in serve from ending the process

Change: core.Common.Protect ends one piece of work and logs it; a call to a peer, of the object API or of an endpoint counts as failed. Supervise starts loops again. The ticks of a pool's policy release their lock by defer. Not covered: the timer that probes a silent stream (io/follow).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -287,7 +287,10 @@
 	}
 	d.gossiper.Start()
 	backgroundCtx, stopBackground := context.WithCancel(ctx)
-	g.Go(func() error { return d.openOwnedPools(backgroundCtx) })
+	g.Go(func() error {
+		d.Supervise(backgroundCtx, "opening pools", func() { d.openOwnedPools(backgroundCtx) })
+		return nil
+	})
 	g.Go(func() error {
 		d.drainWhenBlocked(backgroundCtx)
 		return nil
@@ -318,11 +321,11 @@
 
 // openOwnedPools opens the pools that this instance owns, on each change of the configuration and at least every
 // openPoolsInterval.
-func (d *Daemon) openOwnedPools(ctx context.Context) error {
+func (d *Daemon) openOwnedPools(ctx context.Context) {
 	select {
 	case <-d.gossiper.Ready():
 	case <-ctx.Done():
-		return nil
+		return
 	}
 	d.Log.WithField("ticket", d.state.Number()).Info("instance is ready")
 	t := time.NewTicker(openPoolsInterval)
@@ -331,7 +334,7 @@
 		d.host.OpenOwnedPools(d.Clock.Now())
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-d.configChanged:
 		case <-t.C:
 		}
--- a/daemon/inspect.go
+++ b/daemon/inspect.go
@@ -75,14 +75,16 @@
 	g.SetLimit(maxInspectCalls)
 	for owner, pools := range i.poolsByOwner() {
 		g.Go(func() error {
-			got, err := i.queryOwner(owner)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				i.markUnanswered(statusByEndpoint, owner, pools)
-				return nil
-			}
-			mergeOwnerStatus(s, statusByEndpoint, pools, got)
+			i.daemon.Protect("asking the owner of a pool", func() {
+				got, err := i.queryOwner(owner)
+				mu.Lock()
+				defer mu.Unlock()
+				if err != nil {
+					i.markUnanswered(statusByEndpoint, owner, pools)
+					return
+				}
+				mergeOwnerStatus(s, statusByEndpoint, pools, got)
+			})
 			return nil
 		})
 	}
--- a/io/action/action.go
+++ b/io/action/action.go
@@ -67,7 +67,7 @@
 	var ctx context.Context
 	ctx, a.stopSweeps = context.WithCancel(a.ctx)
 	if a.members != nil {
-		a.wg.Go(func() { a.runSweeps(ctx) })
+		a.wg.Go(func() { a.Supervise(ctx, "removing old records", func() { a.runSweeps(ctx) }) })
 	}
 	return a
 }
@@ -132,7 +132,7 @@
 	if a.closed {
 		return false
 	}
-	a.wg.Go(fn)
+	a.wg.Go(func() { a.Protect("an action", fn) })
 	return true
 }
 
--- a/io/action/protected.go
+++ b/io/action/protected.go
@@ -228,7 +228,11 @@
 // sendAndWait sends to one endpoint and waits for the outcome. At the deadline it replies to the client and keeps waiting.
 func (a *Action) sendAndWait(ctx context.Context, pc *protectedCall, machine *claim.Claim, fencing core.Version) claim.Step {
 	outcome := make(chan claim.Event, 1)
-	a.wg.Go(func() { outcome <- a.sendToEndpoint(ctx, pc, fencing) })
+	a.wg.Go(func() {
+		e := claim.Event{Kind: claim.EventAnswerLost} // after a panic, as the call may have been sent
+		a.Protect("sending an action", func() { e = a.sendToEndpoint(ctx, pc, fencing) })
+		outcome <- e
+	})
 	timer := time.NewTimer(pc.deadline.Sub(a.Clock.Now()))
 	defer timer.Stop()
 	for {
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -274,7 +274,7 @@
 		return
 	}
 	c.counters.Count("orphaned_generations")
-	c.orphanWatchers.Go(func() { c.awaitOrphan(id, runner) })
+	c.orphanWatchers.Go(func() { c.Protect("waiting for an orphaned generation", func() { c.awaitOrphan(id, runner) }) })
 }
 
 // maxOrphanWait bounds how long the memory of an orphaned generation stays counted.
--- a/io/oper/status.go
+++ b/io/oper/status.go
@@ -74,7 +74,7 @@
 		knownLeaving[s] = in.GetState() == stateLeaving
 		all = append(all, s)
 		group.Go(func() error {
-			o.fillFromDigest(ctx, in, s)
+			o.Protect("asking an instance for its status", func() { o.fillFromDigest(ctx, in, s) })
 			return nil
 		})
 	}
--- a/io/pool/endpoint.go
+++ b/io/pool/endpoint.go
@@ -106,7 +106,7 @@
 	e.driver = driver.New(p.Common, t.id, e.runner, opts...)
 	ctx, cancel := context.WithCancel(p.ctx)
 	e.stopDriver = cancel
-	p.background.Go(func() { e.driver.Run(ctx) })
+	p.background.Go(func() { p.Supervise(ctx, "the orders to an endpoint", func() { e.driver.Run(ctx) }) })
 	p.endpoints[t.id] = e
 	return e
 }
@@ -115,7 +115,8 @@
 // charged the poll to the byte budget.
 func (p *Pool) pollEndpoint(ctx context.Context, e *endpoint) {
 	asked := p.Clock.Now()
-	l, err := e.runner.Load(ctx)
+	l, err := core.RunnerLoad{}, core.ErrPanicked
+	p.Protect("reading an endpoint's report", func() { l, err = e.runner.Load(ctx) })
 	p.pollBudget.EndPoll(p.Clock.Now())
 	if ctx.Err() != nil {
 		return
--- a/io/pool/loop.go
+++ b/io/pool/loop.go
@@ -5,9 +5,8 @@
 	"context"
 	"maps"
 	"slices"
+	"sync"
 	"time"
-
-	"golang.org/x/sync/errgroup"
 )
 
 func (p *Pool) pollLoop(ctx context.Context) {
@@ -34,15 +33,16 @@
 }
 
 func (p *Pool) pollDue(ctx context.Context) {
-	var g errgroup.Group
+	var wg sync.WaitGroup
 	for _, e := range p.dueEndpoints() {
-		g.Go(func() error {
-			p.pollEndpoint(ctx, e)
-			p.updateRunners()
-			return nil
+		wg.Go(func() {
+			p.Protect("polling an endpoint", func() {
+				p.pollEndpoint(ctx, e)
+				p.updateRunners()
+			})
 		})
 	}
-	_ = g.Wait() // the tasks return no error
+	wg.Wait()
 }
 
 // dueEndpoints returns the endpoints to poll now: first all that have not converged or were not polled for maxPollInterval,
@@ -94,14 +94,18 @@
 			return
 		case <-t.C:
 		}
-		p.mu.Lock()
-		now := p.Clock.Now()
-		if p.acceptanceChanged(now) {
-			p.setRunners(now)
-		}
-		p.applyActions(p.policy.Tick(now))
-		p.mu.Unlock()
+		p.tick()
+	}
+}
+
+func (p *Pool) tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	if p.acceptanceChanged(now) {
+		p.setRunners(now)
 	}
+	p.applyActions(p.policy.Tick(now))
 }
 
 // acceptanceChanged reports whether an endpoint accepts work although the policy has it as not accepting, or the
--- a/io/pool/poll_test.go
+++ b/io/pool/poll_test.go
@@ -317,3 +317,30 @@
 		is.NoErr(err)
 	})
 }
+
+type panickingRunner struct{ core.Runner }
+
+func (panickingRunner) Load(context.Context) (core.RunnerLoad, error) { panic("index out of range") }
+
+// TestPanicInPoll guards against one endpoint whose report causes a panic and so takes down the process, or ends the polls of
+// the others.
+func TestPanicInPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sound := &polledRunner{}
+		p := newPools(t, "m/0", func(address string) core.Runner {
+			if address == "10.0.0.1:2" {
+				return panickingRunner{}
+			}
+			return sound
+		})
+		defer p.Close()
+		cfg := configuration("m", 0)
+		cfg.Endpoints["broken"] = &wire.Endpoint{Name: "broken", Address: "10.0.0.1:2", Wanted: &wire.Wanted{Model: "m"}}
+		p.Configure(cfg, []core.EndpointID{"e", "broken"})
+		time.Sleep(time.Minute)
+		is.True(sound.polls.Load() >= 20)
+		is.True(p.Reports()["e"].Accepting)
+		is.True(!p.Reports()["broken"].Accepting)
+	})
+}
--- a/io/pool/pool.go
+++ b/io/pool/pool.go
@@ -78,8 +78,8 @@
 	for _, o := range opts {
 		o(p)
 	}
-	p.background.Go(func() { p.pollLoop(ctx) })
-	p.background.Go(func() { p.tickLoop(ctx) })
+	p.background.Go(func() { p.Supervise(ctx, "polling endpoints", func() { p.pollLoop(ctx) }) })
+	p.background.Go(func() { p.Supervise(ctx, "the ticks of the policy", func() { p.tickLoop(ctx) }) })
 	return p
 }
 
--- a/io/relay/client.go
+++ b/io/relay/client.go
@@ -53,13 +53,18 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
+	protected := func(c wire.Peer) error {
+		err := core.ErrPanicked
+		g.Protect("a call to a peer", func() { err = fn(callCtx, c) })
+		return err
+	}
 	c, isNew := g.client(p.Address)
-	err := fn(callCtx, c)
+	err := protected(c)
 	if err != nil && !isMethodMissing(err) {
 		g.dropClient(p.Address, c)
 		if !isNew && callCtx.Err() == nil {
 			// The peer may have closed the connection because it was idle, or may have restarted.
-			if c, _ = g.client(p.Address); fn(callCtx, c) == nil {
+			if c, _ = g.client(p.Address); protected(c) == nil {
 				err = nil
 			} else {
 				g.dropClient(p.Address, c)
--- a/io/relay/gossiper.go
+++ b/io/relay/gossiper.go
@@ -124,7 +124,7 @@
 // Start begins to catch up and to gossip. The channel of Ready is closed once the state is at least as new as that of the store
 // or of half of the members.
 func (g *Gossiper) Start() {
-	g.spawn(func() {
+	g.supervise(g.ctx, "catching up at the start", func() {
 		if !g.catchUpAtStart() {
 			return
 		}
@@ -134,11 +134,11 @@
 		g.isReady.Store(true)
 		close(g.ready)
 		g.Log.WithField("ticket", g.state.Number()).Info("configuration loaded")
-		g.spawn(g.gossip)
-		g.spawn(g.pushChanges)
-		g.spawn(g.runPulls)
-		g.spawn(g.runRelayRole)
-		g.spawn(g.trim)
+		g.supervise(g.ctx, "gossip", g.gossip)
+		g.supervise(g.ctx, "pushing changes", g.pushChanges)
+		g.supervise(g.ctx, "pulling changes", g.runPulls)
+		g.supervise(g.ctx, "the relay role", g.runRelayRole)
+		g.supervise(g.ctx, "deleting old tickets", g.trim)
 	})
 }
 
@@ -219,7 +219,15 @@
 	return d
 }
 
-func (g *Gossiper) spawn(fn func()) { g.running.Go(fn) }
+// spawn runs fn in the background; a panic ends only fn.
+func (g *Gossiper) spawn(fn func()) {
+	g.running.Go(func() { g.Protect("an exchange with peers", fn) })
+}
+
+// supervise runs fn in the background until ctx ends, again after a panic.
+func (g *Gossiper) supervise(ctx context.Context, what string, fn func()) {
+	g.running.Go(func() { g.Supervise(ctx, what, fn) })
+}
 
 // sleep waits for d and reports whether it passed before ctx ended.
 func (g *Gossiper) sleep(ctx context.Context, d time.Duration) bool {
--- a/io/relay/start.go
+++ b/io/relay/start.go
@@ -21,7 +21,7 @@
 		asked, reported := g.Clock.Now(), g.highestPeerTicket()
 		var stored bool
 		var wg sync.WaitGroup
-		wg.Go(func() { stored = g.catchUpFromStore() })
+		wg.Go(func() { g.Protect("reading the store", func() { stored = g.catchUpFromStore() }) })
 		g.readList(g.ctx)
 		wg.Go(func() { g.exchangeWithPeers(g.knownPeers(), startPeerCount) })
 		wg.Wait()
@@ -78,7 +78,7 @@
 func (g *Gossiper) exchangeWithPeers(peers []core.Peer, limit int) {
 	var wg sync.WaitGroup
 	for _, p := range peers[:min(limit, len(peers))] {
-		wg.Go(func() { _ = g.exchange(g.ctx, p) })
+		wg.Go(func() { g.Protect("an exchange with a peer", func() { _ = g.exchange(g.ctx, p) }) })
 	}
 	wg.Wait()
 }
--- a/io/relay/store.go
+++ b/io/relay/store.go
@@ -104,9 +104,11 @@
 func (g *Gossiper) startRelayRole() func() {
 	ctx, cancel := context.WithCancel(g.ctx)
 	done := make(chan struct{}, 3)
-	for _, fn := range []func(context.Context){g.runWatch, g.pollList, g.writeSnapshots} {
-		g.spawn(func() {
-			fn(ctx)
+	for what, fn := range map[string]func(context.Context){
+		"watching tickets": g.runWatch, "polling the instance list": g.pollList, "writing snapshots": g.writeSnapshots,
+	} {
+		g.running.Go(func() {
+			g.Supervise(ctx, what, func() { fn(ctx) })
 			done <- struct{}{}
 		})
 	}
--- a/io/store/call.go
+++ b/io/store/call.go
@@ -58,7 +58,9 @@
 	started := s.spawn(func() {
 		defer close(x.done)
 		defer cancelCall(nil)
-		s.roundTrip(callCtx, &x)
+		if !s.Protect("a call of the object API", func() { s.roundTrip(callCtx, &x) }) {
+			x.err = &core.StoreError{Op: c.op, Key: c.key, Effect: core.EffectUnknown, Cause: core.ErrPanicked}
+		}
 	})
 	if !started {
 		cancelCall(nil)
