Let datagrams cost the same in a fleet of any size

Cause: each full datagram made its receiver count all live instances, several times, and look for newer data at each of them; each instance that became known made the finder send its state to all others. So the cost of a start grows with the third power of the fleet. Change: the live count is kept; the newest announced versions are kept, so that members are looked at only if one may have newer data; newcomers alone are greeted, those of the same moment with one datagram; nothing is looked for while a fetch runs. Leaving and lapsed endpoints are not looked for among thousands when there are none. Shown by TestCostOfDatagram and TestGreetingsOfStart, which fail on the parent.

--- a/core/fleet/endpoints.go
+++ b/core/fleet/endpoints.go
@@ -35,7 +35,11 @@
 	byService  map[core.ServiceName][]*Status // copy on write: replaced after changes, never modified
 	changedAt  time.Time                      // of the last change that byService lacks; zero if there is none
 	lastOutage time.Time                      // time at which the store was last known to be down
-	onLeave    func(core.EndpointID)
+	// lastLeft is not before the time at which any endpoint began to leave, and hasLapsed is set if an entry may have lapsed.
+	// They spare looks at each endpoint, many times a second, at something that is rare.
+	lastLeft  time.Time
+	hasLapsed bool
+	onLeave   func(core.EndpointID)
 }
 
 // New returns empty Endpoints that call onLeave for each endpoint that starts to leave, after the change is visible.
@@ -148,6 +152,7 @@
 	}
 	changed.Leaving, changed.LeavingSince = true, now
 	eps.byID[inc.ID] = &changed
+	eps.lastLeft = later(eps.lastLeft, now)
 	eps.changedAt = now
 	return true
 }
@@ -194,12 +199,7 @@
 // ExpireLapsed marks endpoints as gone whose entries expired in a store outage and were not written again in time.
 func (eps *Endpoints) ExpireLapsed(now time.Time) {
 	eps.mu.Lock()
-	var leaving []core.EndpointID
-	for id, s := range eps.byID {
-		if !s.lapsedAt.IsZero() && now.Sub(s.lapsedAt) > returnTimeout && now.Sub(eps.lastOutage) > returnTimeout {
-			leaving = append(leaving, eps.markGone(now, id)...)
-		}
-	}
+	leaving := eps.expireLapsed(now)
 	if len(leaving) > 0 {
 		eps.changedAt = now
 	}
@@ -208,10 +208,31 @@
 	eps.notifyLeaving(leaving)
 }
 
+// expireLapsed marks lapsed endpoints as gone and returns those that were not leaving yet; eps.mu is held.
+func (eps *Endpoints) expireLapsed(now time.Time) (leaving []core.EndpointID) {
+	if !eps.hasLapsed {
+		return nil
+	}
+	eps.hasLapsed = false
+	for id, s := range eps.byID {
+		switch {
+		case s.lapsedAt.IsZero():
+		case now.Sub(s.lapsedAt) > returnTimeout && now.Sub(eps.lastOutage) > returnTimeout:
+			leaving = append(leaving, eps.markGone(now, id)...)
+		default:
+			eps.hasLapsed = true
+		}
+	}
+	return leaving
+}
+
 // RecentlyLeaving returns the endpoints that started to leave within the span before now.
 func (eps *Endpoints) RecentlyLeaving(now time.Time, span time.Duration) []core.Incarnation {
 	eps.mu.Lock()
 	defer eps.mu.Unlock()
+	if now.Sub(eps.lastLeft) > span {
+		return nil
+	}
 	var out []core.Incarnation
 	for _, s := range eps.byID {
 		if s.Leaving && now.Sub(s.LeavingSince) <= span {
@@ -278,6 +299,9 @@
 		s.LeavingSince = old.LeavingSince
 	}
 	eps.byID[e.ID] = s
+	if s.Leaving {
+		eps.lastLeft = later(eps.lastLeft, s.LeavingSince)
+	}
 	if s.Leaving && (old == nil || !old.Leaving || !sameStart) {
 		return []core.EndpointID{e.ID}
 	}
@@ -297,6 +321,7 @@
 		s := *old
 		s.lapsedAt = now
 		eps.byID[id] = &s
+		eps.hasLapsed = true
 	}
 	return nil
 }
@@ -308,6 +333,7 @@
 	s.gone, s.Leaving, s.lapsedAt = true, true, time.Time{}
 	if !old.Leaving {
 		s.LeavingSince = now
+		eps.lastLeft = later(eps.lastLeft, now)
 	}
 	eps.byID[id] = &s
 	if old.Leaving {
@@ -347,3 +373,10 @@
 		eps.onLeave(id)
 	}
 }
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -39,6 +39,9 @@
 
 // catchUp fetches newer data from another instance that has it, if any; only one fetch runs at a time.
 func (e *Edge) catchUp() {
+	if e.fetching.Load() {
+		return // the fetch that runs looks for newer data at its end
+	}
 	newer := e.pulse.NewerPeers(e.news.Versions())
 	if len(newer) == 0 || !e.mayTakeFromPeers() || !e.fetching.CompareAndSwap(false, true) {
 		return
--- a/io/pulse/announce_internal_test.go
+++ b/io/pulse/announce_internal_test.go
@@ -5,34 +5,13 @@
 	"math/rand/v2"
 	"net/netip"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
 	"snipeshed/core"
-	"snipeshed/core/ring"
-	"snipeshed/core/tally"
-	"snipeshed/io/event"
 	"snipeshed/wire"
 )
 
-// largePulse returns a Pulse that knows n other instances and sends nothing.
-func largePulse(t *testing.T, n int, state State) *Pulse {
-	log := event.New(t.Output(), "self", logrus.ErrorLevel)
-	t.Cleanup(log.Close)
-	p := &Pulse{
-		Hooks: Hooks{
-			OnUpdate: func() {}, OnLeaving: func(time.Time, core.Version, core.Incarnation) {}, State: func(time.Time) State { return state },
-		},
-		peers: newPeers(core.Peer{ID: "self", Address: "127.0.0.1:1"}), loads: tally.New(), log: log, ring: ring.New("self"),
-	}
-	for i := range n {
-		p.applyFull(time.Unix(1000, 0), &wire.Pulse{From: fmt.Sprint("p", i), Address: fmt.Sprint("127.0.0.1:", 2+i), Run: 1, Seq: 1})
-	}
-	return p
-}
-
 func leavingEngines(n int) (out []core.Incarnation) {
 	for i := range n {
 		out = append(out, core.Incarnation{ID: core.EndpointID(fmt.Sprint("i-", i)), Started: 1})
@@ -45,17 +24,17 @@
 func TestLeavingInFull(t *testing.T) {
 	is := is.New(t)
 	s := State{Leaving: leavingEngines(500)}
-	is.Equal(len(largePulse(t, 200, s).fullMessage(time.Unix(1000, 0), s).GetLeaving()), maxLeavingInFull)
+	is.Equal(len(testPulse(t, 200).fullMessage(testTime, s).GetLeaving()), maxLeavingInFull)
 	s = State{Leaving: leavingEngines(500)}
-	is.Equal(len(largePulse(t, 10, s).fullMessage(time.Unix(1000, 0), s).GetLeaving()), 500)
+	is.Equal(len(testPulse(t, 10).fullMessage(testTime, s).GetLeaving()), 500)
 }
 
 // TestAnnouncementPassedOn guards against an announcement that ends at the few instances which its sender has told, and against one
 // that is passed on again and again.
 func TestAnnouncementPassedOn(t *testing.T) {
 	is := is.New(t)
-	p := largePulse(t, 60, State{})
-	now := time.Unix(1000, 0)
+	p := testPulse(t, 60)
+	now := testTime
 	d := &wire.Pulse{From: "p0", Run: 1, Seq: 2, Partial: true, Announcement: true, Rules: 4, Endpoints: 9}
 	encodeLeaving(d, leavingEngines(3))
 	p.handleDatagram(now, d)
--- /dev/null
+++ b/io/pulse/helper_internal_test.go
@@ -0,0 +1,35 @@
+package pulse
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"snipeshed/core"
+	"snipeshed/core/ring"
+	"snipeshed/core/tally"
+	"snipeshed/io/event"
+	"snipeshed/wire"
+)
+
+// testTime is the time at which testPulse has heard from the other instances.
+var testTime = time.Unix(1000, 0)
+
+// testPulse returns a Pulse of the instance self that sends nothing and has heard from n others: p0, p1 and so on, in run 1.
+func testPulse(t *testing.T, n int) *Pulse {
+	log := event.New(t.Output(), "self", logrus.ErrorLevel)
+	t.Cleanup(log.Close)
+	p := &Pulse{
+		Hooks: Hooks{
+			OnUpdate: func() {}, OnLeaving: func(time.Time, core.Version, core.Incarnation) {},
+			State: func(time.Time) State { return State{} },
+		},
+		peers: newPeers(core.Peer{ID: "self", Address: "127.0.0.1:1"}), loads: tally.New(), log: log, ring: ring.New("self"), runID: 7,
+	}
+	for i := range n {
+		p.applyFull(testTime, &wire.Pulse{From: fmt.Sprint("p", i), Address: fmt.Sprint("127.0.0.1:", 2+i), Run: 1, Seq: 1})
+	}
+	return p
+}
--- a/io/pulse/loss_internal_test.go
+++ b/io/pulse/loss_internal_test.go
@@ -1,17 +1,13 @@
 package pulse
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
 	"snipeshed/core"
-	"snipeshed/core/ring"
 	"snipeshed/core/tally"
-	"snipeshed/io/event"
 	"snipeshed/wire"
 )
 
@@ -19,25 +15,22 @@
 // report of an instance whose own network is at fault, and against a live instance that can't object.
 func TestReportedLoss(t *testing.T) {
 	is := is.New(t)
-	log := event.New(t.Output(), "self", logrus.ErrorLevel)
-	defer log.Close()
-	p := &Pulse{Hooks: Hooks{OnUpdate: func() {}}, peers: newPeers(core.Peer{ID: "self", Address: "127.0.0.1:1"}), loads: tally.New(), log: log, ring: ring.New("self"), runID: 7}
-	start := time.Unix(1000, 0)
-	for n, id := range []string{"a", "b", "c"} {
-		p.applyFull(start, &wire.Pulse{From: id, Address: fmt.Sprint("127.0.0.1:", 2+n), Run: 1, Seq: 1})
-		p.loads.ReplacePeer(start, start.Add(time.Minute), core.InstanceID(id), map[core.EndpointID]tally.Load{"e": {Calls: 1}})
+	p := testPulse(t, 3)
+	start := testTime
+	for _, id := range []core.InstanceID{"p0", "p1", "p2"} {
+		p.loads.ReplacePeer(start, start.Add(time.Minute), id, map[core.EndpointID]tally.Load{"e": {Calls: 1}})
 	}
 	seq := uint64(1)
 	report := func(at time.Time, id string, run uint64) {
 		seq++
-		p.handleDatagram(at, &wire.Pulse{From: "a", Run: 1, Seq: seq, Partial: true, Lost: []*wire.LostInstance{{Instance: id, Run: run}}})
+		p.handleDatagram(at, &wire.Pulse{From: "p0", Run: 1, Seq: seq, Partial: true, Lost: []*wire.LostInstance{{Instance: id, Run: run}}})
 	}
-	report(start.Add(recentlyHeard/2), "b", 1)
+	report(start.Add(recentlyHeard/2), "p1", 1)
 	is.Equal(p.liveCount(), 4) // heard from too recently
 	later := start.Add(2 * recentlyHeard)
-	report(later, "b", 9)
+	report(later, "p1", 9)
 	is.Equal(p.liveCount(), 4) // a process that is not known here
-	report(later, "b", 1)
+	report(later, "p1", 1)
 	is.Equal(p.liveCount(), 3)
 	is.Equal(p.loads.Load(later, "e").Calls, 3) // its engines may not have noticed yet
 	is.Equal(p.loads.Load(later.Add(orphanSpan+time.Second), "e").Calls, 2)
@@ -46,6 +39,6 @@
 	is.True(!p.pending.take().full) // an earlier process of this instance
 	report(later, "self", 7)
 	is.True(p.pending.take().full) // the answer to a false report
-	p.handleDatagram(later, &wire.Pulse{From: "b", Address: "127.0.0.1:3", Run: 1, Seq: 2})
+	p.handleDatagram(later, &wire.Pulse{From: "p1", Address: "127.0.0.1:3", Run: 1, Seq: 2})
 	is.Equal(p.liveCount(), 4) // and its effect
 }
--- a/io/pulse/pause_internal_test.go
+++ b/io/pulse/pause_internal_test.go
@@ -5,25 +5,18 @@
 	"time"
 
 	"github.com/matryer/is"
-	"github.com/sirupsen/logrus"
 
 	"snipeshed/core"
-	"snipeshed/core/ring"
 	"snipeshed/core/tally"
-	"snipeshed/io/event"
-	"snipeshed/wire"
 )
 
 // TestOwnPause guards against an instance that was frozen for seconds and takes all others for lost when it goes on: it would
 // count their calls as ended and read the store on behalf of all.
 func TestOwnPause(t *testing.T) {
 	is := is.New(t)
-	log := event.New(t.Output(), "a", logrus.ErrorLevel)
-	defer log.Close()
-	p := &Pulse{peers: newPeers(core.Peer{ID: "a", Address: "127.0.0.1:1"}), loads: tally.New(), log: log, ring: ring.New("a")}
-	frozenAt := time.Unix(1000, 0)
-	p.applyFull(frozenAt, &wire.Pulse{From: "b", Address: "127.0.0.1:2", Run: 1, Seq: 1})
-	p.loads.ReplacePeer(frozenAt, frozenAt.Add(p.lostAfter()), "b", map[core.EndpointID]tally.Load{"e": {Calls: 3}})
+	p := testPulse(t, 1)
+	frozenAt := testTime
+	p.loads.ReplacePeer(frozenAt, frozenAt.Add(p.lostAfter()), "p0", map[core.EndpointID]tally.Load{"e": {Calls: 3}})
 
 	thawedAt := frozenAt.Add(10 * time.Second)
 	due := p.forgivePause(thawedAt, frozenAt.Add(100*time.Millisecond))
@@ -39,7 +32,6 @@
 // TestLateTimer guards against a late timer that counts as a pause and keeps lost instances live.
 func TestLateTimer(t *testing.T) {
 	is := is.New(t)
-	p := &Pulse{peers: newPeers(core.Peer{ID: "a"})}
 	due := time.Unix(1000, 0)
-	is.Equal(p.forgivePause(due.Add(pauseThreshold/2), due), due)
+	is.Equal(testPulse(t, 0).forgivePause(due.Add(pauseThreshold/2), due), due)
 }
--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -1,9 +1,9 @@
 package pulse
 
 import (
-	"hash/fnv"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"snipeshed/core"
@@ -13,16 +13,14 @@
 // member is the last known state of another instance.
 type member struct {
 	core.Peer
-	addrPort          netip.AddrPort // the parsed Peer.Address
-	run, seq          uint64
-	lastHeard         time.Time // zero until its first datagram
-	configVersion     core.Version
-	endpointsRevision core.Version
-	storeDown         bool
-	storeUp           bool
-	stopping          bool
-	memberCount       int
-	live              bool
+	announcedNews
+	addrPort  netip.AddrPort // the parsed Peer.Address
+	run, seq  uint64
+	lastHeard time.Time // zero until its first datagram
+	storeDown bool
+	storeUp   bool
+	stopping  bool
+	live      bool // changed by setLive only
 }
 
 // peers is the table of the other instances; it is safe for concurrent use.
@@ -31,6 +29,29 @@
 
 	mu   sync.Mutex
 	byID map[core.InstanceID]*member
+	// live is the number of members that are live. It is kept up to date, as it is needed for each datagram.
+	live atomic.Int64
+	// newest is at least what any live member has announced.
+	newest announcedNews
+}
+
+// announcedNews is what instances announce about their data.
+type announcedNews struct {
+	configVersion     core.Version
+	endpointsRevision core.Version
+	memberCount       int
+}
+
+// raise raises each value to that of m.
+func (a *announcedNews) raise(m announcedNews) {
+	a.configVersion = max(a.configVersion, m.configVersion)
+	a.endpointsRevision = max(a.endpointsRevision, m.endpointsRevision)
+	a.memberCount = max(a.memberCount, m.memberCount)
+}
+
+// exceeds reports whether one of the values is higher than that of b.
+func (a *announcedNews) exceeds(b announcedNews) bool {
+	return a.configVersion > b.configVersion || a.endpointsRevision > b.endpointsRevision || a.memberCount > b.memberCount
 }
 
 func newPeers(self core.Peer) *peers { return &peers{self: self, byID: map[core.InstanceID]*member{}} }
@@ -90,9 +111,10 @@
 		p.byID[id] = m
 	}
 	becameLive = !m.live
-	m.run, m.seq, m.lastHeard, m.live = d.GetRun(), d.GetSeq(), now, true
-	m.configVersion, m.endpointsRevision = core.Version(d.GetRules()), core.Version(d.GetEndpoints())
-	m.memberCount = int(d.GetMembers())
+	m.run, m.seq, m.lastHeard = d.GetRun(), d.GetSeq(), now
+	p.setLive(m, true)
+	m.announcedNews = announcedNews{core.Version(d.GetRules()), core.Version(d.GetEndpoints()), int(d.GetMembers())}
+	p.newest.raise(m.announcedNews)
 	m.storeUp = d.GetStoreUp()
 	m.storeDown, m.stopping = d.GetStoreDown(), d.GetStopping()
 	return true, becameLive
@@ -116,7 +138,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m := p.byID[id]; m != nil {
-		m.configVersion, m.endpointsRevision = max(m.configVersion, config), max(m.endpointsRevision, endpoints)
+		m.raise(announcedNews{configVersion: config, endpointsRevision: endpoints})
+		p.newest.raise(m.announcedNews)
 	}
 }
 
@@ -174,7 +197,7 @@
 	if m == nil || !m.live {
 		return 0, false
 	}
-	m.live = false
+	p.setLive(m, false)
 	return m.run, true
 }
 
@@ -187,7 +210,7 @@
 	if m == nil || !m.live || m.run != run || m.lastHeard.After(heardAfter) {
 		return false
 	}
-	m.live = false
+	p.setLive(m, false)
 	return true
 }
 
@@ -199,7 +222,7 @@
 	var out []core.InstanceID
 	for id, m := range p.byID {
 		if m.live && now.Sub(m.lastHeard) > after {
-			m.live = false
+			p.setLive(m, false)
 			out = append(out, id)
 		}
 		if !m.live && !m.lastHeard.IsZero() && now.Sub(m.lastHeard) > removeAfter {
@@ -210,16 +233,19 @@
 }
 
 // liveCount returns the number of live instances, this one included.
-func (p *peers) liveCount() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	n := 1
-	for _, m := range p.byID {
-		if m.live {
-			n++
-		}
+func (p *peers) liveCount() int { return int(p.live.Load()) + 1 }
+
+// setLive marks an instance as live or not; p.mu is held.
+func (p *peers) setLive(m *member, live bool) {
+	if m.live == live {
+		return
+	}
+	m.live = live
+	if live {
+		p.live.Add(1)
+	} else {
+		p.live.Add(-1)
 	}
-	return n
 }
 
 // knownCount returns the number of other instances, live or not.
@@ -279,118 +305,20 @@
 func (p *peers) newerPeers(configVersion, endpointsRevision core.Version) []core.Peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := len(p.byID) + 1
-	var out []core.Peer
-	for _, m := range p.byID {
-		if m.live && (m.configVersion > configVersion || m.endpointsRevision > endpointsRevision || m.memberCount > known) {
-			out = append(out, m.Peer)
-		}
-	}
-	return out
-}
-
-// storeSeen reports whether a live instance has recently reached the store.
-func (p *peers) storeSeen() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, m := range p.byID {
-		if m.live && m.storeUp {
-			return true
-		}
-	}
-	return false
-}
-
-// outageReported reports whether minOutageReports other instances fail to reach the store and none reaches it.
-func (p *peers) outageReported() bool { return p.outageSuspected(minOutageReports, false, false) }
-
-// outageSuspected reports whether n instances fail to reach the store, this one included if selfDown is set, and none reaches it.
-func (p *peers) outageSuspected(n int, selfDown, selfUp bool) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if selfUp {
-		return false
-	}
-	down := 0
-	if selfDown {
-		down++
-	}
-	for _, m := range p.byID {
-		switch {
-		case !m.live:
-		case m.storeUp:
-			return false
-		case m.storeDown:
-			down++
-		}
-	}
-	return down >= n
-}
-
-// minOutageReports is the number of instances that must fail to reach the store before it counts as down for all; in a
-// small fleet half of the live instances are enough.
-const minOutageReports = 4
-
-// outage reports whether enough instances fail to reach the store and none reaches it.
-func (p *peers) outage(selfDown, selfUp bool) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.outageLocked(selfDown, selfUp)
-}
-
-func (p *peers) outageLocked(selfDown, selfUp bool) bool {
-	down, live := 0, 1
-	if selfUp {
-		return false
-	}
-	if selfDown {
-		down++
+	own := announcedNews{configVersion, endpointsRevision, len(p.byID) + 1}
+	if !p.newest.exceeds(own) {
+		return nil // without a look at each member, as this is asked for each datagram
 	}
+	p.newest = announcedNews{}
+	var out []core.Peer
 	for _, m := range p.byID {
-		switch {
-		case !m.live:
+		if !m.live {
 			continue
-		case m.storeUp:
-			return false
-		case m.storeDown:
-			down++
 		}
-		live++
-	}
-	return down >= min(minOutageReports, (live+1)/2)
-}
-
-// isWatcher reports whether this instance is among the first n, by hash, of the live instances that can reach the store. In
-// an outage it considers all live instances, so that n of them keep trying.
-func (p *peers) isWatcher(n int, selfDown, selfUp bool) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	outage := p.outageLocked(selfDown, selfUp)
-	own, before := instanceHash(p.self.ID), 0
-	for id, m := range p.byID {
-		if m.live && !m.stopping && (outage || !m.storeDown) && instanceHash(id) < own {
-			before++
-		}
-	}
-	return before < n
-}
-
-// ranksFirst reports whether this instance has the lowest hash for the key among the live ones (rendezvous hashing).
-func (p *peers) ranksFirst(key string) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	own := instanceHash(p.self.ID + core.InstanceID("/"+key))
-	for id, m := range p.byID {
-		if m.live && !m.stopping && instanceHash(id+core.InstanceID("/"+key)) < own {
-			return false
+		p.newest.raise(m.announcedNews)
+		if m.exceeds(own) {
+			out = append(out, m.Peer)
 		}
 	}
-	return true
-}
-
-// instanceHash returns a hash that orders the instances identically on all of them.
-func instanceHash(id core.InstanceID) uint64 {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(id)) // never fails
-	return h.Sum64()
+	return out
 }
--- a/io/pulse/pending.go
+++ b/io/pulse/pending.go
@@ -10,7 +10,7 @@
 type pendingSends struct {
 	mu         sync.Mutex
 	full       bool                        // send a full datagram to all live instances
-	probe      bool                        // send it to the instances that are not live as well
+	greet      []core.InstanceID           // send a full datagram to these
 	allDomains bool                        // send the load changes to all live instances
 	domains    map[core.FailureDomain]bool // send the load changes to these failure domains
 	announce   bool                        // announce newer data to a few live instances
@@ -23,10 +23,10 @@
 	d.full = true
 }
 
-func (d *pendingSends) addProbe() {
+func (d *pendingSends) addGreeting(id core.InstanceID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.full, d.probe = true, true
+	d.greet = append(d.greet, id)
 }
 
 func (d *pendingSends) addLoad(domain core.FailureDomain, allDomains bool) {
@@ -48,8 +48,9 @@
 
 // sendRequests is the set of collected requests; its fields are those of pendingSends.
 type sendRequests struct {
-	full, probe, allDomains, announce, load bool
-	domains                                 map[core.FailureDomain]bool
+	full, allDomains, announce, load bool
+	greet                            []core.InstanceID
+	domains                          map[core.FailureDomain]bool
 }
 
 // take returns the collected requests and clears them.
@@ -57,8 +58,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	t := sendRequests{
-		full: d.full, probe: d.probe, allDomains: d.allDomains, domains: d.domains, announce: d.announce, load: d.load,
+		full: d.full, greet: d.greet, allDomains: d.allDomains, domains: d.domains, announce: d.announce, load: d.load,
 	}
-	d.domains, d.full, d.probe, d.allDomains, d.announce, d.load = nil, false, false, false, false, false
+	d.domains, d.greet, d.full, d.allDomains, d.announce, d.load = nil, nil, false, false, false, false
 	return t
 }
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -109,8 +109,7 @@
 // Add adds an instance and sends it a datagram if it was unknown.
 func (p *Pulse) Add(q core.Peer) {
 	if p.add(q) {
-		p.pending.addProbe()
-		p.wakeSender()
+		p.greet(q.ID)
 	}
 }
 
@@ -173,13 +172,16 @@
 		if reqs.announce {
 			p.sendAnnouncement(now)
 		}
+		if len(reqs.greet) > 0 && !reqs.full {
+			p.sendTo(p.fullMessage(now, p.State(now)), p.addresses(reqs.greet))
+		}
 		if woken && !reqs.full {
 			if reqs.load {
 				p.sendPartial(now, reqs)
 			}
 			continue
 		}
-		p.sendFull(now, woken, reqs.probe, &r)
+		p.sendFull(now, woken, len(reqs.greet) > 0, &r)
 		t.Reset(p.interval())
 		due = time.Now().Add(p.interval())
 	}
@@ -318,7 +320,7 @@
 	}
 	if becameLive {
 		p.log.Emit(event.PeerFound, event.Fields{"peer": from, "address": d.GetAddress(), "rules": d.GetRules()})
-		p.greet(now, from)
+		p.greet(from)
 	}
 	p.loads.ReplacePeer(now, now.Add(p.lostAfter()), from, decodeLoads(d))
 	p.loads.SetPeerWaiting(from, int(d.GetWaiting()))
@@ -332,14 +334,11 @@
 	p.OnUpdate()
 }
 
-// greet sends the state of this instance to one that has become live. In a small fleet it sends it to all; in a large one, in
-// which many become live at the same time, that would fill the links.
-func (p *Pulse) greet(now time.Time, id core.InstanceID) {
-	if p.liveCount() < core.LargeFleetInstances {
-		p.Broadcast()
-		return
-	}
-	p.sendTo(p.fullMessage(now, p.State(now)), p.addresses([]core.InstanceID{id}))
+// greet sends the state of this instance to one that is new here. Those that become known in the same moment, as many do when a
+// fleet starts, share a datagram; the others get none.
+func (p *Pulse) greet(id core.InstanceID) {
+	p.pending.addGreeting(id)
+	p.wakeSender()
 }
 
 func decodeLoads(d *wire.Pulse) map[core.EndpointID]tally.Load {
--- /dev/null
+++ b/io/pulse/start_internal_test.go
@@ -0,0 +1,82 @@
+package pulse
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+	"snipeshed/wire"
+)
+
+// TestCostOfDatagram guards against a datagram that costs time in proportion to the number of instances (load pattern: when all
+// instances of a large fleet start in the same moment, each soon gets hundreds of datagrams).
+func TestCostOfDatagram(t *testing.T) {
+	const datagrams = 5000
+	cost := func(instances int) time.Duration {
+		p := testPulse(t, instances)
+		p.OnUpdate = func() { p.newerPeers(1, 1) }
+		seq := uint64(1)
+		best := time.Hour
+		for range 5 {
+			begun := time.Now()
+			for range datagrams {
+				seq++
+				p.handleDatagram(testTime, &wire.Pulse{
+					From: "p0", Address: "127.0.0.1:2", Run: 1, Seq: seq, Rules: 1, Endpoints: 1, Members: uint32(instances + 1),
+				})
+			}
+			best = min(best, time.Since(begun))
+		}
+		return best / datagrams
+	}
+	small, large := cost(30), cost(2000)
+	t.Logf("%v with 30 instances, %v with 2,000", small, large)
+	is.New(t).True(large < 5*small) // no more than caches account for; 2,000 instances are 67 times as many
+}
+
+// TestGreetingsOfStart guards against an instance that sends its state to all others for each one that it finds (load pattern: when
+// all instances of a large fleet start in the same moment, each finds hundreds).
+func TestGreetingsOfStart(t *testing.T) {
+	is := is.New(t)
+	const known, newcomers = 40, 60
+	count := func() (string, *atomic.Int64) {
+		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		is.NoErr(err)
+		t.Cleanup(func() { _ = conn.Close() })
+		var n atomic.Int64
+		go func() {
+			for buf := make([]byte, maxDatagram); ; n.Add(1) {
+				if _, _, err := conn.ReadFromUDPAddrPort(buf); err != nil {
+					return
+				}
+			}
+		}()
+		return conn.LocalAddr().String(), &n
+	}
+	oldAddress, toOld := count()
+	newAddress, toNew := count()
+	p := testPulse(t, 0)
+	var err error
+	p.conn, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	is.NoErr(err)
+	p.wake = make(chan struct{}, 1)
+	p.ctx, p.stop = context.WithCancel(t.Context())
+	for i := range known {
+		p.applyFull(time.Now(), &wire.Pulse{From: fmt.Sprint("old", i), Address: oldAddress, Run: 1, Seq: 1})
+	}
+	p.Start()
+	defer p.Close()
+	for i := range newcomers {
+		p.Add(core.Peer{ID: core.InstanceID(fmt.Sprint("new", i)), Address: newAddress})
+		time.Sleep(2 * coalesceDelay)
+	}
+	time.Sleep(100 * time.Millisecond)
+	is.True(toNew.Load() >= newcomers)
+	is.True(toOld.Load() <= 10*known) // full datagrams at their intervals, and heartbeats
+}
--- a/io/relay/panic_test.go
+++ b/io/relay/panic_test.go
@@ -30,7 +30,9 @@
 // panickingPeer panics in each call, as a decoder might that meets a malformed answer.
 type panickingPeer struct{ wire.Peer }
 
-func (panickingPeer) Exchange(context.Context, *wire.Digest) (*wire.Delta, error) { panic("nil pointer") }
+func (panickingPeer) Exchange(context.Context, *wire.Digest) (*wire.Delta, error) {
+	panic("nil pointer")
+}
 
 // Guards against one malformed message or unexpected error that takes down the process, or ends the work that keeps the
 // configuration current.
