Resume at a backup only if its engine has generated

Cause: the answer of the first engine was lost by a reset before any event; asked to stop, it answered that it does not run the generation; the call was then sent to the engine that was to keep the backup, as its continuation. Nothing showed that a backup existed, and when that engine did not refuse, it ran the call. Change: a backup counts as begun only if an event of the failed engine has arrived. Otherwise the call goes on only if the failed engine confirms that it has stopped and gives a handle; else the caller gets 502, run unknown. The same evidence is asked for when an engine leaves. Lost by it: a backup that was sent before the first event is not used.

--- a/io/gate/failover.go
+++ b/io/gate/failover.go
@@ -11,9 +11,16 @@
 
 // failOverToBackup resumes a stream at the engine that keeps a backup after its own engine failed. The failed engine may
 // still run the generation although its answer was lost, so it is stopped first.
-func (s *stream) failOverToBackup(source, backup core.Endpoint) {
+//
+// Only an event shows that the failed engine has generated, and may have sent memory to the backup. Without one, the engine that is
+// to keep the backup might begin the generation anew, so it is used only if the failed engine confirms that it has stopped.
+func (s *stream) failOverToBackup(failed *upstream, backup core.Endpoint) {
+	source := failed.endpoint
 	s.migration.uncountMemory(s.g)
-	s.migration = migration{source: source, target: backup, moveRequestInFlight: true, finalCopy: true, stopped: true, stoppingFailedSource: true}
+	s.migration = migration{
+		source: source, target: backup, moveRequestInFlight: true, finalCopy: true, stopped: true, stoppingFailedSource: true,
+		backupBegun: failed.eventsRead > 0,
+	}
 	id, out := s.ID, s.moveResults
 	s.inBackground("stopping the generation", func() {
 		m, err := s.g.Mover.StopAndMove(source, backup, id)
@@ -33,7 +40,7 @@
 	case m.err == nil:
 		s.migration.memoryHandle = m.Handle
 		s.resumeFromCopy(backup)
-	case s.resumeAt(backup, backup.Address+"/"+string(s.ID)):
+	case s.migration.backupBegun && s.resumeAt(backup, backup.Address+"/"+string(s.ID)):
 		s.migration.memoryHandle = m.Handle // if the source was stopped and the other engine had no room, the source keeps the memory
 		s.migration.source = source
 	default:
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -43,6 +43,7 @@
 	finalCopy            bool      // that request stops the generation
 	stopped              bool      // the generation was or is being stopped, and must be resumed
 	stoppingFailedSource bool      // the source failed and is being stopped in case it still runs; target keeps the backup
+	backupBegun          bool      // the source that failed had generated, so target may hold a part of the backup
 	// memoryHandle names a complete copy at target, or the memory that the source kept when the target had no room for the
 	// final copy.
 	memoryHandle    string
@@ -177,7 +178,7 @@
 	case s.migration.moveRequestInFlight || s.migration.stopped || s.current == nil:
 	case s.pending != nil:
 		s.migration.nextStepAt = time.Now().Add(moveRetryInterval)
-	case s.eventsSent > 0 && s.backupPreferred(s.current) && s.resumeFromBackup():
+	case s.current.eventsRead > 0 && s.backupPreferred(s.current) && s.resumeFromBackup():
 	case !s.service.Engine.CanMove:
 	case s.migration.hasMemoryHandle() && s.copyPreferred():
 		s.finishOrCopyAgain()
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -259,7 +259,7 @@
 		return
 	}
 	if o.err != nil && o.upstream.backup != nil {
-		s.failOverToBackup(o.upstream.endpoint, *o.upstream.backup)
+		s.failOverToBackup(o.upstream, *o.upstream.backup)
 		return
 	}
 	if s.mayRetry(ans, o.err) {
@@ -303,7 +303,7 @@
 		return
 	}
 	if backup != nil {
-		s.failOverToBackup(up.endpoint, *backup)
+		s.failOverToBackup(up, *backup)
 		return
 	}
 	s.failedAttempts++
