Send full datagrams to other failure domains at the idle interval

Cause: in a large fleet each instance sent its whole load to all others at each interval, as some short call has always begun or ended. Change: from 33 instances on, full datagrams whose content matters little elsewhere (load of short calls, endpoint revision) go to the sender's own failure domain; all others get one at the interval of an idle instance, three times as long. A changed configuration, the state of the store, a stop and crashes go to all at once, as do changes of long generations.

--- a/io/pulse/helper_internal_test.go
+++ b/io/pulse/helper_internal_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,3 +35,26 @@
 	}
 	return p
 }
+
+func listenUDP(t *testing.T) *net.UDPConn {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn
+}
+
+// countDatagrams returns an address and the number of datagrams that have arrived there.
+func countDatagrams(t *testing.T) (string, *atomic.Int64) {
+	conn := listenUDP(t)
+	var n atomic.Int64
+	go func() {
+		for buf := make([]byte, maxDatagram); ; n.Add(1) {
+			if _, _, err := conn.ReadFromUDPAddrPort(buf); err != nil {
+				return
+			}
+		}
+	}()
+	return conn.LocalAddr().String(), &n
+}
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -175,10 +175,10 @@
 		if len(reqs.greet) > 0 && !reqs.full {
 			p.sendTo(p.fullMessage(now, p.State(now)), p.addresses(reqs.greet))
 		}
+		if reqs.load && !reqs.full {
+			p.sendPartial(now, reqs) // also before a full datagram, which may not go to all
+		}
 		if woken && !reqs.full {
-			if reqs.load {
-				p.sendPartial(now, reqs)
-			}
 			continue
 		}
 		p.sendFull(now, woken, len(reqs.greet) > 0, &r)
@@ -198,26 +198,38 @@
 	p.sendTo(d, p.recipientsIn(reqs.domains))
 }
 
-// fullSendState holds when and with which content the last full datagram was sent.
+// fullSendState holds when and with which content the last full datagram was sent, and the last one to all instances.
 type fullSendState struct {
-	lastSent, lastProbed time.Time
-	lastContent          content
+	lastSent, lastSentToAll, lastProbed time.Time
+	lastContent                         content
 }
 
-// sendFull sends a full datagram if one was requested, if its content has changed or if the idle interval has passed.
+// sendFull sends a full datagram if one was requested, if its content has changed or if the idle interval has passed. In a large
+// fleet a change that matters little in other failure domains is sent there at the idle interval only.
 func (p *Pulse) sendFull(now time.Time, requested, probePeers bool, last *fullSendState) {
 	p.expirePeers(now, p.lostAfter())
 	s := p.State(now)
-	current := content{s.ConfigVersion, s.EndpointsRevision, s.StoreDown, s.StoreUp, s.Stopping, len(s.Leaving), p.loads.ChangeCount(), s.Blame.Version}
-	if !requested && current == last.lastContent && now.Sub(last.lastSent) < idleFactor*p.interval() {
+	current := content{
+		globalContent{s.ConfigVersion, s.StoreDown, s.StoreUp, s.Stopping, s.Blame.Version},
+		s.EndpointsRevision, len(s.Leaving), p.loads.ChangeCount(),
+	}
+	idle := idleFactor * p.interval()
+	if !requested && current == last.lastContent && now.Sub(last.lastSent) < idle {
 		return
 	}
-	probe := probePeers || now.Sub(last.lastProbed) >= probeInterval
+	toAll := requested || p.liveCount() < core.LargeFleetInstances || current.globalContent != last.lastContent.globalContent ||
+		now.Sub(last.lastSentToAll) >= idle
+	probe := toAll && (probePeers || now.Sub(last.lastProbed) >= probeInterval)
 	if probe {
 		last.lastProbed = now
 	}
 	p.loads.TakeChanged(now) // clears the changes, as the full datagram includes them
-	p.sendTo(p.fullMessage(now, s), p.recipients(probe))
+	if toAll {
+		p.sendTo(p.fullMessage(now, s), p.recipients(probe))
+		last.lastSentToAll = now
+	} else {
+		p.sendTo(p.fullMessage(now, s), p.recipientsIn(nil))
+	}
 	last.lastSent, last.lastContent = now, current
 }
 
@@ -229,12 +241,19 @@
 
 // content is compared with that of the last full datagram to find out whether anything has changed.
 type content struct {
-	configVersion, endpointsRevision core.Version
-	storeDown, storeUp               bool
-	stopping                         bool
-	leaving                          int
-	loadChanges                      uint64
-	blameVersion                     uint64
+	globalContent
+	endpointsRevision core.Version
+	leaving           int
+	loadChanges       uint64
+}
+
+// globalContent is the part that matters to all instances alike. The endpoint list is not among it, as a large fleet announces
+// its changes.
+type globalContent struct {
+	configVersion      core.Version
+	storeDown, storeUp bool
+	stopping           bool
+	blameVersion       uint64
 }
 
 // fullMessage returns a full datagram; its sequence number is set when it is sent.
--- a/io/pulse/start_internal_test.go
+++ b/io/pulse/start_internal_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,26 +43,10 @@
 func TestGreetingsOfStart(t *testing.T) {
 	is := is.New(t)
 	const known, newcomers = 40, 60
-	count := func() (string, *atomic.Int64) {
-		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		is.NoErr(err)
-		t.Cleanup(func() { _ = conn.Close() })
-		var n atomic.Int64
-		go func() {
-			for buf := make([]byte, maxDatagram); ; n.Add(1) {
-				if _, _, err := conn.ReadFromUDPAddrPort(buf); err != nil {
-					return
-				}
-			}
-		}()
-		return conn.LocalAddr().String(), &n
-	}
-	oldAddress, toOld := count()
-	newAddress, toNew := count()
+	oldAddress, toOld := countDatagrams(t)
+	newAddress, toNew := countDatagrams(t)
 	p := testPulse(t, 0)
-	var err error
-	p.conn, err = net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	is.NoErr(err)
+	p.conn = listenUDP(t)
 	p.wake = make(chan struct{}, 1)
 	p.ctx, p.stop = context.WithCancel(t.Context())
 	for i := range known {
