Wait for the successor of leaving owners

Cause: while instances are replaced, all owners of a pool that an entry knows may be leaving; each refuses the call, and the entry passed the last refusal on (503 leaving, not run), though a successor becomes known within the next moments. Change: the entry waits for an owner that it has not tried, for a second at most, which is the retry delay that it would name.

--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -41,6 +41,9 @@
 			p.pool = pool
 		}
 		owner, err := e.nextOwner(p)
+		if err != nil && core.ErrorKindOf(last) == core.KindLeaving {
+			owner, err = e.awaitOwner(ctx, p)
+		}
 		if err != nil {
 			return p.typedError(preferTyped(last, err))
 		}
@@ -85,6 +88,32 @@
 // time: only the owner knows whether the call was run.
 const deadlineMargin = 20 * time.Millisecond
 
+const (
+	ownerCheckInterval = 50 * time.Millisecond
+	// maxOwnerWait is the retry delay that the caller would get instead.
+	maxOwnerWait = time.Second
+)
+
+// awaitOwner waits for an owner that this call has not tried yet. While instances are replaced, all that are known here may be
+// leaving, until their successors become known.
+func (e *Entry) awaitOwner(ctx context.Context, p *progress) (core.Peer, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxOwnerWait)
+	defer cancel()
+	t := time.NewTicker(ownerCheckInterval)
+	defer t.Stop()
+	for {
+		owner, err := e.nextOwner(p)
+		if err == nil {
+			return owner, nil
+		}
+		select {
+		case <-ctx.Done():
+			return core.Peer{}, err
+		case <-t.C:
+		}
+	}
+}
+
 // attemptCall sends the call to one owner and passes the frames of its answer to the sink.
 func (e *Entry) attemptCall(ctx context.Context, p *progress, owner core.Peer) error {
 	defer func() { _ = p.sink.flush() }() // the frame announced by More may be missing; a lost client is detected later
--- a/io/entry/entry_test.go
+++ b/io/entry/entry_test.go
@@ -23,6 +23,7 @@
 	"snipeshed/core/shard"
 	"snipeshed/io/entry"
 	"snipeshed/io/meter"
+	"snipeshed/io/peer"
 	"snipeshed/io/reply"
 	"snipeshed/stand/fleet"
 	"snipeshed/wire"
@@ -69,9 +70,10 @@
 
 type testEntry struct {
 	*httptest.Server
-	entry *entry.Entry
-	owner *fakeOwner
-	src   *fakeConfigSource
+	entry   *entry.Entry
+	owner   *fakeOwner
+	src     *fakeConfigSource
+	members *member.Membership
 }
 
 func startEntry(t *testing.T, change func(*conf.Settings)) *testEntry {
@@ -83,11 +85,14 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	e := &testEntry{owner: &fakeOwner{canceled: make(chan core.RequestID, 1)}, src: &fakeConfigSource{cfg: config()}}
+	e := &testEntry{
+		owner: &fakeOwner{canceled: make(chan core.RequestID, 1)}, src: &fakeConfigSource{cfg: config()},
+		members: member.New(core.Peer{ID: "self"}, time.Second),
+	}
 	sh := shard.New(e.src.cfg, 16)
 	e.entry = entry.New(entry.Deps{
 		Common: core.NewCommon(log.WithField("test", t.Name())), Settings: cfg, Config: e.src,
-		Members: member.New(core.Peer{ID: "self"}, time.Second), Host: e.owner,
+		Members: e.members, Host: e.owner, Peer: peer.New(http.DefaultClient, 1<<20),
 		Partition: func() *shard.Partition { return sh }, Meter: meter.New(), Budget: budget.New(), Services: delayedServices{},
 	})
 	e.Server = httptest.NewServer(e.entry)
