--- a/io/entry/successor_test.go
+++ b/io/entry/successor_test.go
@@ -36,6 +36,6 @@
 		}}, 0, 1)
 	})
 	defer known.Stop()
-	resp := e.post(t, "Bearer "+key, strings.Replace(chatBody, "%t", "false", 1))
+	resp := e.post(t, "Bearer "+key, strings.Replace(chatBody, "%t", "false", 1)) //nolint:bodyclose // post closes it
 	is.Equal(resp.StatusCode, http.StatusOK)
 }
