Spread calls over the engines of a failure domain in a large fleet

All instances of a domain choose by the same reports, and those cost the engine with the most free memory least, so calls of the same moment meet there. At 17.7 s six calls came within 17 ms to one engine; the last waited for 3.5 s.

--- a/core/place/selector.go
+++ b/core/place/selector.go
@@ -51,6 +51,13 @@
 	// domain from all choosing the same endpoint.
 	largeFleetDomainCostMs   = 250
 	largeFleetDomainJitterMs = 100
+	// jitterPerEngineMs is the random part of an engine's cost in a large fleet, for each engine of the instance's own failure
+	// domain. Dozens of instances choose by the same reports, and several calls begin before the next ones arrive; by cost alone
+	// they would all go to the same engine. It stays below maxJitterMs.
+	jitterPerEngineMs = 20
+	maxJitterMs       = 400
+	// tieBreakMs is the random part of the cost of all other endpoints.
+	tieBreakMs = 1
 	// callCostMs is the cost per slot of each call in progress at an endpoint of a service without an engine.
 	callCostMs = 100
 )
@@ -112,6 +119,7 @@
 func (sel *Selector) ChooseEndpoint(now time.Time, s core.Service, all []*fleet.Status, d Demand, tried map[core.EndpointID]bool) *fleet.Status {
 	failures := sel.excessFailureRates(now, all)
 	large := sel.instances() >= core.LargeFleetInstances
+	jitter := sel.jitterMs(s, all, large)
 	var best *fleet.Status
 	var least float64
 	for i, e := range all {
@@ -121,7 +129,7 @@
 		if now.Before(e.UnreachableUntil) && !allUnreachable(now, all) {
 			continue
 		}
-		cost := sel.cost(now, s, e, d) + failureCostMs*failures[i] + sel.randFloat()
+		cost := sel.cost(now, s, e, d) + failureCostMs*failures[i] + jitter*sel.randFloat()
 		if e.Domain != sel.domain {
 			cost += sel.otherDomainCost(large)
 		}
@@ -142,6 +150,20 @@
 	return true
 }
 
+// jitterMs returns the random part of the cost of each endpoint of a service.
+func (sel *Selector) jitterMs(s core.Service, all []*fleet.Status, large bool) float64 {
+	if !large || s.Engine == nil {
+		return tieBreakMs
+	}
+	near := 0
+	for _, e := range all {
+		if e.Domain == sel.domain && !e.Leaving {
+			near++
+		}
+	}
+	return min(max(jitterPerEngineMs*float64(near), tieBreakMs), maxJitterMs)
+}
+
 // otherDomainCost returns the cost in ms of choosing an endpoint in another failure domain.
 func (sel *Selector) otherDomainCost(large bool) float64 {
 	if large {
