--- a/io/driver/stop_test.go
+++ b/io/driver/stop_test.go
@@ -74,6 +74,7 @@
 					close(ended)
 				}()
 				time.Sleep(50 * time.Millisecond)
+				synctest.Wait()
 				is.Equal(slots.held, 1)
 				stopped := time.Now()
 				cancel()
