--- a/io/gate/roomwait.go
+++ b/io/gate/roomwait.go
@@ -57,7 +57,7 @@
 	case w.s.g.Selector.AllFull(now, w.s.service, all, w.s.demand()):
 		return false
 	}
-	time.Sleep(rand.N(place.JitterWindow(waiting, w.s.g.Instances())))
+	time.Sleep(rand.N(place.JitterWindow(waiting)))
 	return true
 }
 
