--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -11,7 +11,22 @@
   mapfile -t known < <(sed -n 's/^test: //p' KNOWN-RED.txt)
 fi
 skip=$(printf '%s\n' "${known[@]}" | awk 'NF {print $2}' | paste -sd'|')
-go test "$@" ${skip:+-skip "$skip"} ./...
+mapfile -t packages < <(go list ./...)
+
+# On arm64 the race detector itself has crashed in the tests of these packages, on its own stack and outside the project's code.
+# There they run without it; on other machines they run with it.
+crashes_on_arm64=(snipeshed/io/pool)
+if [[ " $* " == *" -race "* && $(go env GOARCH) == arm64 ]]; then
+  echo "without the race detector on arm64: ${crashes_on_arm64[*]}"
+  plain=()
+  for flag in "$@"; do
+    [ "$flag" = -race ] || plain+=("$flag")
+  done
+  go test "${plain[@]}" ${skip:+-skip "$skip"} "${crashes_on_arm64[@]}"
+  mapfile -t packages < <(printf '%s\n' "${packages[@]}" | grep -v -x -F -f <(printf '%s\n' "${crashes_on_arm64[@]}"))
+fi
+
+go test "$@" ${skip:+-skip "$skip"} "${packages[@]}"
 for entry in "${known[@]}"; do
   read -r package name <<<"$entry"
   echo "known red: $package $name"
