Count a panic in a probe as an unanswered probe

It is logged now and counts as an unanswered probe: three of them close the stream, which is then resumed or ends with an error.

TestReader, 'a panic in a probe ends the generation, not the process', ended the test process before.

--- a/io/follow/probe.go
+++ b/io/follow/probe.go
@@ -14,9 +14,7 @@
 	if !due {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), r.silence)
-	st, err := r.runner.Status(ctx, q.generation)
-	cancel()
+	st, err := r.status(q.generation)
 
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -33,6 +31,16 @@
 	}
 }
 
+// status asks the engine for the generation's status. A panic counts as an unanswered probe, since nothing recovers it in the
+// goroutine of the timer.
+func (r *Reader) status(generation core.GenerationID) (st core.GenerationStatus, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), r.silence)
+	defer cancel()
+	err = core.ErrPanicked
+	r.Protect("asking for the status of generation "+string(generation), func() { st, err = r.runner.Status(ctx, generation) })
+	return st, err
+}
+
 // probeSnapshot is the state of a Reader at the time of a probe.
 type probeSnapshot struct {
 	generation  core.GenerationID
--- a/io/follow/reader.go
+++ b/io/follow/reader.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"snipeshed/core"
 )
 
@@ -16,6 +18,7 @@
 // new connection for the number of tokens generated so far; the old connection counts as dead only if the engine is ahead,
 // no longer has the generation or repeatedly fails to answer.
 type Reader struct {
+	core.Common
 	runner     core.Runner
 	request    core.RequestID
 	generation core.GenerationID
@@ -67,6 +70,9 @@
 // WithCounters sets the counters of dropped events and resumes.
 func WithCounters(c Counters) Option { return func(r *Reader) { r.counters = c } }
 
+// WithCommon sets the logger for panics in probes.
+func WithCommon(c core.Common) Option { return func(r *Reader) { r.Common = c } }
+
 // WithFlush sets a function that flushes the receiver's buffer. It is called when the last returned event had More set but the
 // next one does not follow at once.
 func WithFlush(fn func()) Option { return func(r *Reader) { r.flush = fn } }
@@ -87,7 +93,7 @@
 // name it.
 func New(runner core.Runner, stream core.Stream, request core.RequestID, generation core.GenerationID, from core.Tokens, opts ...Option) *Reader {
 	r := &Reader{
-		runner: runner, stream: stream, request: request, generation: generation, confirmed: generation != "", next: from,
+		Common: core.NewCommon(logrus.NewEntry(logrus.StandardLogger())), runner: runner, stream: stream, request: request, generation: generation, confirmed: generation != "", next: from,
 		silence: defaultSilence, giveUp: defaultGiveUp, counters: noCounters{}, flush: func() {},
 	}
 	for _, o := range opts {
--- a/io/follow/reader_test.go
+++ b/io/follow/reader_test.go
@@ -76,6 +76,7 @@
 	resumeErr   error
 	status      core.GenerationStatus
 	statusErr   error
+	statusPanic bool
 	statusCalls int
 	canceled    int
 }
@@ -100,6 +101,9 @@
 
 func (e *engine) Status(context.Context, core.GenerationID) (core.GenerationStatus, error) {
 	e.statusCalls++
+	if e.statusPanic {
+		panic("status")
+	}
 	return e.status, e.statusErr
 }
 
@@ -200,6 +204,12 @@
 			first:  []step{head(generation, request), token(0)},
 			engine: engine{resumeErr: core.ErrUnknownGeneration}, tokens: 1, resumedFrom: []core.Tokens{1}, kind: core.KindStreamBroken,
 		},
+		{
+			name:   "a panic in a probe ends the generation, not the process",
+			first:  []step{head(generation, request), token(0), {stall: true}},
+			engine: engine{statusPanic: true, resumeErr: core.ErrNotSent}, tokens: 1,
+			count: "silent_connections", kind: core.KindStreamBroken, maxTime: 10 * time.Second,
+		},
 		{
 			name:   "an engine that stays unreachable ends the generation with an error",
 			first:  []step{head(generation, request), token(0), {stall: true}},
--- a/io/host/serve.go
+++ b/io/host/serve.go
@@ -168,7 +168,7 @@
 
 func (c *callRun) followOptions() []follow.Option {
 	return []follow.Option{
-		follow.WithSilence(ms(c.cfg.GetSilenceProbeMs())), follow.WithCounters(c.counters),
+		follow.WithSilence(ms(c.cfg.GetSilenceProbeMs())), follow.WithCounters(c.counters), follow.WithCommon(c.Common),
 		follow.WithFlush(func() { _ = c.send(&core.Frame{}) }), // if the connection is lost, the next frame fails, too
 	}
 }
