Repeat a cancellation that did not reach the owner

serve: when a client leaves or stops reading, its entry sent one cancellation to the owner, bounded by a second, and took any status for success. Lost, it left the engine at work until the end of the generation, up to minutes, as a broken connection alone cancels nothing.

A cancellation is repeated up to three times with backoff, and only 204 counts as success.

--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -165,21 +165,41 @@
 	cancel()
 }
 
-// cancelTimeout bounds a cancel request. A failed request has no other effect than that the generation runs to its end.
-const cancelTimeout = time.Second
+const (
+	// cancelTimeout bounds one cancellation request.
+	cancelTimeout  = time.Second
+	cancelAttempts = 4
+	cancelBackoff  = 100 * time.Millisecond // before the second attempt; doubled for each further one
+)
 
+// cancelAtOwner cancels a call at its owner. A cancellation may be repeated, and one that is lost leaves the engine at work on
+// the generation until its end.
 func (e *Entry) cancelAtOwner(owner core.Peer, id core.RequestID) {
-	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
-	defer cancel()
 	if owner.ID == e.Members.Self().ID {
-		e.Host.Cancel(ctx, id)
+		e.Host.Cancel(context.Background(), id)
 		return
 	}
-	if err := e.Peer.Cancel(ctx, owner.Address, id); err != nil {
-		e.Log.WithFields(map[string]any{"request_id": id, "instance": owner.ID, "error": err.Error()}).Warn("canceling the call at its pool owner failed")
+	backoff := cancelBackoff
+	for i := range cancelAttempts {
+		if i > 0 {
+			time.Sleep(backoff)
+			backoff *= 2
+		}
+		err := e.sendCancel(owner, id)
+		if err == nil {
+			return
+		}
+		e.Log.WithFields(map[string]any{"request_id": id, "instance": owner.ID, "attempt": i + 1, "error": err.Error()}).
+			Warn("canceling the call at its pool owner failed")
 	}
 }
 
+func (e *Entry) sendCancel(owner core.Peer, id core.RequestID) error {
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	return e.Peer.Cancel(ctx, owner.Address, id)
+}
+
 // handleFrame processes one frame from the pool owner.
 func (e *Entry) handleFrame(p *progress, f *core.Frame) error {
 	switch {
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -196,5 +196,8 @@
 	if err != nil {
 		return connectionError(ctx, err)
 	}
-	return resp.Body.Close()
+	if resp.StatusCode != http.StatusNoContent {
+		err = fmt.Errorf("the instance answered the cancellation with status %d", resp.StatusCode)
+	}
+	return errors.Join(err, resp.Body.Close())
 }
