Do not refuse a call for overload that has to start again

serve: a call whose engine or owner is lost starts again at an owner that takes it for a new one. There its expected wait could exceed the rank's limit, and the caller got 429 overloaded with run unknown for a call that had been admitted seconds before.

A call that may have run is sent like one that another owner had queued, which is not refused for overload.

--- a/io/entry/dispatch.go
+++ b/io/entry/dispatch.go
@@ -121,7 +121,8 @@
 	req.Pool = p.pool
 	req.Resume = p.resumePoint
 	req.Avoid = p.avoidEndpoints
-	req.PreviouslyQueued = p.previouslyQueued
+	// A call that may have run was admitted before; a refusal for overload could no longer say that it was not run.
+	req.PreviouslyQueued = p.previouslyQueued || p.mayHaveRun
 	if p.resumePoint != nil {
 		req.Resume = &core.ResumePoint{Endpoint: p.resumePoint.Endpoint, Generation: p.resumePoint.Generation, From: p.nextToken}
 	}
