Do not count the wait for the first report of an endpoint

serve: an instance that has just become the owner of a pool has no report of its endpoints yet. Calls that came meanwhile waited, and an urgent one was refused with 429 after half of its target (155 ms with a target of 310 ms), though nothing was known of the load and the caller would come back to the same owner. Seen in a test of the queue; proof TestTwoFailures/instances replaced, two operators showed once a refusal with such a wait, whose logs were not kept.

Waits count from the first report, or a second after the first endpoint is known.

--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -25,6 +25,9 @@
 	promptCostDivisor = 4
 	// maxTeamsTried limits the number of teams of a rank whose first call is tried in one round.
 	maxTeamsTried = 8
+	// maxOpeningTime bounds the time before an endpoint's first report that does not count as waiting. A refused caller would
+	// come back after as long, to the same owner.
+	maxOpeningTime = minRetryAfter
 )
 
 // Queue is the default core.Policy; it is not safe for concurrent use.
@@ -43,8 +46,9 @@
 	byPriority []*rank // highest priority first
 	waiting    map[core.RequestID]*call
 	running    map[core.RequestID]*call
-	poolSize   int  // number of endpoints, accepting or not
-	accepting  bool // any endpoint accepts calls
+	poolSize   int       // number of endpoints, accepting or not
+	accepting  bool      // any endpoint accepts calls
+	openUntil  time.Time // waits count from here on; zero before the first endpoint is known
 
 	teamsBuf []core.TeamName   // reused buffer
 	held     []core.EndpointID // endpoints held for calls that don't fit yet
@@ -213,6 +217,7 @@
 func (q *Queue) SetRunners(now time.Time, runners []core.RunnerInfo) []core.Action {
 	q.poolSize = len(runners)
 	q.admit.SetRunners(runners)
+	q.updateOpening(now)
 	if accepting := q.admit.Capacity() > 0; accepting != q.accepting {
 		q.accepting = accepting
 		for _, r := range q.byPriority {
@@ -242,13 +247,32 @@
 	return q.dispatch(now, nil)
 }
 
+// updateOpening sets the end of the time in which the pool has endpoints and none has reported that it accepts calls.
+func (q *Queue) updateOpening(now time.Time) {
+	if q.openUntil.IsZero() && q.poolSize > 0 {
+		q.openUntil = now.Add(maxOpeningTime)
+	}
+	if q.admit.Capacity() > 0 && now.Before(q.openUntil) {
+		q.openUntil = now
+	}
+}
+
+// waited returns how long a call has waited. An instance that has just become the owner of a pool waits for the first reports,
+// which says nothing about the load.
+func (q *Queue) waited(now time.Time, c *call) time.Duration {
+	if c.arrived.Before(q.openUntil) {
+		return now.Sub(q.openUntil)
+	}
+	return now.Sub(c.arrived)
+}
+
 // Tick refuses calls that have waited too long and starts waiting calls that fit.
 func (q *Queue) Tick(now time.Time) []core.Action {
 	var acts []core.Action
 	q.fair.Decay(now)
 	for _, r := range q.byPriority {
 		for _, c := range q.overdue(now, r) {
-			wait := now.Sub(c.arrived)
+			wait := q.waited(now, c)
 			kind, text := core.KindOverloaded, overloadMessage(r, wait, q.waitLimit(now, r, c))
 			if !now.Before(c.deadlineOrLast()) {
 				kind, text = core.KindDeadline, "the deadline passed while the call waited"
@@ -265,7 +289,7 @@
 	var out []*call
 	for _, cs := range r.teams {
 		for _, c := range cs {
-			if limit := q.waitLimit(now, r, c); !now.Before(c.deadlineOrLast()) || (limit > 0 && now.Sub(c.arrived) > limit) {
+			if limit := q.waitLimit(now, r, c); !now.Before(c.deadlineOrLast()) || (limit > 0 && q.waited(now, c) > limit) {
 				out = append(out, c)
 			}
 		}
