--- a/core/clock.go
+++ b/core/clock.go
@@ -13,3 +13,11 @@
 
 // Now returns the machine's time.
 func (SystemClock) Now() time.Time { return time.Now() }
+
+// Later returns the later of two times.
+func Later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/core/fleet/endpoints.go
+++ b/core/fleet/endpoints.go
@@ -152,7 +152,7 @@
 	}
 	changed.Leaving, changed.LeavingSince = true, now
 	eps.byID[inc.ID] = &changed
-	eps.lastLeft = later(eps.lastLeft, now)
+	eps.lastLeft = core.Later(eps.lastLeft, now)
 	eps.changedAt = now
 	return true
 }
@@ -300,7 +300,7 @@
 	}
 	eps.byID[e.ID] = s
 	if s.Leaving {
-		eps.lastLeft = later(eps.lastLeft, s.LeavingSince)
+		eps.lastLeft = core.Later(eps.lastLeft, s.LeavingSince)
 	}
 	if s.Leaving && (old == nil || !old.Leaving || !sameStart) {
 		return []core.EndpointID{e.ID}
@@ -333,7 +333,7 @@
 	s.gone, s.Leaving, s.lapsedAt = true, true, time.Time{}
 	if !old.Leaving {
 		s.LeavingSince = now
-		eps.lastLeft = later(eps.lastLeft, now)
+		eps.lastLeft = core.Later(eps.lastLeft, now)
 	}
 	eps.byID[id] = &s
 	if old.Leaving {
@@ -373,10 +373,3 @@
 		eps.onLeave(id)
 	}
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/core/ring/detector.go
+++ b/core/ring/detector.go
@@ -51,7 +51,7 @@
 			begun = now
 		}
 		since[id] = begun
-		if now.Sub(later(begun, lastHeard[id])) > Silence {
+		if now.Sub(core.Later(begun, lastHeard[id])) > Silence {
 			lost = append(lost, id)
 		}
 	}
@@ -100,10 +100,3 @@
 func (p place) compare(q place) int {
 	return cmp.Or(cmp.Compare(p.hash, q.hash), cmp.Compare(p.id, q.id))
 }
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -259,36 +259,32 @@
 }
 
 // applyQuarantine ends requests whose prompts have a part that was quarantined after they were sent.
-func (e *Edge) applyQuarantine() {
-	t := time.NewTicker(quarantineInterval)
-	defer t.Stop()
-	for {
-		select {
-		case <-e.ctx.Done():
-			return
-		case now := <-t.C:
-			e.gate.EndQuarantined(now)
-		}
-	}
-}
+func (e *Edge) applyQuarantine() { e.every(quarantineInterval, e.gate.EndQuarantined) }
 
 // trackOutage records store outages in the endpoint list and lets it mark endpoints as gone whose entries expired in an
 // outage.
 func (e *Edge) trackOutage() {
-	t := time.NewTicker(outageInterval)
+	e.every(outageInterval, func(now time.Time) {
+		if e.watch.Down() || e.pulse.Outage(e.watch.Down(), e.watch.Up()) {
+			e.endpoints.RecordStoreOutage(now)
+		}
+		e.endpoints.ExpireLapsed(now)
+		if !e.news.Loaded() {
+			e.catchUp() // mayTakeFromPeers has changed, perhaps
+		}
+	})
+}
+
+// every calls f at an interval until the instance is closed.
+func (e *Edge) every(interval time.Duration, f func(now time.Time)) {
+	t := time.NewTicker(interval)
 	defer t.Stop()
 	for {
 		select {
 		case <-e.ctx.Done():
 			return
 		case now := <-t.C:
-			if e.watch.Down() || e.pulse.Outage(e.watch.Down(), e.watch.Up()) {
-				e.endpoints.RecordStoreOutage(now)
-			}
-			e.endpoints.ExpireLapsed(now)
-			if !e.news.Loaded() {
-				e.catchUp() // mayTakeFromPeers has changed, perhaps
-			}
+			f(now)
 		}
 	}
 }
