--- a/io/entry/cancel_test.go
+++ b/io/entry/cancel_test.go
@@ -56,7 +56,7 @@
 			e.owner.serve = func(context.Context, *core.CallRequest, func(*core.Frame) error) error {
 				return &core.Error{Kind: core.KindLeaving, Execution: core.NotExecuted}
 			}
-			resp := e.post(t, "Bearer "+key, fmt.Sprintf(chatBody, true)) //nolint:bodyclose // closed below
+			resp := e.post(t, "Bearer "+key, fmt.Sprintf(chatBody, true))
 			_, err := bufio.NewReader(resp.Body).ReadString('\n')
 			is.NoErr(err)
 			is.NoErr(resp.Body.Close())
--- a/proof/slow_test.go
+++ b/proof/slow_test.go
@@ -66,7 +66,8 @@
 		q.CallbackAt, q.Callback = 20, func() { reads(); <-release }
 		calls.Go(func() {
 			defer reads() // also when the request fails early
-			for a := caller.Chat(client, entry.ClientAddress(), &q); a.NotRun(); { // all begin at once, so some may be refused
+			// All begin at once, so some may be refused.
+			for a := caller.Chat(client, entry.ClientAddress(), &q); a.NotRun(); {
 				a = caller.Chat(client, entry.ClientAddress(), &q)
 			}
 		})
