--- a/core/frame.go
+++ b/core/frame.go
@@ -14,7 +14,7 @@
 	DeadlineMS   int64       `json:"deadline_ms"`
 	ConfigNumber uint64      `json:"config_number"`
 	Avoid        []string    `json:"avoid,omitempty"`
-	// PreviouslyQueued reports whether a former owner of the pool had already queued the call.
+	// PreviouslyQueued reports whether a former owner of the pool had already queued the call, or may have run it.
 	PreviouslyQueued bool `json:"admitted,omitempty"`
 	// Resume continues a generation that another owner started.
 	Resume *ResumePoint `json:"resume,omitempty"`
--- a/core/policy.go
+++ b/core/policy.go
@@ -18,8 +18,8 @@
 	Deadline time.Time
 	// Avoid lists endpoints that already failed this call.
 	Avoid []EndpointID
-	// PreviouslyQueued reports whether a former owner of the pool had already queued the call. Such a call waits until
-	// its deadline and is not refused for overload, because a planned stop of an instance must not end any request.
+	// PreviouslyQueued reports whether a former owner of the pool had already queued the call, or may have run it. Such a call
+	// waits until its deadline and is not refused for overload, because a planned stop of an instance must not end any request.
 	PreviouslyQueued bool
 }
 
