--- a/core/queue/queue.go
+++ b/core/queue/queue.go
@@ -48,7 +48,7 @@
 	running    map[core.RequestID]*call
 	poolSize   int       // number of endpoints, accepting or not
 	accepting  bool      // any endpoint accepts calls
-	openUntil  time.Time // waits count from here on; zero before the first endpoint is known
+	waitsFrom  time.Time // earlier waiting does not count; zero before the first endpoint is known
 
 	teamsBuf []core.TeamName   // reused buffer
 	held     []core.EndpointID // endpoints held for calls that don't fit yet
@@ -247,21 +247,21 @@
 	return q.dispatch(now, nil)
 }
 
-// updateOpening sets the end of the time in which the pool has endpoints and none has reported that it accepts calls.
+// updateOpening sets waitsFrom to the end of the time in which the pool has endpoints and none has reported that it accepts calls.
 func (q *Queue) updateOpening(now time.Time) {
-	if q.openUntil.IsZero() && q.poolSize > 0 {
-		q.openUntil = now.Add(maxOpeningTime)
+	if q.waitsFrom.IsZero() && q.poolSize > 0 {
+		q.waitsFrom = now.Add(maxOpeningTime)
 	}
-	if q.admit.Capacity() > 0 && now.Before(q.openUntil) {
-		q.openUntil = now
+	if q.admit.Capacity() > 0 && now.Before(q.waitsFrom) {
+		q.waitsFrom = now
 	}
 }
 
 // waited returns how long a call has waited. An instance that has just become the owner of a pool waits for the first reports,
 // which says nothing about the load.
 func (q *Queue) waited(now time.Time, c *call) time.Duration {
-	if c.arrived.Before(q.openUntil) {
-		return now.Sub(q.openUntil)
+	if c.arrived.Before(q.waitsFrom) {
+		return now.Sub(q.waitsFrom)
 	}
 	return now.Sub(c.arrived)
 }
--- a/io/follow/reader.go
+++ b/io/follow/reader.go
@@ -93,7 +93,8 @@
 // name it.
 func New(runner core.Runner, stream core.Stream, request core.RequestID, generation core.GenerationID, from core.Tokens, opts ...Option) *Reader {
 	r := &Reader{
-		Common: core.NewCommon(logrus.NewEntry(logrus.StandardLogger())), runner: runner, stream: stream, request: request, generation: generation, confirmed: generation != "", next: from,
+		Common: core.NewCommon(logrus.NewEntry(logrus.StandardLogger())),
+		runner: runner, stream: stream, request: request, generation: generation, confirmed: generation != "", next: from,
 		silence: defaultSilence, giveUp: defaultGiveUp, counters: noCounters{}, flush: func() {},
 	}
 	for _, o := range opts {
