--- a/io/follow/reader_test.go
+++ b/io/follow/reader_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -107,9 +108,24 @@
 	return e.status, e.statusErr
 }
 
-type counts map[string]int
+// counts is a follow.Counters for the reader and its probes, which run in goroutines of their own.
+type counts struct {
+	mu     sync.Mutex
+	byName map[string]int
+}
+
+// Count increments the named counter.
+func (c *counts) Count(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.byName[name]++
+}
 
-func (c counts) Count(name string) { c[name]++ }
+func (c *counts) value(name string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.byName[name]
+}
 
 // TestReader guards against tokens that are lost, duplicated or taken from another generation after a broken or silent
 // connection, against a slow engine that is taken for a dead connection, and against a call that does not end although its
@@ -221,7 +237,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				c := counts{}
+				c := &counts{byName: map[string]int{}}
 				begin := time.Now()
 				r := follow.New(&tt.engine, &connection{steps: tt.first, closed: make(chan struct{})},
 					request, "", 0, follow.WithCounters(c))
@@ -237,7 +253,7 @@
 					is.Equal(tt.engine.resumedFrom, tt.resumedFrom)
 				}
 				if tt.count != "" {
-					is.True(c[tt.count] > 0)
+					is.True(c.value(tt.count) > 0)
 				}
 				is.Equal(tt.engine.canceled, tt.canceled)
 				if tt.maxTime > 0 {
