--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,6 +21,7 @@
 // cases are the scripted cases by name; each returns whether its rule held.
 var cases = map[string]func(*bed) (held bool, err error){
 	"left-running": runLeftRunning,
+	"memory":       runMemory,
 }
 
 func main() { os.Exit(run()) }
