--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 var cases = map[string]func(*bed) (held bool, err error){
 	"left-running": runLeftRunning,
 	"memory":       runMemory,
+	"outage-exit":  runOutageExit,
 }
 
 func main() { os.Exit(run()) }
