--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,7 @@
 	"left-running": runLeftRunning,
 	"memory":       runMemory,
 	"outage-exit":  runOutageExit,
+	"power-loss":   runPowerLoss,
 }
 
 func main() { os.Exit(run()) }
