--- a/review/stand/bed.go
+++ b/review/stand/bed.go
@@ -31,6 +31,7 @@
 	record    *bufio.Writer
 	file      *os.File
 	instances []*instance
+	runners   []*crashRunner
 	closed    bool
 }
 
@@ -84,8 +85,11 @@
 		b.mu.Unlock()
 		return
 	}
-	list := b.instances
+	list, runners := b.instances, b.runners
 	b.mu.Unlock()
+	for _, r := range runners {
+		r.kill()
+	}
 	for _, in := range list {
 		in.stop(syscall.SIGKILL)
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,12 +23,16 @@
 	"left-running": runLeftRunning,
 	"memory":       runMemory,
 	"outage-exit":  runOutageExit,
+	"cut-stream":   runCrash,
 	"power-loss":   runPowerLoss,
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
+	if len(os.Args) == 3 && os.Args[1] == "runner" {
+		return serveUnframed(os.Args[2])
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER, in the repository")
 		return exitNotRun
