--- a/review/stand/leftrunning.go
+++ b/review/stand/leftrunning.go
@@ -282,11 +282,13 @@
 		all = append(all, e)
 	}
 	r := route("draft", "streaming", "llm-pool", 39000, 4000, 1)
-	b.configure([]any{r}, []any{map[string]any{"name": "llm-pool", "health_path": "/health", "max_conns": 503, "protocol": "h1", "tls": false,
+	b.configure([]any{r}, []any{map[string]any{
+		"name": "llm-pool", "health_path": "/health", "max_conns": 503, "protocol": "h1", "tls": false,
 		"engine": map[string]any{
 			"slots": 24, "kv_capacity_tokens": 34326, "kv_token_bytes": 96256, "link_mbps": 14000.0, "moves": true, "backups": true, "stride": 4,
 			"most": 12, "pin_ms": 4000.0, "hold_ms": 2000.0, "handle_s": 5.0, "models": []any{map[string]any{"name": "m"}},
-		}}})
+		},
+	}})
 	if err := b.addInstances(3, 120); err != nil {
 		return false, err
 	}
