--- a/review/stand/memory.go
+++ b/review/stand/memory.go
@@ -19,9 +19,9 @@
 	memoryMB      = 120
 	memoryRounds  = 3
 	memoryRunners = 3
-	// usualCallers and burstCallers are the consumers that send to one instance at the same time; burst has x below 2.5.
-	usualCallers = 7
-	burstCallers = 17
+	// usualCallers and burstCallers are the consumers that send to one instance at the same time; burst has x below 1.7.
+	usualCallers = 8
+	burstCallers = 13
 	largeBody    = 4 << 20 // max_body_bytes
 	// uploadTime is the time that a consumer takes to send a body.
 	uploadTime = 800 * time.Millisecond
@@ -170,7 +170,7 @@
 
 // callSmall sends ordinary requests, one after the other, and counts those that ran and have no answer.
 func (b *bed) callSmall(in *instance, prefix string, done <-chan struct{}, runs *runLog, lost *atomic.Int64) {
-	c := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	c := &http.Client{Timeout: 6 * time.Second, Transport: &http.Transport{}} // on a kept channel
 	for n := 0; ; n++ {
 		select {
 		case <-done:
