Stop the engines that a stream has left

Callers saw nothing; engines worked twice.

Cause: closing a connection was taken for stopping the generation. Only the failover to a backup and the final copy told the engine to stop.

Change: a stream records the engines that it leaves and that may still run it, and tells them to stop as soon as the next one is known; a connection that breaks beside a complete copy, and a final copy that fails while the stream is open, first stop the engine, by the same code as the failover to a backup. Outcomes of copies are numbered, so that one of an earlier request is not taken for that of the request to stop. Why this works: the request to stop is the only call that ends a generation, and every way out of an engine now leads to it or to an engine that is known to have ended it.

--- a/io/event/kind.go
+++ b/io/event/kind.go
@@ -41,6 +41,7 @@
 	Copied             Kind = "copied"
 	Resumed            Kind = "resumed"
 	NotResumed         Kind = "not_resumed"
+	LeftStopped        Kind = "left_stopped"
 	Cut                Kind = "cut"
 	CallerLeft         Kind = "caller_left"
 	Paused             Kind = "paused"
--- a/io/gate/failover.go
+++ b/io/gate/failover.go
@@ -1,48 +1,60 @@
 package gate
 
 import (
-	"errors"
 	"time"
 
 	"snipeshed/core"
-	"snipeshed/io/dial"
 	"snipeshed/io/event"
 )
 
-// failOverToBackup resumes a stream at the engine that keeps a backup after its own engine failed. The failed engine may
-// still run the generation although its answer was lost, so it is stopped first.
+// failOverToBackup resumes a stream at the engine that keeps a backup after its own engine failed.
 //
 // Only an event shows that the failed engine has generated, and may have sent memory to the backup. Without one, the engine that is
 // to keep the backup might begin the generation anew, so it is used only if the failed engine confirms that it has stopped.
 func (s *stream) failOverToBackup(failed *upstream, backup core.Endpoint) {
-	source := failed.endpoint
+	copyAt := ""
+	if failed.eventsRead > 0 {
+		copyAt = backup.Address + "/" + string(s.ID)
+	}
+	s.failOver(failed.endpoint, backup, copyAt, "")
+}
+
+// failOverToCopy resumes a stream at the engine that holds a complete copy after its own engine failed, or may not have stopped.
+func (s *stream) failOverToCopy() {
+	m := &s.migration
+	s.failOver(m.source, m.target, m.source.Address+"/"+m.memoryHandle, m.memoryHandle)
+}
+
+// failOver resumes a stream at another engine after its own engine failed. The failed engine may still run the generation although
+// its answer was lost, so it is stopped first. copyAt is the location of the memory that target holds already, if it holds any.
+func (s *stream) failOver(source, target core.Endpoint, copyAt, handle string) {
 	s.migration.uncountMemory(s.g)
 	s.migration = migration{
-		source: source, target: backup, moveRequestInFlight: true, finalCopy: true, stopped: true, stoppingFailedSource: true,
-		backupBegun: failed.eventsRead > 0,
+		source: source, target: target, moveRequestInFlight: true, finalCopy: true, stopped: true, stoppingFailedSource: true,
+		copyAt: copyAt, memoryHandle: handle,
 	}
-	id, out := s.ID, s.moveResults
-	s.inBackground("stopping the generation", func() {
-		m, err := s.g.Mover.StopAndMove(source, backup, id)
-		out <- moveResult{source: source.ID, final: true, MoveResult: m, err: err}
+	id := s.ID
+	s.sendMoveRequest("stopping the generation", moveResult{source: source.ID, final: true}, func() (core.MoveResult, error) {
+		return s.g.stopAndMove(source, target, id)
 	})
 }
 
-// onFailedSourceStopped resumes the stream from the backup after the attempt to stop the failed engine.
+// onFailedSourceStopped resumes the stream from the other engine's copy after the attempt to stop the failed engine.
 func (s *stream) onFailedSourceStopped(m moveResult) {
 	s.g.Log.EmitRequest(event.Copied, s.ID, event.Fields{
 		"endpoint": m.source, "target": s.migration.target.ID, "final": true, "handle": m.Handle, "error": m.err, "events": s.eventsSent,
 		"cause": "the connection to the endpoint broke",
 	})
 	s.migration.stoppingFailedSource = false
-	source, backup := s.migration.source, s.migration.target
+	source, target := s.migration.source, s.migration.target
+	if m.Handle != "" {
+		s.migration.memoryHandle = m.Handle
+	}
 	switch {
 	case m.err == nil:
-		s.migration.memoryHandle = m.Handle
-		s.resumeFromCopy(backup)
-	case s.migration.backupBegun && s.resumeAt(backup, backup.Address+"/"+string(s.ID)):
-		s.migration.memoryHandle = m.Handle // if the source was stopped and the other engine had no room, the source keeps the memory
-		s.migration.source = source
+		s.resumeFromCopy(target)
+	case s.migration.copyAt != "" && s.resumeAt(target, s.migration.copyAt):
+		s.migration.source = source // if it was stopped and the other engine had no room, it keeps the memory
 	default:
 		s.abort(errNotResumed)
 	}
@@ -57,19 +69,27 @@
 		fields["status"], fields["not_run"] = o.answer.StatusCode, o.answer.NotRun
 	}
 	s.g.Log.EmitRequest(event.NotResumed, s.ID, fields)
-	var sendErr *dial.Error
-	if errors.As(o.err, &sendErr) && !sendErr.MayHaveRun() && s.ctx.Err() == nil {
-		s.g.MarkUnreachable(o.upstream.endpoint.ID, sendErr.Refused())
+	unsent := unsentError(o.err)
+	if unsent != nil && s.ctx.Err() == nil {
+		s.g.MarkUnreachable(o.upstream.endpoint.ID, unsent.Refused())
 	}
+	mayRun := o.answer == nil && unsent == nil
 	s.g.Meter.Count("not_resumed")
 	switch {
 	case s.ctx.Err() != nil:
 		s.endEarly(nil)
 	case s.current != nil && !s.migration.stopped:
+		if mayRun {
+			s.leave(o.upstream.endpoint)
+			s.stopLeft(s.current.endpoint)
+		}
 		s.deliverHeld()
 		s.migration.nextStepAt = time.Now()
 		s.resetTimer()
 	case s.migration.hasMemoryHandle() && o.upstream.endpoint.ID != s.migration.source.ID:
+		if mayRun {
+			s.leave(o.upstream.endpoint)
+		}
 		s.resumeFromCopy(s.migration.source)
 	default:
 		s.abort(errNotResumed)
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -42,8 +42,8 @@
 	moveRequestInFlight  bool      // a request to copy or to stop the generation is in flight at the source
 	finalCopy            bool      // that request stops the generation
 	stopped              bool      // the generation was or is being stopped, and must be resumed
-	stoppingFailedSource bool      // the source failed and is being stopped in case it still runs; target keeps the backup
-	backupBegun          bool      // the source that failed had generated, so target may hold a part of the backup
+	stoppingFailedSource bool      // the source failed and is being stopped in case it still runs; target holds a copy or backup
+	copyAt               string    // location of the memory that target holds already, if the source that failed gives none
 	// memoryHandle names a complete copy at target, or the memory that the source kept when the target had no room for the
 	// final copy.
 	memoryHandle    string
@@ -95,8 +95,9 @@
 
 // moveResult is the outcome of a copy or stop request to the source.
 type moveResult struct {
-	source core.EndpointID
-	final  bool
+	request int // number of the request
+	source  core.EndpointID
+	final   bool
 	core.MoveResult
 	err error
 }
@@ -245,16 +246,30 @@
 // requestMove asks the source to copy the generation to the target; the outcome arrives on s.moveResults.
 func (s *stream) requestMove(final bool) {
 	s.migration.moveRequestInFlight, s.migration.finalCopy, s.migration.moveRequestedAt = true, final, time.Now()
-	source, target, id, out := s.migration.source, s.migration.target, s.ID, s.moveResults
-	s.inBackground("moving the generation", func() {
-		m, err := s.g.Mover.Move(source, target, id, final)
-		out <- moveResult{source: source.ID, final: final, MoveResult: m, err: err}
+	source, target, id := s.migration.source, s.migration.target, s.ID
+	s.sendMoveRequest("moving the generation", moveResult{source: source.ID, final: final}, func() (core.MoveResult, error) {
+		return s.g.Mover.Move(source, target, id, final)
+	})
+}
+
+// sendMoveRequest sends a request to copy or stop the generation in the background; its outcome arrives on s.moveResults. The
+// outcomes of earlier requests no longer count.
+func (s *stream) sendMoveRequest(what string, r moveResult, send func() (core.MoveResult, error)) {
+	s.moveRequests++
+	r.request = s.moveRequests
+	ctx, out := s.ctx, s.moveResults
+	s.inBackground(what, func() {
+		r.MoveResult, r.err = send()
+		select {
+		case out <- r:
+		case <-ctx.Done():
+		}
 	})
 }
 
 // onMoveResult handles the outcome of a copy or stop request.
 func (s *stream) onMoveResult(m moveResult) {
-	if m.source != s.migration.source.ID || !s.migration.moveRequestInFlight {
+	if m.request != s.moveRequests || !s.migration.moveRequestInFlight {
 		return // of an earlier migration
 	}
 	s.migration.moveRequestInFlight = false
@@ -296,11 +311,7 @@
 
 // onMoveFailed decides how to continue after a copy that failed.
 func (s *stream) onMoveFailed(m moveResult) {
-	var moveErr *core.MoveError
-	status := 0
-	if errors.As(m.err, &moveErr) {
-		status = moveErr.Status
-	}
+	status := moveStatus(m.err)
 	switch {
 	case m.final && status == http.StatusServiceUnavailable && m.Handle != "":
 		s.migration.memoryHandle = m.Handle
@@ -314,8 +325,15 @@
 		case s.current == nil && s.pending == nil:
 			s.abort(m.err)
 		}
-	case m.final && s.migration.hasMemoryHandle():
+	case m.final && s.migration.hasMemoryHandle() && (s.sawEOF || s.current == nil):
 		s.resumeFromCopy(s.migration.target)
+	case m.final && s.migration.hasMemoryHandle():
+		s.deliverHeld()
+		if s.current != nil && !s.finished {
+			s.current.close(false)
+			s.current = nil
+			s.failOverToCopy() // the source may still run the generation
+		}
 	case status == 0 && s.migration.hasMemoryHandle():
 		// The source may have left. The copy made before stays complete, and the stream can go on from it when the source ends.
 		s.deliverHeld()
--- a/io/gate/plain.go
+++ b/io/gate/plain.go
@@ -9,7 +9,6 @@
 	"snipeshed/core"
 	"snipeshed/core/place"
 	"snipeshed/core/tally"
-	"snipeshed/io/dial"
 	"snipeshed/io/event"
 )
 
@@ -40,9 +39,8 @@
 			c.abortCallerLeft("waiting for the answer")
 			return
 		}
-		var sendErr *dial.Error
-		if errors.As(err, &sendErr) && !sendErr.MayHaveRun() {
-			c.g.MarkUnreachable(e.ID, sendErr.Refused())
+		if unsent := unsentError(err); unsent != nil {
+			c.g.MarkUnreachable(e.ID, unsent.Refused())
 			if connectFailures++; connectFailures >= maxConnectAttempts || time.Now().After(c.end) {
 				lastErr = err
 				break
@@ -137,10 +135,8 @@
 
 // answerFailure responds to a call for which no attempt succeeded.
 func (c *call) answerFailure(ans *bufferedAnswer, err error) {
-	var sendErr *dial.Error
-	unsent := errors.As(err, &sendErr) && !sendErr.MayHaveRun()
 	switch {
-	case c.failedAttempts == 0 && unsent:
+	case c.failedAttempts == 0 && unsentError(err) != nil:
 		c.refuseUnserved(reasonUnreachable, busyRetryAfter)
 	case c.failedAttempts == 0:
 		c.refuseUnserved(reasonNoEndpoint, busyRetryAfter)
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -28,7 +28,9 @@
 	heldEvents       []streamEvent
 	heldBytes        int
 	migration        migration
-	reservation      string // id of the memory reservation for the upstream that is opened next
+	moveRequests     int             // number of requests to copy or stop the generation
+	reservation      string          // id of the memory reservation for the upstream that is opened next
+	left             []core.Endpoint // engines that may still run the generation after the stream has left them
 
 	answerHeader      http.Header // of the engine whose first event is delivered next or was delivered
 	lastEventID       string      // of the last event delivered
@@ -217,7 +219,11 @@
 func (s *stream) switchTo(up *upstream, a *dial.Answer) {
 	if s.current != nil {
 		s.current.close(false)
+		if !s.migration.stopped {
+			s.leave(s.current.endpoint)
+		}
 	}
+	s.stopLeft(up.endpoint)
 	if up.resumeFrom != "" || s.eventsSent > 0 {
 		s.g.Meter.Count("resumed")
 		s.g.Log.EmitRequest(event.Resumed, s.ID, event.Fields{
@@ -240,9 +246,8 @@
 
 // onSendFailed handles an upstream that was to start a generation and returned no stream.
 func (s *stream) onSendFailed(o openResult) {
-	var sendErr *dial.Error
-	if errors.As(o.err, &sendErr) && !sendErr.MayHaveRun() && s.ctx.Err() == nil {
-		s.g.MarkUnreachable(o.upstream.endpoint.ID, sendErr.Refused())
+	if unsent := unsentError(o.err); unsent != nil && s.ctx.Err() == nil {
+		s.g.MarkUnreachable(o.upstream.endpoint.ID, unsent.Refused())
 		if len(s.tried) < maxConnectAttempts {
 			s.sendToEngine(false)
 			return
@@ -263,6 +268,9 @@
 		return
 	}
 	if s.mayRetry(ans, o.err) {
+		if ans == nil || ans.readErr != nil {
+			s.leave(o.upstream.endpoint)
+		}
 		s.sendToEngine(false)
 		return
 	}
@@ -287,8 +295,12 @@
 	s.g.Loads.RecordOutcome(time.Now(), up.endpoint.ID, true)
 	backup := up.backup
 	up.close(false)
-	if s.pending != nil || s.migration.stopped {
-		return // the stream is already being resumed
+	if s.pending != nil || s.migration.stopped { // the stream is already being resumed
+		if s.pending != nil && !s.migration.stopped {
+			s.leave(up.endpoint)
+			s.stopLeft(s.pending.endpoint)
+		}
+		return
 	}
 	s.g.Log.EmitRequest(event.Moving, s.ID, event.Fields{
 		"endpoint": up.endpoint.ID, "cause": cause, "events": s.eventsSent, "backup": backupID(up), "copy": s.migration.memoryHandle,
@@ -299,7 +311,8 @@
 		s.abort(errCrashingPrompt)
 		return
 	}
-	if s.migration.hasMemoryHandle() && s.resumeAt(s.migration.target, s.migration.source.Address+"/"+s.migration.memoryHandle) {
+	if s.migration.hasMemoryHandle() && s.migration.source.ID == up.endpoint.ID {
+		s.failOverToCopy()
 		return
 	}
 	if backup != nil {
@@ -308,6 +321,7 @@
 	}
 	s.failedAttempts++
 	if s.route.Resumable && !s.lacksID && s.mayRetry(nil, cause) {
+		s.leave(up.endpoint)
 		s.sendToEngine(false)
 		return
 	}
--- a/stand/plat/engine.go
+++ b/stand/plat/engine.go
@@ -25,6 +25,8 @@
 	CrashPart string
 	// MoveHandler, if set, handles requests to copy or stop a generation.
 	MoveHandler http.HandlerFunc
+	// MoveFilter, if set, may answer a request to copy or stop a generation itself; it then returns false.
+	MoveFilter func(w http.ResponseWriter, last bool) bool
 	// BeforeMove, if set, is called before a request to copy or stop a generation is served.
 	BeforeMove  func()
 	linkAddress string // address of a TCP forwarder in front of the engine, or empty
@@ -43,6 +45,9 @@
 	answerHeader   http.Header     // see SetAnswerHeader
 	requestTimes   []time.Time     // see RequestTimes
 	crashed        bool
+	paused         bool          // see SetPaused
+	headDelay      time.Duration // see HoldHeads
+	runs           map[string][]Run
 }
 
 // enginesByAddress holds all engines of the process, so that one can copy a generation's memory to another.
@@ -53,7 +58,7 @@
 	e := &Engine{
 		ID: id, Events: 20, Interval: 5 * time.Millisecond, starts: map[string]int{}, stopFuncs: map[string]func(){},
 		eventCounts: map[string]int{}, copies: map[string]int{}, headers: map[string]http.Header{}, bodies: map[string]string{},
-		disconnected: map[string]bool{}, answerHeader: http.Header{},
+		disconnected: map[string]bool{}, answerHeader: http.Header{}, runs: map[string][]Run{},
 	}
 	e.Server = httptest.NewServer(http.HandlerFunc(e.serve))
 	enginesByAddress.Store(e.Address(), e)
@@ -142,10 +147,22 @@
 
 // LoseAnswers closes all connections while their generations continue.
 func (e *Engine) LoseAnswers() {
+	e.KeepGenerating()
+	e.CloseClientConnections()
+}
+
+// KeepGenerating makes generations continue after their connections have closed, until they are stopped.
+func (e *Engine) KeepGenerating() {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.keepGenerating = true
-	e.mu.Unlock()
-	e.CloseClientConnections()
+}
+
+// SetPaused sets whether the engine generates nothing for now; it still answers other requests.
+func (e *Engine) SetPaused(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.paused = on
 }
 
 // Generating reports whether the generation of an attempt runs on this engine.
@@ -155,6 +172,26 @@
 	return e.stopFuncs[attempt] != nil
 }
 
+// HoldHeads makes the heads of later streams arrive some time after their generations have begun.
+func (e *Engine) HoldHeads(d time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.headDelay = d
+}
+
+// Run is the time for which a generation ran at one engine.
+type Run struct {
+	Begun time.Time
+	Ended time.Time // zero while it goes on
+}
+
+// Runs returns the runs of an attempt on this engine, those continued from a copy too.
+func (e *Engine) Runs(attempt string) []Run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.runs[attempt])
+}
+
 // StartCount returns how often an attempt was started on this engine; a continuation from a copy does not count.
 func (e *Engine) StartCount(attempt string) int {
 	e.mu.Lock()
--- a/stand/plat/engine_serve.go
+++ b/stand/plat/engine_serve.go
@@ -134,11 +134,11 @@
 func (e *Engine) generate(w http.ResponseWriter, r *http.Request, attempt string, first int, stop <-chan struct{}) {
 	backup := r.Header.Get("Snipeshed-Kv-Backup")
 	rc := http.NewResponseController(w)
-	defer func() {
-		e.mu.Lock()
-		delete(e.stopFuncs, attempt)
-		e.mu.Unlock()
-	}()
+	defer e.recordRun(attempt)()
+	e.mu.Lock()
+	headDelay := e.headDelay
+	e.mu.Unlock()
+	time.Sleep(headDelay)
 	for i := first; i <= e.Events; i++ {
 		select {
 		case <-stop:
@@ -147,6 +147,10 @@
 			return
 		case <-time.After(e.Interval):
 		}
+		if e.isPaused() {
+			i--
+			continue
+		}
 		fmt.Fprintf(w, "id: %d\ndata: token %d\n\n", i, i)
 		_ = rc.Flush() // a closed connection shows in the request's context
 		e.mu.Lock()
@@ -158,6 +162,26 @@
 	}
 }
 
+// recordRun records the start of a generation and returns a function that records its end.
+func (e *Engine) recordRun(attempt string) func() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := len(e.runs[attempt])
+	e.runs[attempt] = append(e.runs[attempt], Run{Begun: time.Now()})
+	return func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		delete(e.stopFuncs, attempt)
+		e.runs[attempt][n].Ended = time.Now()
+	}
+}
+
+func (e *Engine) isPaused() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.paused
+}
+
 // callerGone returns a closed channel when the caller has disconnected and the generation must end, and nil otherwise.
 func (e *Engine) callerGone(r *http.Request, attempt string) <-chan struct{} {
 	if r.Context().Err() == nil {
@@ -205,6 +229,9 @@
 	if e.BeforeMove != nil {
 		e.BeforeMove()
 	}
+	if e.MoveFilter != nil && !e.MoveFilter(w, move.Last) {
+		return
+	}
 	e.mu.Lock()
 	stop, eventCount := e.stopFuncs[move.ID], e.eventCounts[move.ID]
 	e.mu.Unlock()
