End the time for lapsed entries with the outage, not with its notice

Cause: the time for lapsed entries to return ran from the moment at which an instance saw the removal, and the window for a lapse was longer than that. Ruled out: news that arrives late.

Change: both end 2.2 s after the last moment at which the store was known to be down. Why it works: live runners have written their entries again by then, so a later removal is none of a lapsed entry, and an earlier one gets no more time than the others.

--- a/core/fleet/endpoints.go
+++ b/core/fleet/endpoints.go
@@ -17,10 +17,9 @@
 	// maxBackoff bounds the time for which an endpoint is sent no requests at its own request, so that a nonsensical value does
 	// not remove it for good.
 	maxBackoff = 10 * time.Minute
-	// lapseWindow is the time after a store outage during which an entry may be missing because its lease expired.
-	lapseWindow = 3 * time.Second
-	// returnTimeout is the time within which live endpoints write their expired entries again.
-	returnTimeout = 2 * time.Second
+	// returnTimeout is the time after the end of a store outage within which live endpoints have written their expired entries
+	// again. An entry that is missing later, or is removed later, is that of an endpoint that is gone.
+	returnTimeout = 2200 * time.Millisecond
 	// markRetention is how long a mark as leaving is kept for an incarnation that has no entry; the entry may be written again
 	// after it lapsed.
 	markRetention = 5 * time.Minute
@@ -216,8 +215,8 @@
 	eps.hasLapsed = false
 	for id, s := range eps.byID {
 		switch {
-		case s.lapsedAt.IsZero():
-		case now.Sub(s.lapsedAt) > returnTimeout && now.Sub(eps.lastOutage) > returnTimeout:
+		case !s.lapsed:
+		case now.Sub(eps.lastOutage) > returnTimeout:
 			leaving = append(leaving, eps.markGone(now, id)...)
 		default:
 			eps.hasLapsed = true
@@ -314,12 +313,12 @@
 	if old == nil || old.gone {
 		return nil
 	}
-	if eps.lastOutage.IsZero() || now.Sub(eps.lastOutage) > lapseWindow || old.Leaving {
+	if eps.lastOutage.IsZero() || now.Sub(eps.lastOutage) > returnTimeout || old.Leaving {
 		return eps.markGone(now, id)
 	}
-	if old.lapsedAt.IsZero() {
+	if !old.lapsed {
 		s := *old
-		s.lapsedAt = now
+		s.lapsed = true
 		eps.byID[id] = &s
 		eps.hasLapsed = true
 	}
@@ -330,7 +329,7 @@
 func (eps *Endpoints) markGone(now time.Time, id core.EndpointID) []core.EndpointID {
 	old := eps.byID[id]
 	s := *old
-	s.gone, s.Leaving, s.lapsedAt = true, true, time.Time{}
+	s.gone, s.Leaving, s.lapsed = true, true, false
 	if !old.Leaving {
 		s.LeavingSince = now
 		eps.lastLeft = core.Later(eps.lastLeft, now)
--- a/core/fleet/endpoints_test.go
+++ b/core/fleet/endpoints_test.go
@@ -121,6 +121,32 @@
 	is.Equal(recorder.ids, []core.EndpointID{"b"})
 }
 
+// TestLapseEndsWithOutage guards against calls to endpoints that leave soon after an outage of the store and never report that they
+// are draining: the time for lapsed entries to return must run from the end of the outage, not from the time at which an instance
+// notices that an entry is missing.
+func TestLapseEndsWithOutage(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		removedAt time.Duration // after the instance has last known the store to be down
+		goneBy    time.Duration
+	}{
+		{"as the store returns", 50 * time.Millisecond, 2300 * time.Millisecond},
+		{"while entries return", 1900 * time.Millisecond, 2300 * time.Millisecond},
+		{"when all entries have returned", 2300 * time.Millisecond, 2300 * time.Millisecond},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			recorder := &leaveRecorder{}
+			eps := fleet.New(recorder.record)
+			eps.ReplaceAll(start, 10, entries(core.Endpoint{ID: "a"}))
+			eps.RecordStoreOutage(start)
+			eps.Remove(start.Add(tt.removedAt), 11, "a")
+			eps.ExpireLapsed(start.Add(tt.goneBy))
+			is.Equal(recorder.ids, []core.EndpointID{"a"})
+		})
+	}
+}
+
 // TestRemovalWithoutOutage guards against a grace period for endpoints that are removed while the store is available.
 func TestRemovalWithoutOutage(t *testing.T) {
 	is := is.New(t)
--- a/core/fleet/status.go
+++ b/core/fleet/status.go
@@ -20,8 +20,8 @@
 	BackoffUntil time.Time
 	// gone reports whether the endpoint's entry was removed from the store.
 	gone bool
-	// lapsedAt is the time at which the entry was found missing after a store outage; zero otherwise.
-	lapsedAt time.Time
+	// lapsed reports whether the entry was found missing soon after a store outage, in which its lease may have expired.
+	lapsed bool
 	// entryRevision is the revision of the store's list at which the entry was last changed.
 	entryRevision core.Version
 	// peerReport holds a report of another instance that the endpoint leaves.
