--- a/io/gate/failover.go
+++ b/io/gate/failover.go
@@ -1,13 +1,15 @@
 package gate
 
 import (
+	"net/http"
 	"time"
 
 	"snipeshed/core"
 	"snipeshed/io/event"
 )
 
-// failOverToBackup resumes a stream at the engine that keeps a backup after its own engine failed.
+// failOverToBackup resumes a stream at the engine that keeps a backup after its own engine failed or fell silent. The connection to a
+// silent engine stays open until the other one answers.
 //
 // Only an event shows that the failed engine has generated, and may have sent memory to the backup. Without one, the engine that is
 // to keep the backup might begin the generation anew, so it is used only if the failed engine confirms that it has stopped.
@@ -50,9 +52,19 @@
 	if m.Handle != "" {
 		s.migration.memoryHandle = m.Handle
 	}
+	if s.current != nil && s.sawEOF {
+		if moveStatus(m.err) == http.StatusNotFound {
+			s.complete() // the generation had ended by itself
+			return
+		}
+		s.current.close(false)
+		s.current = nil
+	}
 	switch {
 	case m.err == nil:
 		s.resumeFromCopy(target)
+	case s.current != nil:
+		s.onSilentSourceRuns()
 	case s.migration.copyAt != "" && s.resumeAt(target, s.migration.copyAt):
 		s.migration.source = source // if it was stopped and the other engine had no room, it keeps the memory
 	default:
@@ -60,6 +72,21 @@
 	}
 }
 
+// onSilentSourceRuns continues a stream whose silent engine was asked to stop and may still run the generation: with the events that it
+// has sent meanwhile, and from the backup.
+func (s *stream) onSilentSourceRuns() {
+	s.migration.stopped = false
+	s.deliverHeld()
+	if s.finished {
+		return
+	}
+	if s.current != nil && !s.resumeFromBackup() {
+		s.silenceDeadline = time.Now().Add(silenceRetryInterval)
+		s.resetTimer()
+	}
+	s.onEndpointNotice()
+}
+
 // onResumeFailed handles an upstream that was to continue a generation and could not.
 func (s *stream) onResumeFailed(o openResult) {
 	fields := event.Fields{
--- a/io/gate/silence.go
+++ b/io/gate/silence.go
@@ -58,12 +58,15 @@
 }
 
 // resumeSilent resumes a stream whose engine sends no data at another engine: from its backup, or, if the call may run twice,
-// from the caller's last event. While no engine takes it, the silent one may still go on.
+// from the caller's last event. While no engine takes it, the silent one may still go on. It is first told to stop, since an engine
+// that is only slow also learns late that its connection was closed.
 func (s *stream) resumeSilent() {
 	now := time.Now()
 	switch b := s.current.backup; {
 	case b != nil && s.g.backsOff(b.ID):
 		s.silenceDeadline = now.Add(silenceRetryInterval)
+	case b != nil && s.migration.inactive():
+		s.failOverToBackup(s.current, *b)
 	case b != nil:
 		s.resumeFromBackup()
 	case !s.route.Resumable || s.lacksID || s.failedAttempts+1 >= s.route.MaxAttempts:
