Answer open calls before a planned stop ends

Cause: only calls of the last second were refused, and what was open at the end was cut.

Change: calls without an answer get 504 (503 if they were not sent) 0.2 s before the end, and a call that may run once only is refused from the signal on unless its deadline is before that. It works because every call now ends before the connections are closed. A call whose time is over while it connects no longer marks its endpoint as unreachable, which the new end would have made frequent.

The soak's engines partly work on after their connections close, pause, and check that no two of them work on one generation.

--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -62,12 +62,14 @@
 	bufferedBytes atomic.Int64 // total size of the buffered answers
 	maxBodyBytes  int64        // no body is read while heldBodyBytes exceeds it; answers are buffered less if bufferedBytes does
 	maxOpenCalls  int64        // limit of calls in progress
-	stopsAt       atomic.Pointer[time.Time]
+	stop          stopState
 }
 
 // New returns a Gate that refuses calls while it holds more than maxBody bytes of request bodies or maxOpen calls.
 func New(p Deps, maxBody, maxOpen int64) *Gate {
-	return &Gate{Deps: p, streams: newStreamRegistry(), connRefusals: newConnRefusals(), maxBodyBytes: maxBody, maxOpenCalls: maxOpen}
+	return &Gate{
+		Deps: p, streams: newStreamRegistry(), connRefusals: newConnRefusals(), maxBodyBytes: maxBody, maxOpenCalls: maxOpen, stop: newStopState(),
+	}
 }
 
 // OnEndpointLeaving closes the idle connections of an endpoint that is leaving and notifies its streams.
@@ -103,10 +105,6 @@
 // RecentlyRefusing returns the endpoints that recently refused a connection from this instance.
 func (g *Gate) RecentlyRefusing(now time.Time) []core.EndpointID { return g.connRefusals.list(now) }
 
-// SetStopTime sets the time at which open calls will be aborted. From now on the gate refuses calls that are unlikely to
-// finish by then.
-func (g *Gate) SetStopTime(end time.Time) { g.stopsAt.Store(&end) }
-
 // call is the state of one request of a caller.
 type call struct {
 	core.InboundHeaders
@@ -149,6 +147,9 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.end, errDeadline)
 	defer cancel()
 	c.ctx = ctx
+	if c.route.Kind != core.RouteStream {
+		defer c.endAtStop()()
+	}
 	if !c.readBody() {
 		return
 	}
@@ -210,29 +211,6 @@
 	return true
 }
 
-// stopsTooSoon reports whether the instance is likely to stop before the call ends; another instance should serve it then.
-func (c *call) stopsTooSoon() bool {
-	end := c.g.stopsAt.Load()
-	if end == nil {
-		return false
-	}
-	left := time.Until(*end)
-	switch {
-	case c.route.Kind != core.RouteStream:
-		return left < min(time.Until(c.end), plainCallTime)
-	case c.route.Resumable:
-		return left < resumableCallTime
-	default:
-		return true // its duration is unknown and it cannot be resumed at another instance
-	}
-}
-
-const (
-	// plainCallTime and resumableCallTime exceed the duration of nearly all calls of their kind.
-	plainCallTime     = time.Second
-	resumableCallTime = 3 * time.Second
-)
-
 func (c *call) setDeadlines() {
 	timeout := c.route.Timeout
 	if timeout <= 0 {
--- a/io/gate/plain.go
+++ b/io/gate/plain.go
@@ -40,12 +40,14 @@
 			return
 		}
 		if unsent := unsentError(err); unsent != nil {
+			lastErr = err
+			if c.ctx.Err() != nil {
+				break // the call's time is over, which says nothing about the endpoint
+			}
 			c.g.MarkUnreachable(e.ID, unsent.Refused())
-			if connectFailures++; connectFailures >= maxConnectAttempts || time.Now().After(c.end) {
-				lastErr = err
+			if connectFailures++; connectFailures >= maxConnectAttempts {
 				break
 			}
-			lastErr = err
 			continue
 		}
 		c.failedAttempts++
@@ -108,7 +110,7 @@
 		c.failedAttempts--
 	}
 	now := time.Now()
-	if attempts >= c.route.MaxAttempts || !now.Before(c.end) {
+	if attempts >= c.route.MaxAttempts || c.ctx.Err() != nil {
 		return false
 	}
 	ok := c.g.Retries.TryRetry(now, c.service.Name, c.g.Instances())
@@ -144,7 +146,7 @@
 		c.refuseUnserved(reasonDeclined, busyRetryAfter)
 	case ans != nil && ans.readErr == nil && !ans.NotRun && ans.StatusCode >= 300:
 		c.relayAnswer(ans)
-	case errors.Is(err, errDeadline), errors.Is(err, errAttemptTimeout):
+	case errors.Is(err, errDeadline), errors.Is(err, errAttemptTimeout), errors.Is(err, errStopping):
 		c.fail(http.StatusGatewayTimeout, err)
 	case err != nil:
 		c.fail(http.StatusBadGateway, err)
--- a/io/gate/room.go
+++ b/io/gate/room.go
@@ -59,6 +59,9 @@
 		case <-s.ctx.Done():
 			s.endEarly(nil)
 			return nil, ""
+		case <-s.stopDue():
+			s.endStopping()
+			return nil, ""
 		case <-time.After(w.pollInterval(now)):
 		}
 	}
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -151,6 +151,8 @@
 			s.onTimer()
 		case <-s.ctx.Done():
 			s.endEarly(nil)
+		case <-s.stopDue():
+			s.endStopping()
 		}
 	}
 }
--- a/proof/soak_fault_test.go
+++ b/proof/soak_fault_test.go
@@ -19,7 +19,11 @@
 	inst := s.instances[r.IntN(len(s.instances))]
 	span := time.Duration(200+r.IntN(1200)) * time.Millisecond
 	storeFault := []plat.StoreFault{plat.FaultUnavailable, plat.FaultTooManyRequests, plat.FaultReset, plat.FaultAnswerLost}[r.IntN(4)]
-	kind := r.IntN(12)
+	kinds := []int{0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14}
+	if s.plannedOnly {
+		kinds = []int{1, 1, 1, 3, 4, 6, 8, 12, 13, 14}
+	}
+	kind := kinds[r.IntN(len(kinds))]
 	s.t.Logf("fault %d at %s for %v", kind, inst.name, span)
 	switch kind {
 	case 0:
@@ -46,6 +50,19 @@
 		inst.storeLink.ResetConnections()
 	case 9:
 		s.disturbLink(r, inst.callerLink, span, g)
+	case 12: // an engine generates nothing for a while
+		s.mu.Lock()
+		e := s.engines[s.randomEngineID(r)]
+		s.mu.Unlock()
+		e.SetPaused(true)
+		g.Go(func() {
+			time.Sleep(span)
+			e.SetPaused(false)
+		})
+	case 13:
+		s.configure()
+	case 14:
+		_ = inst.cmd.Process.Signal(syscall.SIGHUP) // the process runs, as above
 	default:
 		s.mu.Lock()
 		l := s.links[s.randomEngineID(r)]
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -50,6 +50,9 @@
 	stoppedEngines []*plat.Engine
 	enginesStarted int
 	calls          []soakCall
+	configVersion  int
+	// plannedOnly is set for runs in which everything that happens to the instances is planned work or a fault of the store.
+	plannedOnly bool
 }
 
 type soakInstance struct {
@@ -58,17 +61,24 @@
 	cmd                              *exec.Cmd
 }
 
-// soakCall is a non-idempotent call or a stream, with the status that its caller received; 0 stands for a failed connection.
+// soakCall is a call or a stream, with the status that its caller received; 0 stands for a failed connection, also after the head.
 type soakCall struct {
-	attempt string
-	status  int
+	attempt    string
+	status     int
+	idempotent bool
 }
 
 // TestSoak guards against calls that run twice or that ran although they were refused, and against crossed or incomplete
 // answers. Random faults overlap: processes are terminated, paused, killed and restarted, engines drain and crash, links fail,
 // and the store fails for all instances or for one. SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS select the seeds and the duration.
-func TestSoak(t *testing.T) {
-	seeds := soakSeeds
+func TestSoak(t *testing.T) { soak(t, soakSeeds, false) }
+
+// TestPlannedSoak guards against calls that are lost in planned work: instances are stopped, reload their settings and start again,
+// configurations change and engines drain, in series and at once, while the store fails now and then. Callers use open connections
+// until the process is gone.
+func TestPlannedSoak(t *testing.T) { soak(t, soakSeeds[:1], true) }
+
+func soak(t *testing.T, seeds []uint64, plannedOnly bool) {
 	if first, err := strconv.ParseUint(os.Getenv("SOAK_SEED"), 10, 64); err == nil {
 		seeds = nil
 		for i := range max(intFromEnv("SOAK_SEEDS", 1), 1) {
@@ -78,6 +88,7 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := newSoak(t, seed)
+			s.plannedOnly = plannedOnly
 			defer s.close()
 			s.run(time.Duration(intFromEnv("SOAK_SECONDS", 8)) * time.Second)
 		})
@@ -129,6 +140,13 @@
 	s.enginesStarted++
 	e := plat.NewEngine(fmt.Sprintf("%s-%d", service, s.enginesStarted))
 	e.Events, e.Interval = 60, 10*time.Millisecond
+	e.CallHandler = func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(soakWorkTime(r))
+		fmt.Fprintf(w, "answer of %s to %s", e.ID, r.URL.RequestURI())
+	}
+	if s.enginesStarted%2 == 0 {
+		e.KeepGenerating()
+	}
 	l := s.startLink(e.Address())
 	e.SetLinkAddress(l.Addr())
 	s.engines[e.ID], s.links[e.ID] = e, l
@@ -150,8 +168,9 @@
 			"latency_goal_ms": 500, "service": service, "max_attempts": attempts,
 		}
 	}
+	s.configVersion++
 	s.store.Put("config", "main", map[string]any{
-		"version": 1,
+		"version": s.configVersion,
 		"routes":  []any{route("look", "idempotent", "app", 2), route("book", "non_idempotent", "app", 2), route("long", "streaming", "lm", 1)},
 		"services": []any{map[string]any{"name": "app"}, map[string]any{"name": "lm", "engine": map[string]any{
 			"slots": 16, "kv_capacity_tokens": 100000, "kv_token_bytes": 1000, "link_mbps": 14000, "moves": true, "backups": true, "stride": 1,
@@ -256,7 +275,8 @@
 		return
 	}
 	defer resp.Body.Close()
-	s.recordCall(attempt, path, resp.StatusCode)
+	status := resp.StatusCode
+	defer func() { s.recordCall(attempt, path, status) }()
 	if resp.StatusCode != http.StatusOK {
 		return
 	}
@@ -264,17 +284,23 @@
 		s.t.Errorf("%s %s: answer belongs to another request or lacks Snipeshed-Server-Seal: %v", attempt, path, resp.Header)
 	}
 	if strings.HasPrefix(path, "/long/") {
-		s.checkStream(attempt, resp.Body)
+		if !s.checkStream(attempt, resp.Body) {
+			status = 0
+		}
 		return
 	}
 	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		status = 0
+	}
 	if err == nil && !strings.HasSuffix(string(b), " to "+path) {
 		s.t.Errorf("%s: wrong answer %q", attempt, b)
 	}
 }
 
-// checkStream checks that each event arrives once and in order, and that a stream that ends without an error is complete.
-func (s *soakRun) checkStream(attempt string, body io.Reader) {
+// checkStream checks that each event arrives once and in order, and that a stream that ends without an error is complete. It reports
+// whether the stream was complete.
+func (s *soakRun) checkStream(attempt string, body io.Reader) bool {
 	next := 1
 	sc := bufio.NewScanner(body)
 	for sc.Scan() {
@@ -284,48 +310,20 @@
 		}
 		if id != strconv.Itoa(next) {
 			s.t.Errorf("%s: received event %s, want %d", attempt, id, next)
-			return
+			return false
 		}
 		next++
 	}
 	if sc.Err() == nil && next != 61 {
 		s.t.Errorf("%s: stream ends without an error after event %d of 60", attempt, next-1)
 	}
+	return next == 61
 }
 
 func (s *soakRun) recordCall(attempt, path string, status int) {
-	if strings.HasPrefix(path, "/look/") {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.calls = append(s.calls, soakCall{attempt: attempt, status: status})
-}
-
-// checkCalls checks that no call ran twice, that no refused call ran and that at least a quarter succeeded.
-func (s *soakRun) checkCalls() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	served := 0
-	for _, c := range s.calls {
-		runs := 0
-		for _, e := range s.engines {
-			runs += e.StartCount(c.attempt)
-		}
-		for _, e := range s.stoppedEngines {
-			runs += e.StartCount(c.attempt)
-		}
-		if runs > 1 || (c.status == http.StatusServiceUnavailable && runs > 0) {
-			s.t.Errorf("%s: status %d, but engines ran it %d times", c.attempt, c.status, runs)
-		}
-		if c.status == http.StatusOK {
-			served++
-		}
-	}
-	if served*4 < len(s.calls) {
-		s.t.Errorf("%d of %d non-idempotent calls and streams succeeded", served, len(s.calls))
-	}
-	s.t.Logf("%d of %d non-idempotent calls and streams succeeded", served, len(s.calls))
+	s.calls = append(s.calls, soakCall{attempt: attempt, status: status, idempotent: strings.HasPrefix(path, "/look/")})
 }
 
 // awaitReady waits until all instances pass their readiness check.
