Divide the retry budget by all known instances, not by those that are heard

Cause: the budget was divided by the number of live instances. Evidence: one of four instances that has lost the others repeated 32 of 60 failing calls; its share is 16.

It works because no share then depends on what an instance happens to hear.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -139,6 +139,7 @@
 		Retries:  allow.New(e.cfg.GetRetryRatio(), e.cfg.GetRetrySlack(), window),
 		Client:   e.dial, Lengths: expect.New(), Spent: spent.New(), Blame: e.blame, Log: e.log, Meter: gate.NewMeter(),
 		Instances:   func() int { return e.pulse.Instances() },
+		FleetSize:   func() int { return e.pulse.KnownPeers() + 1 },
 		MayLoad:     func() bool { return !e.watch.Down() },
 		NotifyPeers: func(d core.FailureDomain, allDomains bool) { e.pulse.SendLoadChanges(d, allDomains) },
 		SyncPeers:   func() { e.pulse.Broadcast() },
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -43,6 +43,8 @@
 	store     *plat.Store
 	engines   []*plat.Engine
 	instances []*instance
+	// retrySlack is the setting of the instances that are started next.
+	retrySlack float64
 }
 
 type instance struct {
@@ -107,6 +109,7 @@
 	}
 	conf.SetDefaults(cfg)
 	cfg.StopTimeoutS = 5
+	cfg.RetrySlack = d.retrySlack
 	i := &instance{cfg: cfg, log: &output{}}
 	var err error
 	if i.Edge, err = edge.New(cfg, i.log); err != nil {
--- a/io/gate/attempt.go
+++ b/io/gate/attempt.go
@@ -54,7 +54,7 @@
 // mayTryAnother reports whether another endpoint may be tried when this one takes too long.
 func (c *call) mayTryAnother() bool {
 	now := time.Now()
-	return c.g.Retries.CanRetry(now, c.service.Name, c.g.Instances()) &&
+	return c.g.Retries.CanRetry(now, c.service.Name, c.g.FleetSize()) &&
 		c.g.Selector.ChooseEndpoint(now, c.service, c.g.Endpoints.OfService(c.service.Name), place.Demand{}, c.tried) != nil
 }
 
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -49,6 +49,9 @@
 	SyncPeers func()
 	// Instances returns the number of live instances.
 	Instances func() int
+	// FleetSize returns the number of instances among which the retry budget is divided: also those that are not heard from, which
+	// may still serve callers.
+	FleetSize func() int
 	// MayLoad reports whether an instance without a configuration or endpoints may have them soon.
 	MayLoad func() bool
 }
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -84,7 +84,7 @@
 	s.gate = gate.New(gate.Deps{
 		Codec: platform.Codec{}, Mover: mover, News: s.news, Endpoints: s.fleet, Loads: s.loads, Selector: place.New("d1", s.loads),
 		Retries: allow.New(0.2, 100, 10*time.Second), Client: d, Lengths: expect.New(), Spent: spent.New(), Log: log, Meter: gate.NewMeter(),
-		Blame: s.blame, NotifyPeers: func(core.FailureDomain, bool) {}, SyncPeers: func() {}, Instances: func() int { return 1 }, MayLoad: func() bool { return true },
+		Blame: s.blame, NotifyPeers: func(core.FailureDomain, bool) {}, SyncPeers: func() {}, Instances: func() int { return 1 }, FleetSize: func() int { return 1 }, MayLoad: func() bool { return true },
 	}, 1<<20, maxOpen)
 	s.Server = httptest.NewServer(s.gate)
 	t.Cleanup(func() {
--- a/io/gate/plain.go
+++ b/io/gate/plain.go
@@ -113,7 +113,7 @@
 	if attempts >= c.route.MaxAttempts || c.ctx.Err() != nil {
 		return false
 	}
-	ok := c.g.Retries.TryRetry(now, c.service.Name, c.g.Instances())
+	ok := c.g.Retries.TryRetry(now, c.service.Name, c.g.FleetSize())
 	kind := event.Repeated
 	if !ok {
 		kind = event.NotRepeated
--- a/io/gate/silence.go
+++ b/io/gate/silence.go
@@ -82,7 +82,7 @@
 func (s *stream) mayTryAnotherEngine(now time.Time) bool {
 	d := s.demand()
 	e := s.g.Selector.ChooseEndpoint(now, s.service, s.g.Endpoints.OfService(s.service.Name), d, s.tried)
-	return e != nil && s.g.Selector.HasRoom(now, s.service, e, d) && s.g.Retries.CanRetry(now, s.service.Name, s.g.Instances())
+	return e != nil && s.g.Selector.HasRoom(now, s.service, e, d) && s.g.Retries.CanRetry(now, s.service.Name, s.g.FleetSize())
 }
 
 var errSilent = errors.New("the endpoint sent no data within the expected time")
