Notice lost instances by heartbeats wherever datagrams are slower

Cause: until a dead watcher counts as lost nobody reads the store, and full datagrams show a loss after nine intervals of 10 ms an instance, 2.16 s at 24; the ring of heartbeats, which takes 1.3 to 1.6 s, was used from 33 instances on.

Change: the ring is used where it is the faster of the two, from 15 instances on. Why it works: the slower of both bounds is now below the 2 s in which changes must be in force at each size.

--- a/edge/budget_test.go
+++ b/edge/budget_test.go
@@ -25,7 +25,7 @@
 	d.eventually("all know each other", 3*time.Second, func(i *instance) bool { return others(i, "peer_found") == instances-1 })
 	last := d.instances[0]
 	for _, i := range d.instances[1:] {
-		i.once.Do(i.Close)
+		i.kill()
 	}
 	until(t, "the others are lost", 5*time.Second, func() bool { return others(last, "peer_lost") == instances-1 })
 	var arrivals atomic.Int64
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -56,6 +56,8 @@
 
 func (i *instance) stop() { i.once.Do(i.Stop) }
 
+func (i *instance) kill() { i.once.Do(i.Close) }
+
 func deploy(t *testing.T, n int) *deployment {
 	d := &deployment{t: t, store: plat.NewStore(0)}
 	for _, id := range []string{"app-1", "app-2", "lm-1", "lm-2"} {
@@ -74,7 +76,7 @@
 
 func (d *deployment) close() {
 	for _, i := range d.instances {
-		i.once.Do(i.Close)
+		i.kill()
 	}
 	for _, e := range d.engines {
 		e.Close()
--- a/io/pulse/loss.go
+++ b/io/pulse/loss.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"snipeshed/core"
+	"snipeshed/core/ring"
 	"snipeshed/io/event"
 	"snipeshed/wire"
 )
@@ -21,13 +22,13 @@
 // watchRing sends a heartbeat to the instances that watch this one, and reports those that this one watches and that have fallen
 // silent. In a small fleet full datagrams are frequent enough for that.
 //
-// Without it, an instance that is killed in a fleet of 195 counts as live for 17 s: if it was one of those that watch the store,
-// nobody learns which engines leave in that time.
+// Without it, an instance that is killed counts as live for 2.2 s in a fleet of 24 and for 17 s in one of 195: if it was one of those
+// that watch the store, nobody learns of changes and of engines that leave in that time.
 func (p *Pulse) watchRing(now time.Time) {
-	heard := p.lastHeard()
-	if len(heard)+1 < core.LargeFleetInstances {
+	if p.lostAfter() <= ring.Silence {
 		return
 	}
+	heard := p.lastHeard()
 	for _, id := range p.ring.Lost(now, heard) {
 		p.reportLost(now, id)
 		delete(heard, id)
--- a/io/pulse/loss_internal_test.go
+++ b/io/pulse/loss_internal_test.go
@@ -42,3 +42,19 @@
 	p.handleDatagram(later, &wire.Pulse{From: "p1", Address: "127.0.0.1:3", Run: 1, Seq: 2})
 	is.Equal(p.liveCount(), 4) // and its effect
 }
+
+// TestLossKnownSoon guards against fleets in which the loss of an instance is known too late: if it was one of those that watch the store,
+// changes reach nobody until then, and they must be in force within 2 s.
+func TestLossKnownSoon(t *testing.T) {
+	const knownAfter = 1700 * time.Millisecond
+	for _, n := range []int{2, 13, 18, 24, 32, 33, 100} {
+		p := testPulse(t, n-1)
+		p.conn = listenUDP(t)
+		p.watchRing(testTime)
+		p.expirePeers(testTime.Add(knownAfter), p.lostAfter())
+		p.watchRing(testTime.Add(knownAfter))
+		if p.liveCount() == n {
+			t.Errorf("%d instances: no silent one counts as lost after %v", n, knownAfter)
+		}
+	}
+}
