Ask the endpoint of an unframed answer whether it is still there

Plain answers without a length had the same fault.

Cause: the end of the connection was taken for the end of the answer; after a kill the system closes connections as a process does. Ruled out: a lost reset.

Change: an answer without a length or chunks is complete only if its endpoint accepts a connection afterwards. Why it works: a killed process refuses connections at once, as the check for crashing prompts relies on too; both now share it.

--- a/io/gate/buffer.go
+++ b/io/gate/buffer.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"snipeshed/core"
 	"snipeshed/io/dial"
 )
 
@@ -38,6 +39,7 @@
 	partial bool     // more of the body may follow
 	readErr error    // why the body could not be read to its end
 	attempt *attempt // of a partial answer; it ends when the rest is relayed
+	sender  core.Endpoint
 }
 
 // release closes the connection of an answer that was not read to its end.
--- a/io/gate/deliver.go
+++ b/io/gate/deliver.go
@@ -17,6 +17,8 @@
 		s.sawEOF = true
 	case errors.Is(e.err, io.EOF) && s.endsBeforeEvents():
 		s.onUpstreamFailed(s.current, errNoEvents)
+	case errors.Is(e.err, io.EOF) && s.endedWithEngine():
+		s.onUpstreamFailed(s.current, errProcessEnded)
 	case errors.Is(e.err, io.EOF):
 		s.complete()
 	case e.err != nil:
@@ -32,17 +34,19 @@
 }
 
 var (
-	errNoEvents   = errors.New("the endpoint's answer has neither a length nor an event")
-	errNoPosition = errors.New("an event of the engine that continues the stream has no id, so it may repeat an earlier one")
+	errNoEvents    = errors.New("the endpoint's answer has neither a length nor an event")
+	errNoPosition  = errors.New("an event of the engine that continues the stream has no id, so it may repeat an earlier one")
 )
 
 // endsBeforeEvents reports whether the current upstream ended without an event and without a length that says that it has none.
 // The connection may have broken right after the head then.
 func (s *stream) endsBeforeEvents() bool {
-	a := s.current.answer
-	return s.current.eventsRead == 0 && a.ContentLength < 0 && len(a.TransferEncoding) == 0
+	return s.current.eventsRead == 0 && !isFramed(s.current.answer)
 }
 
+// endedWithEngine reports whether the current upstream ended because the process of its engine has ended.
+func (s *stream) endedWithEngine() bool { return s.endedWithProcess(s.current.answer, s.current.endpoint) }
+
 // deliver writes an event to the caller, unless the caller already has it.
 func (s *stream) deliver(e streamEvent) {
 	if s.alreadyDelivered(e.id) {
--- a/io/gate/plain.go
+++ b/io/gate/plain.go
@@ -75,6 +75,7 @@
 		return nil, err
 	}
 	ans := c.bufferAnswer(a)
+	ans.sender = e
 	if ans.partial {
 		ans.attempt = try
 		if c.isFinal(ans) && try.removeTimeout() {
@@ -82,6 +83,9 @@
 		}
 		ans.readErr = errFailureTooLong
 	}
+	if ans.readErr == nil && c.endedWithProcess(a, e) {
+		ans.readErr = errProcessEnded
+	}
 	a.Close(ans.readErr == nil)
 	try.end()
 	failed := ans.readErr != nil || a.StatusCode >= http.StatusInternalServerError || (a.StatusCode < 300 && !a.HasDigest)
@@ -192,6 +196,9 @@
 	if err == nil && n == maxRelayedBytes {
 		err = errAnswerTooLong
 	}
+	if err == nil && c.endedWithProcess(ans.Answer, ans.sender) {
+		err = errProcessEnded
+	}
 	c.g.Loads.RecordOutcome(time.Now(), ans.Endpoint, err != nil && c.r.Context().Err() == nil)
 	if err != nil {
 		c.g.Log.EmitRequest(event.Cut, c.ID, event.Fields{"endpoint": ans.Endpoint, "error": err})
--- a/io/gate/quarantine.go
+++ b/io/gate/quarantine.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"context"
 	"errors"
 	"net/http"
 	"time"
@@ -10,13 +9,8 @@
 	"snipeshed/io/event"
 )
 
-const (
-	// clearingEvents is the number of events that show that an engine answers a prompt.
-	clearingEvents = 2
-	// crashCheckTimeout bounds the check whether an engine's process has ended. A crashed one refuses connections within
-	// milliseconds.
-	crashCheckTimeout = 150 * time.Millisecond
-)
+// clearingEvents is the number of events that show that an engine answers a prompt.
+const clearingEvents = 2
 
 var (
 	errCrashingPrompt = errors.New("engines crashed on requests with a part of this prompt")
@@ -102,9 +96,7 @@
 	if s.eventsSent > 0 || len(parts) == 0 || len(s.heldEvents) > 0 {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(s.ctx, crashCheckTimeout)
-	defer cancel()
-	if !s.g.Client.RefusesConnections(ctx, up.endpoint) {
+	if !s.refusesConnections(up.endpoint) {
 		return false
 	}
 	p := up.endpoint.Incarnation()
