--- a/io/gate/body.go
+++ b/io/gate/body.go
@@ -19,7 +19,7 @@
 	smallBodyBytes = 64 << 10
 	// maxBodyWait and maxBodyWaitShare, a share of the time left, bound the time for which a call waits until its body may be read.
 	maxBodyWait      = time.Second
-	maxBodyWaitShare = 3
+	maxBodyWaitShare = 0.33
 )
 
 // bodyBudget bounds the total size of the request bodies in memory, those that are being read included; it is safe for concurrent use.
@@ -67,6 +67,7 @@
 	}
 }
 
+// give gives n bytes back.
 func (b *bodyBudget) give(n int64) {
 	if n == 0 {
 		return
@@ -114,7 +115,8 @@
 // readWhole reads a body of at most limit bytes into c.body. It takes the memory before it reads: for a body of unknown length first that
 // of a small one, then that of the largest one, so that bodies that have begun never wait for each other.
 func (c *call) readWhole(body io.Reader, limit int64) error {
-	ctx, cancel := context.WithTimeout(c.ctx, min(maxBodyWait, time.Until(c.end)/maxBodyWaitShare))
+	wait := time.Duration(maxBodyWaitShare * float64(time.Until(c.end)))
+	ctx, cancel := context.WithTimeout(c.ctx, min(maxBodyWait, wait))
 	defer cancel()
 	defer c.giveUnused()
 	sizes := []int64{c.r.ContentLength}
--- a/io/gate/buffer.go
+++ b/io/gate/buffer.go
@@ -36,10 +36,10 @@
 type bufferedAnswer struct {
 	*dial.Answer
 	body    []byte
-	partial bool     // more of the body may follow
-	readErr error    // why the body could not be read to its end
-	attempt *attempt // of a partial answer; it ends when the rest is relayed
-	sender  core.Endpoint
+	partial bool          // more of the body may follow
+	readErr error         // why the body could not be read to its end
+	attempt *attempt      // of a partial answer; it ends when the rest is relayed
+	sender  core.Endpoint // that sent the answer
 }
 
 // release closes the connection of an answer that was not read to its end.
--- a/io/gate/deliver.go
+++ b/io/gate/deliver.go
@@ -34,8 +34,8 @@
 }
 
 var (
-	errNoEvents    = errors.New("the endpoint's answer has neither a length nor an event")
-	errNoPosition  = errors.New("an event of the engine that continues the stream has no id, so it may repeat an earlier one")
+	errNoEvents   = errors.New("the endpoint's answer has neither a length nor an event")
+	errNoPosition = errors.New("an event of the engine that continues the stream has no id, so it may repeat an earlier one")
 )
 
 // endsBeforeEvents reports whether the current upstream ended without an event and without a length that says that it has none.
@@ -45,7 +45,9 @@
 }
 
 // endedWithEngine reports whether the current upstream ended because the process of its engine has ended.
-func (s *stream) endedWithEngine() bool { return s.endedWithProcess(s.current.answer, s.current.endpoint) }
+func (s *stream) endedWithEngine() bool {
+	return s.endedWithProcess(s.current.answer, s.current.endpoint)
+}
 
 // deliver writes an event to the caller, unless the caller already has it.
 func (s *stream) deliver(e streamEvent) {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -70,7 +70,8 @@
 // New returns a Gate that refuses calls while it holds more than maxBody bytes of request bodies or maxOpen calls.
 func New(p Deps, maxBody, maxOpen int64) *Gate {
 	return &Gate{
-		Deps: p, streams: newStreamRegistry(), connRefusals: newConnRefusals(), maxBodyBytes: maxBody, bodies: newBodyBudget(maxBody), maxOpenCalls: maxOpen, stop: newStopState(),
+		Deps: p, streams: newStreamRegistry(), connRefusals: newConnRefusals(), bodies: newBodyBudget(maxBody), maxBodyBytes: maxBody,
+		maxOpenCalls: maxOpen, stop: newStopState(),
 	}
 }
 
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -29,7 +29,7 @@
 }
 
 const (
-	soakInstances = 3
+	soakInstances = 3 // unless SOAK_INSTANCES is set
 	soakCallers   = 8
 	// soakReadyTimeout bounds the time until all instances are ready, at the start and after the last fault.
 	soakReadyTimeout = 6 * time.Second
@@ -70,7 +70,8 @@
 
 // TestSoak guards against calls that run twice or that ran although they were refused, and against crossed or incomplete
 // answers. Random faults overlap: processes are terminated, paused, killed and restarted, engines drain and crash, links fail,
-// and the store fails for all instances or for one. SOAK_SEED, SOAK_SEEDS and SOAK_SECONDS select the seeds and the duration.
+// and the store fails for all instances or for one. SOAK_SEED, SOAK_SEEDS, SOAK_SECONDS and SOAK_INSTANCES select the seeds, the
+// duration and the number of instances.
 func TestSoak(t *testing.T) { soak(t, soakSeeds, false) }
 
 // TestPlannedSoak guards against calls that are lost in planned work: instances are stopped, reload their settings and start again,
@@ -114,7 +115,7 @@
 		s.addEngine("app")
 	}
 	s.configure()
-	for i := range soakInstances {
+	for i := range intFromEnv("SOAK_INSTANCES", soakInstances) {
 		s.addInstance(i)
 	}
 	s.awaitReady("at the start")
