Give up a resumption that has no answer while the engine before goes on

Cause: nothing bounded the time between a resumption and its answer, while the engine before goes on.

Change: after 0.35 s without an answer, and with events of the engine before at hand, the resumption is given up, its engine told to stop and the events delivered. Why it works: the engine that has not answered is stopped before both have worked for 0.4 s. One that was asked to go on with a stream that then ends is told to stop as well.

The checks of overlaps in io/gate and proof now count the time for which two runs go on at once, which is what the rule is about: counted from the second run's start to the first one's end, a run that was stopped in time still counted.

--- a/io/gate/finish.go
+++ b/io/gate/finish.go
@@ -23,6 +23,10 @@
 	}
 	s.g.Loads.RecordOutcome(time.Now(), s.current.endpoint.ID, false)
 	s.recordLength()
+	if s.pending != nil { // it was to go on at another engine, which may have begun
+		s.leave(s.pending.endpoint)
+		s.stopLeft(s.current.endpoint)
+	}
 	s.current.close(true)
 	s.g.Log.EmitRequest(event.Answered, s.ID, event.Fields{
 		"endpoint": s.current.endpoint.ID, "events": s.eventsSent, "sends": s.sends, "route": s.route.Name,
--- a/io/gate/left_running_test.go
+++ b/io/gate/left_running_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -87,6 +86,31 @@
 	checkOverlap(t, list, "r1")
 }
 
+// TestSlowResumptionStops guards against a generation that is worked on at two engines because the second has begun but does not answer,
+// while the first, which leaves, still generates.
+func TestSlowResumptionStops(t *testing.T) {
+	is := is.New(t)
+	list := newEngines(3, 20*time.Millisecond)
+	for _, e := range list {
+		e.Events = 150
+		e.KeepGenerating()
+	}
+	s := start(t, true, list...)
+	resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", "r1")
+	source := waitForEngine(t, list, "r1")
+	time.Sleep(100 * time.Millisecond)
+	for _, e := range list {
+		if e != source {
+			e.HoldHeads(800 * time.Millisecond)
+		}
+	}
+	s.markLeaving(source)
+	got, err := eventIDs(resp)
+	is.NoErr(err)
+	checkEvents(is, got, 150)
+	checkOverlap(t, list, "r1")
+}
+
 // pauseForAWhile pauses an engine for longer than the gate waits for a silent one.
 func pauseForAWhile(_ *system, e *plat.Engine) {
 	e.SetPaused(true)
@@ -115,7 +139,7 @@
 	}
 }
 
-// checkOverlap checks that no run of an attempt goes on for longer than overlapLimit after another one has begun.
+// checkOverlap checks that no two runs of an attempt go on at the same time for longer than overlapLimit.
 func checkOverlap(t *testing.T, list []*plat.Engine, attempt string) {
 	t.Helper()
 	time.Sleep(overlapLimit) // a run that goes on now is too long
@@ -123,14 +147,11 @@
 	for _, e := range list {
 		runs = append(runs, e.Runs(attempt)...)
 	}
-	slices.SortFunc(runs, func(a, b plat.Run) int { return a.Begun.Compare(b.Begun) })
-	for i, r := range runs[1:] {
-		before := runs[i]
-		if before.Ended.IsZero() {
-			before.Ended = time.Now()
-		}
-		if d := before.Ended.Sub(r.Begun); d > overlapLimit {
-			t.Errorf("%s was worked on for %v after it had gone on elsewhere", attempt, d)
+	for i, r := range runs {
+		for _, before := range runs[:i] {
+			if d := plat.Overlap(before, r); d > overlapLimit {
+				t.Errorf("%s was worked on at two engines for %v", attempt, d)
+			}
 		}
 	}
 }
--- a/io/gate/move.go
+++ b/io/gate/move.go
@@ -27,6 +27,10 @@
 	// finalCopyDelay is the time from the notice after which the generation is stopped for its final copy, however long that
 	// may take: engines leave from 1.5 s after their notice.
 	finalCopyDelay = 1200 * time.Millisecond
+	// resumeTimeout is the time within which an engine must answer a resumption while the engine before still generates; two
+	// engines must not work on a generation for 0.4 s.
+	resumeTimeout       = 350 * time.Millisecond
+	resumeCheckInterval = 20 * time.Millisecond
 	// moveRetryInterval is the time until a failed move is tried again.
 	moveRetryInterval = 40 * time.Millisecond
 	// maxMoveAttempts is the number of attempts to move one generation after which excluded targets are not tried again.
@@ -220,9 +224,30 @@
 	}
 	s.g.Retries.ForceRetry(now, s.service.Name)
 	s.open(target, from, s.chooseBackup(now, target))
+	if s.current != nil {
+		s.resumeDeadline = now.Add(resumeTimeout)
+		s.resetTimer()
+	}
 	return true
 }
 
+// onSlowResumption gives up a resumption that has no answer while the engine before goes on: the other one may have begun, too.
+func (s *stream) onSlowResumption(now time.Time) {
+	s.resumeDeadline = time.Time{}
+	up := s.pending
+	switch {
+	case up == nil || up.resumeFrom == "" || s.current == nil || s.migration.stopped:
+		return
+	case len(s.heldEvents) == 0: // the engine before is silent as well, so this one may still be the better one
+		s.resumeDeadline = now.Add(resumeCheckInterval)
+		return
+	}
+	s.pending = nil
+	up.close(false)
+	s.migration.exclude(up.endpoint.ID)
+	s.onResumeFailed(openResult{upstream: up, err: errSlowResumption})
+}
+
 // startCopy chooses a target engine and starts to copy the generation there while it continues.
 func (s *stream) startCopy() {
 	now := time.Now()
@@ -360,4 +385,6 @@
 	}
 }
 
+var errSlowResumption = errors.New("the engine has not answered in time, and the engine before goes on")
+
 var errNotResumed = errors.New("the generation could not be resumed at an engine that holds or can fetch its memory")
--- a/io/gate/stream.go
+++ b/io/gate/stream.go
@@ -42,6 +42,7 @@
 	longestPauseAfter int           // number of events before that pause
 	sentAt            time.Time     // when a resumable stream was last sent to an engine from its start
 	silenceDeadline   time.Time     // when the lack of events counts as a failure; zero when none is set
+	resumeDeadline    time.Time     // when a resumption without an answer is given up; zero when there is none
 	sawEOF            bool          // the current upstream ended normally while its generation was to be stopped
 	finished          bool
 }
@@ -157,14 +158,13 @@
 	}
 }
 
-// resetTimer sets the timer to the earlier of the next migration step and the silence deadline.
+// resetTimer sets the timer to the earliest of the next migration step and the deadlines of silence and of a resumption.
 func (s *stream) resetTimer() {
-	next := s.silenceDeadline
-	if at := s.migration.nextStepAt; !at.IsZero() && (next.IsZero() || at.Before(next)) {
-		next = at
-	}
-	if next.IsZero() {
-		next = time.Now().Add(time.Hour)
+	next := time.Now().Add(time.Hour)
+	for _, at := range []time.Time{s.silenceDeadline, s.migration.nextStepAt, s.resumeDeadline} {
+		if !at.IsZero() && at.Before(next) {
+			next = at
+		}
 	}
 	s.timer.Reset(time.Until(next))
 }
@@ -175,6 +175,9 @@
 		s.migration.nextStepAt = time.Time{}
 		s.stepMigration()
 	}
+	if at := s.resumeDeadline; !at.IsZero() && !now.Before(at) {
+		s.onSlowResumption(now)
+	}
 	switch at := s.silenceDeadline; {
 	case at.IsZero() || now.Before(at):
 	case wasPaused(at, now):
--- a/proof/soak_check_test.go
+++ b/proof/soak_check_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// soakOverlap is the time for which an engine may go on with a generation that goes on at another one.
+	// soakOverlap is the time for which two engines may work on a generation.
 	soakOverlap = 400 * time.Millisecond
 	// soakAttempts is the number of engines at which a call may run: max_attempts of the routes.
 	soakAttempts = 2
@@ -47,21 +47,18 @@
 	s.t.Logf("%d of %d calls succeeded, %d were lost", served, len(s.calls), lost)
 }
 
-// checkOverlap checks that no engine went on with a generation for longer than soakOverlap after another one had begun it. Engines that
+// checkOverlap checks that no two engines worked on a generation at the same time for longer than soakOverlap. Engines that
 // a fault of their link or of their instance cut off can't be told to stop, so that this holds in planned work only.
 func (s *soakRun) checkOverlap(c soakCall, engines []*plat.Engine) {
 	var runs []plat.Run
 	for _, e := range engines {
 		runs = append(runs, e.Runs(c.attempt)...)
 	}
-	slices.SortFunc(runs, func(a, b plat.Run) int { return a.Begun.Compare(b.Begun) })
-	for i := 1; i < len(runs) && s.plannedOnly; i++ {
-		before := runs[i-1]
-		if before.Ended.IsZero() {
-			before.Ended = time.Now()
-		}
-		if d := before.Ended.Sub(runs[i].Begun); d > soakOverlap {
-			s.t.Errorf("%s was worked on for %v after it had gone on elsewhere:\n%s", c.attempt, d, s.logOf(c.attempt))
+	for i, r := range runs {
+		for _, before := range runs[:i] {
+			if d := plat.Overlap(before, r); d > soakOverlap && s.plannedOnly {
+				s.t.Errorf("%s was worked on at two engines for %v:\n%s", c.attempt, d, s.logOf(c.attempt))
+			}
 		}
 	}
 }
--- a/stand/plat/engine.go
+++ b/stand/plat/engine.go
@@ -185,6 +185,25 @@
 	Ended time.Time // zero while it goes on
 }
 
+// Overlap returns the time for which two runs went on at once, where a run that goes on counts until now.
+func Overlap(a, b Run) time.Duration {
+	begun, ended := a.Begun, a.endOrNow()
+	if b.Begun.After(begun) {
+		begun = b.Begun
+	}
+	if end := b.endOrNow(); end.Before(ended) {
+		ended = end
+	}
+	return ended.Sub(begun)
+}
+
+func (r Run) endOrNow() time.Time {
+	if r.Ended.IsZero() {
+		return time.Now()
+	}
+	return r.Ended
+}
+
 // Runs returns the runs of an attempt on this engine, those continued from a copy too.
 func (e *Engine) Runs(attempt string) []Run {
 	e.mu.Lock()
--- a/stand/plat/engine_serve.go
+++ b/stand/plat/engine_serve.go
@@ -138,7 +138,11 @@
 	e.mu.Lock()
 	headDelay := e.headDelay
 	e.mu.Unlock()
-	time.Sleep(headDelay)
+	select {
+	case <-stop:
+		panic(http.ErrAbortHandler)
+	case <-time.After(headDelay):
+	}
 	for i := first; i <= e.Events; i++ {
 		select {
 		case <-stop:
