Tell a killed process from one whose listener closes last

Cause: the check of unframed answers connected in the moment in which the host had closed the connections of the process, but not yet its listener. Change: a connection that is taken is watched for 30 ms; if it is closed, a second one decides, as an endpoint with too many connections resets one too. TestHasEnded covers both orders and both kinds of endpoint.

--- a/io/dial/client.go
+++ b/io/dial/client.go
@@ -25,7 +25,9 @@
 	// keepAliveMargin is subtracted from the idle timeout that the endpoint sends, so that no request is sent just as the
 	// endpoint closes the connection.
 	keepAliveMargin = 500 * time.Millisecond
-	maxIdleConns    = 8 // idle connections kept for each endpoint
+	// listenerCloseTime is the time within which a host closes the listener of a killed process after its connections.
+	listenerCloseTime = 30 * time.Millisecond
+	maxIdleConns      = 8 // idle connections kept for each endpoint
 	// maxSyncWriteBytes is the size up to which a request fits into every socket send buffer, so that writing it cannot block.
 	maxSyncWriteBytes = 4 << 10
 	// maxMismatchedAnswers is the number of responses to other requests that are skipped before the connection is closed.
@@ -269,6 +271,21 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// HasEnded reports whether the process of an endpoint has ended. A host closes the connections of a killed process before its listener
+// at times, so that a connection opened in between is reset soon; an endpoint that resets one for another reason takes or resets the next.
+func (d *Client) HasEnded(ctx context.Context, e core.Endpoint) bool {
+	c, err := d.dialer.DialContext(ctx, "tcp", e.Address)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	defer c.Close()
+	_ = c.SetReadDeadline(time.Now().Add(listenerCloseTime)) // a connection without deadlines ends with ctx
+	if _, err = c.Read(make([]byte, 1)); err == nil || isTimeout(err) {
+		return false
+	}
+	return d.RefusesConnections(ctx, e)
+}
+
 func (d *Client) popIdle(id core.EndpointID) *conn {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/io/gate/ended.go
+++ b/io/gate/ended.go
@@ -10,7 +10,7 @@
 	"snipeshed/io/dial"
 )
 
-// crashCheckTimeout bounds the check whether an endpoint's process has ended. A crashed one refuses connections within milliseconds.
+// crashCheckTimeout bounds a check whether an endpoint's process has ended. A crashed one refuses connections within milliseconds.
 const crashCheckTimeout = 150 * time.Millisecond
 
 var errProcessEnded = errors.New("the answer ended without a length, and its endpoint refuses connections")
@@ -23,7 +23,12 @@
 // endedWithProcess reports whether an answer without a length ended because the process of its endpoint has ended: the system then closes
 // the connection as the endpoint does after a complete answer.
 func (c *call) endedWithProcess(a *dial.Answer, e core.Endpoint) bool {
-	return !isFramed(a) && c.refusesConnections(e)
+	if isFramed(a) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, crashCheckTimeout)
+	defer cancel()
+	return c.g.Client.HasEnded(ctx, e)
 }
 
 // refusesConnections reports whether the process of an endpoint has ended, so that connections to it are refused.
