--- a/review/stand-2/lab.go
+++ b/review/stand-2/lab.go
@@ -201,11 +201,10 @@
 		HoldMs     float64 `json:"hold_ms"`
 	}
 	serviceSpec struct {
-		Name       string `json:"name"`
-		HealthPath string `json:"health_path"`
-		MaxConns   int    `json:"max_conns"`
-		// Engine is nil for services without model engines.
-		Engine *engineSpec `json:"engine,omitempty"`
+		Name       string     `json:"name"`
+		HealthPath string     `json:"health_path"`
+		MaxConns   int        `json:"max_conns"`
+		Engine     engineSpec `json:"engine"`
 	}
 	limitsSpec struct {
 		HeaderBytes     int `json:"max_header_bytes"`
@@ -237,51 +236,43 @@
 const (
 	longPath  = "/draft/"
 	shortPath = "/tag/"
-	plainPath = "/book/"
 )
 
-// configure writes the configuration, with a route of each kind of stream and a protected one; moves tells whether generations can be moved.
+// configure writes the configuration, with a route of each kind of stream; moves tells whether generations can be moved.
 func (l *lab) configure(moves bool) {
 	l.store.Put("config", "main", configSpec{
 		Version: 7,
 		Routes: []routeSpec{
 			{Name: "draft", Host: callHost, PathPrefix: longPath, Kind: "streaming", TimeoutMs: 39000, ObjectiveMs: 4000, Priority: 2, Service: llmService, MaxAttempts: 1, Sticky: true, GapMs: 180},
 			{Name: "tag", Host: callHost, PathPrefix: shortPath, Kind: "streaming", TimeoutMs: 6000, ObjectiveMs: 1500, Service: llmService, MaxAttempts: 2, Sticky: true, Resumable: true, GapMs: 180},
-			{Name: "book", Host: callHost, PathPrefix: plainPath, Kind: "non_idempotent", TimeoutMs: 800, ObjectiveMs: 150, Priority: 2, Service: appService, MaxAttempts: 1},
 		},
 		Services: []serviceSpec{{
 			Name: llmService, HealthPath: "/health", MaxConns: 503,
-			Engine: &engineSpec{Slots: 24, Capacity: 34326, TokenBytes: 96256, LinkMbps: 14000, Moves: moves, Backups: moves, Stride: 4, HoldMs: 2000},
-		}, {Name: appService, HealthPath: "/health", MaxConns: 248}},
+			Engine: engineSpec{Slots: 24, Capacity: 34326, TokenBytes: 96256, LinkMbps: 14000, Moves: moves, Backups: moves, Stride: 4, HoldMs: 2000},
+		}},
 		Limits:  limitsSpec{HeaderBytes: 16384, BodyBytes: 4194304, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000},
 		Tenants: []struct{}{},
 	})
 }
 
-// Services.
-const (
-	llmService = "llm-pool"
-	appService = "app"
-)
+// llmService is the service of the model runners.
+const llmService = "llm-pool"
 
 // register writes the entry of a runner.
 func (l *lab) register(r *runnerProcess) {
 	l.store.Put("servers", r.id, runnerSpec{
-		Service: r.service, Address: r.address, Zone: "zone-a", Version: "v1", Slots: 24, State: "ready", Seq: r.starts, Born: r.born,
+		Service: llmService, Address: r.address, Zone: "zone-a", Version: "v1", Slots: 24, State: "ready", Seq: r.starts, Born: r.born,
 	})
 }
 
-// startRunners starts runners of a service and registers them; the first one fails one in failEvery requests, if that is above 0.
-func (l *lab) startRunners(service string, n, failEvery int) error {
+// startRunners starts model runners and registers them.
+func (l *lab) startRunners(n int) error {
 	for i := 1; i <= n; i++ {
 		port, err := freePort("127.0.30.1")
 		if err != nil {
 			return err
 		}
-		r := &runnerProcess{lab: l, service: service, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+i), address: net.JoinHostPort("127.0.30.1", port), sent: map[string]int{}, ran: map[string]bool{}}
-		if i == 1 {
-			r.failEvery = failEvery
-		}
+		r := &runnerProcess{lab: l, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+i), address: net.JoinHostPort("127.0.30.1", port), sent: map[string]int{}}
 		if err := r.start(); err != nil {
 			return err
 		}
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -20,15 +20,14 @@
 var cases = map[string]func(*lab) error{
 	"stop":      runStop,
 	"truncated": runTruncated,
-	"refused":   runRefused,
 }
 
 func main() {
-	if len(os.Args) == 5 && os.Args[1] == "runner" {
-		os.Exit(runRunner(os.Args[2], os.Args[3], os.Args[4]))
+	if len(os.Args) == 4 && os.Args[1] == "runner" {
+		os.Exit(runRunner(os.Args[2], os.Args[3]))
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD_FILE | stand-2 runner ID ADDRESS FAIL_EVERY")
+		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD_FILE | stand-2 runner ID ADDRESS")
 		os.Exit(exitNotRun)
 	}
 	os.Exit(runCase(os.Args[1], os.Args[2]))
--- a/review/stand-2/runner.go
+++ b/review/stand-2/runner.go
@@ -21,24 +21,17 @@
 	headerIntervalMs = "Case-Interval-Ms" // time between two events
 	headerEventBytes = "Case-Event-Bytes" // size of the data of an event
 	headerUnframed   = "Case-Unframed"    // the answer has no length and ends with its connection
-	headerBooking    = "Case-Booking"     // the booking that all attempts of a caller stand for
 )
 
-// runRunner serves as a runner until the process is killed. It reports the runs on its standard output. If failEvery is above 0, one in
-// failEvery requests that are no streams fails after it has run.
-func runRunner(id, address, failEvery string) int {
-	every, err := strconv.Atoi(failEvery)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitNotRun
-	}
+// runRunner serves as a model runner until the process is killed. It reports the runs on its standard output.
+func runRunner(id, address string) int {
 	ln, err := net.Listen("tcp", address)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
 	fmt.Println("listening")
-	r := &runner{id: id, failEvery: every}
+	r := &runner{id: id}
 	err = http.Serve(ln, http.HandlerFunc(r.serve)) //nolint:gosec // no timeouts: a loopback stand-in
 	fmt.Fprintln(os.Stderr, err)
 	return exitNotRun
@@ -46,10 +39,8 @@
 
 // runner is a model runner that speaks the platform's protocol.
 type runner struct {
-	id        string
-	failEvery int
-	mu        sync.Mutex
-	plainRuns int
+	id string
+	mu sync.Mutex
 }
 
 // report writes a line to the process that started the runner.
@@ -79,32 +70,10 @@
 	case "/kv-move":
 		w.WriteHeader(http.StatusNotFound) // no such run: it has ended
 	default:
-		if strings.HasPrefix(req.URL.Path, plainPath) {
-			r.answer(w, req, id)
-			return
-		}
 		r.stream(w, req, id)
 	}
 }
 
-// plainWork is the time that a request takes that is no stream.
-const plainWork = 30 * time.Millisecond
-
-// answer runs a request that is no stream. A failure has no header that says that the request was not run.
-func (r *runner) answer(w http.ResponseWriter, req *http.Request, id string) {
-	r.mu.Lock()
-	r.plainRuns++
-	fails := r.failEvery > 0 && r.plainRuns%r.failEvery == 0
-	r.mu.Unlock()
-	r.report("ran %s, booking %s", id, req.Header.Get(headerBooking))
-	time.Sleep(plainWork)
-	w.Header().Set("Snipeshed-Server-Seal", "seal."+r.id+"."+id)
-	if fails {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-	fmt.Fprintf(w, "booking %s\n", req.Header.Get(headerBooking))
-}
-
 func number(req *http.Request, name string) int {
 	n, _ := strconv.Atoi(req.Header.Get(name)) // 0 if the header is absent
 	return n
@@ -166,8 +135,6 @@
 type runnerProcess struct {
 	lab         *lab
 	id, address string
-	service     string
-	failEvery   int
 	starts      int
 	born        int64
 	cmd         *exec.Cmd
@@ -175,7 +142,6 @@
 
 	mu   sync.Mutex
 	sent map[string]int // events sent, by attempt
-	ran  map[string]bool
 }
 
 // start starts the process and returns when it listens.
@@ -186,7 +152,7 @@
 	}
 	r.starts++
 	r.born = time.Now().UnixMilli()
-	r.cmd = exec.Command(self, "runner", r.id, r.address, strconv.Itoa(r.failEvery))
+	r.cmd = exec.Command(self, "runner", r.id, r.address)
 	r.cmd.Stderr = os.Stderr
 	out, err := r.cmd.StdoutPipe()
 	if err != nil {
@@ -214,11 +180,6 @@
 // note records a line of the runner.
 func (r *runnerProcess) note(line string) {
 	var id string
-	if _, err := fmt.Sscanf(line, "ran %s", &id); err == nil {
-		r.mu.Lock()
-		r.ran[strings.TrimSuffix(id, ",")] = true
-		r.mu.Unlock()
-	}
 	var n, of int
 	if _, err := fmt.Sscanf(line, "sent %s event %d of %d", &id, &n, &of); err != nil {
 		r.lab.record("runner %s %s", r.id, line)
--- a/review/stand-2/stop.go
+++ b/review/stand-2/stop.go
@@ -91,7 +91,7 @@
 // runStop stops an instance while callers hold idle connections to it, and sends a short stream on each of these 4 s later.
 func runStop(l *lab) error {
 	l.configure(true)
-	if err := l.startRunners(llmService, 3, 0); err != nil {
+	if err := l.startRunners(3); err != nil {
 		return err
 	}
 	if err := l.startInstances(3); err != nil {
--- a/review/stand-2/truncated.go
+++ b/review/stand-2/truncated.go
@@ -58,7 +58,7 @@
 // instance has passed on all that the runner had sent.
 func runTruncated(l *lab) error {
 	l.configure(false)
-	if err := l.startRunners(llmService, 2, 0); err != nil {
+	if err := l.startRunners(2); err != nil {
 		return err
 	}
 	if err := l.startInstances(2); err != nil {
