--- a/review/stand-2/main.go
+++ b/review/second/stand/main.go
@@ -27,7 +27,7 @@
 		os.Exit(runRunner(os.Args[2], os.Args[3]))
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand-2 CASE RECORD_FILE | stand-2 runner ID ADDRESS")
+		fmt.Fprintln(os.Stderr, "usage: stand CASE RECORD_FILE | stand runner ID ADDRESS")
 		os.Exit(exitNotRun)
 	}
 	os.Exit(runCase(os.Args[1], os.Args[2]))
