--- a/review/second/stand/runner.go
+++ b/review/second/stand/runner.go
@@ -199,6 +199,9 @@
 
 // kill kills the process and waits until it has ended.
 func (r *runnerProcess) kill() {
+	if r.cmd.Process == nil {
+		return // it could not be started
+	}
 	_ = r.cmd.Process.Kill() // fails when the process has ended
 	<-r.exited
 }
--- a/review/second/stand/truncated.go
+++ b/review/second/stand/truncated.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -65,10 +66,14 @@
 		return err
 	}
 	time.Sleep(2 * time.Second) // the instances find each other
+	ended := make(chan struct{})
+	var g sync.WaitGroup
 	if l.troubled {
-		go l.crashRunner()
+		g.Go(func() { l.crashRunner(ended) })
 	}
 	last, err := l.readSlowly(l.instances[0])
+	close(ended)
+	g.Wait()
 	sent := l.eventsSent(truncatedID)
 	l.record("caller: last event %d of %d; the runner has sent %d; end of the answer: %v", last, truncatedEvents, sent, describeEnd(err))
 	switch {
@@ -120,10 +125,15 @@
 	return last, lines.Err()
 }
 
-// crashRunner kills the runner that runs the stream, and starts it again.
-func (l *lab) crashRunner() {
+// crashRunner kills the runner that runs the stream, and starts it again. It returns without that if the stream ends before its first
+// event.
+func (l *lab) crashRunner(ended <-chan struct{}) {
 	for l.eventsSent(truncatedID) == 0 {
-		time.Sleep(10 * time.Millisecond)
+		select {
+		case <-ended:
+			return
+		case <-time.After(10 * time.Millisecond):
+		}
 	}
 	time.Sleep(crashAfter)
 	for _, r := range l.runners {
