Reject answers of endpoints with a status that HTTP does not define

What callers saw (edge): an answer of an endpoint with a status from 600 to 999 was relayed as it was. One with a status below 100 was passed over as if it were an interim response: if its body looked like an answer, the caller got that body; if the endpoint kept the connection open, the caller waited until the route's timeout. The same holds for an unrequested 101.

Cause: net/http.ReadResponse takes any three characters that strconv.Atoi reads as a status, and io/dial took all below 200 for interim ones.

Change: io/head.Check, called for each head that io/dial reads, also those of interim responses and of answers to other requests. An answer that fails it is like bytes that are no answer: the connection is closed, the call may have run and is repeated only where its route allows that.

--- a/io/dial/bounds.go
+++ b/io/dial/bounds.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"snipeshed/io/head"
 )
 
 const (
@@ -57,7 +59,11 @@
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.head.begin()
 	defer c.head.end()
-	return http.ReadResponse(c.br, &http.Request{Method: method})
+	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
+	if err != nil {
+		return nil, err
+	}
+	return resp, head.Check(resp)
 }
 
 // skipBody reads the body of a response to another request, so that the next response can be read. It fails if no other
