--- a/io/gate/malformed_test.go
+++ b/io/gate/malformed_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -20,6 +21,8 @@
 	{"with a length", rawHead("HTTP/1.1 200 OK", "r1", fmt.Sprint("Content-Length: ", len(events(1, 2)))) + events(1, 2)},
 	{"in chunks", rawHead("HTTP/1.1 200 OK", "r1", chunkedLine) + chunk(events(1, 2)) + "0\r\n\r\n"},
 	{"until the end of the connection", rawHead("HTTP/1.1 200 OK", "r1") + events(1, 2)},
+	{"failure", rawHead("HTTP/1.1 500 Internal Server Error", "r1", "Content-Length: 6") + "failed"},
+	{"refusal", "HTTP/1.1 503 Service Unavailable\r\nSnipeshed-Attempt-Id: r1\r\nSnipeshed-Not-Executed: 1\r\nContent-Length: 4\r\n\r\nfull"},
 }
 
 // malformedCalls are calls to endpoints of which the first sends a malformed answer.
@@ -83,6 +86,10 @@
 // TestMalformedStatus guards against an answer with a status that HTTP does not define and that a caller gets as an answer.
 func TestMalformedStatus(t *testing.T) { checkMalformedHeads(t, broken.Statuses()) }
 
+// TestMalformedName guards against an answer with a field whose name is no token: with that line passed on, or with a body that is
+// not the endpoint's, because the line told where it ends.
+func TestMalformedName(t *testing.T) { checkMalformedHeads(t, broken.Names()) }
+
 // TestAnswerInMalformedAnswer guards against a body of an answer with a malformed status that looks like an answer and is taken for
 // one.
 func TestAnswerInMalformedAnswer(t *testing.T) {
@@ -100,7 +107,7 @@
 // TestMalformedAnswerStays guards against a call that waits until its deadline because an answer with a malformed head is passed over,
 // and its endpoint keeps the connection open.
 func TestMalformedAnswerStays(t *testing.T) {
-	for _, head := range broken.Statuses() {
+	for _, head := range append(broken.Statuses(), broken.Names()...) {
 		t.Run(head.Name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
@@ -147,3 +154,26 @@
 
 // TestResumptionWithMalformedStatus guards against events of an answer with a malformed status in a caller's stream.
 func TestResumptionWithMalformedStatus(t *testing.T) { checkMalformedResumption(t, broken.Statuses()) }
+
+// TestResumptionWithMalformedName guards against events, or other bytes, of an answer with a malformed field name in a caller's stream.
+func TestResumptionWithMalformedName(t *testing.T) { checkMalformedResumption(t, broken.Names()) }
+
+// TestMalformedTrailer guards against a trailer with a malformed name that reaches the caller, or that spoils the body before it.
+func TestMalformedTrailer(t *testing.T) {
+	for _, line := range []string{"X Sum: 1", "X-Sum : 1"} {
+		t.Run(line, func(t *testing.T) {
+			is := is.New(t)
+			app := plat.NewEngine("app-0")
+			app.CallHandler = rawHandler(func(c net.Conn, attempt string) {
+				_, _ = io.WriteString(c, rawHead("HTTP/1.1 200 OK", attempt, chunkedLine)+chunk("ten bytes.")+"0\r\n"+line+"\r\n\r\n")
+			})
+			resp := start(t, false, app).send(t.Context(), t, http.MethodPost, "/book/1", "r1")
+			got, err := readBody(resp)
+			is.NoErr(err)
+			is.Equal(got, "ten bytes.")
+			for name := range resp.Header {
+				is.True(!strings.Contains(name, "Sum"))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/io/head/check_test.go
@@ -0,0 +1,51 @@
+package head_test
+
+import (
+	"bufio"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"snipeshed/io/head"
+	"snipeshed/stand/broken"
+)
+
+func check(answer string) error {
+	resp, err := http.ReadResponse(bufio.NewReader(strings.NewReader(answer)), nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	return head.Check(resp)
+}
+
+// TestCheckMalformed guards against a malformed head that neither net/http nor Check finds.
+func TestCheckMalformed(t *testing.T) {
+	for _, h := range append(broken.Statuses(), broken.Names()...) {
+		for _, sound := range []string{broken.Framed(http.StatusOK, "{}"), broken.Chunked(http.StatusOK, "{}")} {
+			t.Run(h.Name, func(t *testing.T) {
+				is.New(t).True(check(h.Spoil(sound)) != nil)
+			})
+		}
+	}
+}
+
+// TestCheckSound guards against a sound head that counts as malformed.
+func TestCheckSound(t *testing.T) {
+	for _, status := range []int{100, 103, 200, 204, 299, 304, 400, 421, 429, 500, 503, 599} {
+		is.New(t).NoErr(check(broken.Framed(status, "")))
+	}
+	for _, line := range []string{"x-y_z.9: 1", "!#$%&'*+-.^_`|~: \xe9 (", "X-Empty:", "Set-Cookie: a=b\r\nSet-Cookie: c=d"} {
+		is.New(t).NoErr(check("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n"))
+	}
+}
+
+// TestCheckLongName guards against an error as long as the name that it quotes.
+func TestCheckLongName(t *testing.T) {
+	err := check("HTTP/1.1 200 OK\r\nX " + strings.Repeat("x", 10<<10) + ": 1\r\n\r\n")
+	is.New(t).True(errors.Is(err, head.ErrMalformed))
+	is.New(t).True(len(err.Error()) < 200)
+}
--- a/stand/broken/head.go
+++ b/stand/broken/head.go
@@ -1,5 +1,11 @@
 package broken
 
+import (
+	"fmt"
+	"regexp"
+	"strings"
+)
+
 // Head is a way in which the head of an answer is malformed.
 type Head struct {
 	Name  string
@@ -18,8 +24,32 @@
 	return out
 }
 
+// Names returns the heads in which a field has a name that is no token: a blank, a control byte or another byte that names do not
+// have stands in it. The blank is not at its start, where it would continue the line before.
+func Names() []Head {
+	out := []Head{
+		{"blank before the colon of the framing", func(answer string) string { return framing.ReplaceAllString(answer, "\r\n$1 :") }},
+		{"blank in the name of the framing", func(answer string) string { return framing.ReplaceAllString(answer, "\r\nX $1:") }},
+	}
+	for _, c := range []byte(" \t\x00\x01\x0b\x1f\x7f\xe9(") {
+		for _, name := range []string{"X%cBroken", "XBroken%c"} {
+			line := fmt.Sprintf("%s: 1", strings.Replace(name, "%c", string([]byte{c}), 1))
+			out = append(out, Head{fmt.Sprintf("line %q", line), func(answer string) string { return addLine(answer, line) }})
+		}
+	}
+	return out
+}
+
+// framing matches the name of the field that tells the end of the body.
+var framing = regexp.MustCompile(`\r\n(Content-Length|Transfer-Encoding):`)
+
 const protocolBytes = len("HTTP/1.1 ")
 
 func setStatus(answer, code string) string {
 	return answer[:protocolBytes] + code + answer[protocolBytes+len(code):]
 }
+
+// addLine adds lines after the status line.
+func addLine(answer, line string) string {
+	return strings.Replace(answer, "\r\n", "\r\n"+line+"\r\n", 1)
+}
