Reject answers of endpoints with a folded line in their head

Callers got it as a part of that field's value. If it was Content-Length or Transfer-Encoding, they got the body with the sizes of its chunks as a success, and a resumed stream went on with such bytes.

Cause: net/textproto joins such lines, as HTTP once allowed, before anything can check them. RFC 9112, 5.2 lets a gateway reject them.

Change: package io/fold scans the bytes of a head as they arrive; io/dial rejects an answer in whose head it finds a folded line. A body, also in the same bytes, is not scanned.

A blank before the first name was rejected by net/http already.

--- a/io/dial/bounds.go
+++ b/io/dial/bounds.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"snipeshed/io/fold"
 	"snipeshed/io/head"
 )
 
@@ -31,11 +32,15 @@
 	inHead    bool
 	bytesLeft int
 	linesLeft int
+	folds     fold.Scanner
+	foldErr   error
 }
 
-// begin sets the limits of the head that is read next.
-func (h *headReader) begin() {
+// begin sets the limits of the head that is read next. The buffered bytes are read from the connection already.
+func (h *headReader) begin(buffered []byte) {
 	h.inHead, h.bytesLeft, h.linesLeft = true, maxHeadBytes, maxHeadLines
+	h.folds = fold.Scanner{}
+	h.foldErr = h.folds.Scan(buffered)
 }
 
 // end removes the limits for the body.
@@ -52,18 +57,25 @@
 	n, err := h.r.Read(p[:min(len(p), h.bytesLeft)])
 	h.bytesLeft -= n
 	h.linesLeft -= bytes.Count(p[:n], []byte{'\n'})
+	if h.foldErr == nil {
+		h.foldErr = h.folds.Scan(p[:n])
+	}
 	return n, err
 }
 
 // readHead reads the status line and the headers of the next response, within the limits of a head.
 func (c *conn) readHead(method string) (*http.Response, error) {
-	c.head.begin()
+	buffered, err := c.br.Peek(c.br.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.head.begin(buffered)
 	defer c.head.end()
 	resp, err := http.ReadResponse(c.br, &http.Request{Method: method})
 	if err != nil {
 		return nil, err
 	}
-	return resp, head.Check(resp)
+	return resp, errors.Join(c.head.foldErr, head.Check(resp))
 }
 
 // skipBody reads the body of a response to another request, so that the next response can be read. It fails if no other
--- a/io/gate/malformed_test.go
+++ b/io/gate/malformed_test.go
@@ -90,6 +90,9 @@
 // not the endpoint's, because the line told where it ends.
 func TestMalformedName(t *testing.T) { checkMalformedHeads(t, broken.Names()) }
 
+// TestFoldedLine guards against an answer with a line that begins with a blank and is taken as the end of the line before.
+func TestFoldedLine(t *testing.T) { checkMalformedHeads(t, broken.Folds()) }
+
 // TestAnswerInMalformedAnswer guards against a body of an answer with a malformed status that looks like an answer and is taken for
 // one.
 func TestAnswerInMalformedAnswer(t *testing.T) {
@@ -158,9 +161,12 @@
 // TestResumptionWithMalformedName guards against events, or other bytes, of an answer with a malformed field name in a caller's stream.
 func TestResumptionWithMalformedName(t *testing.T) { checkMalformedResumption(t, broken.Names()) }
 
+// TestResumptionWithFoldedLine guards against events, or other bytes, of an answer with a folded line in a caller's stream.
+func TestResumptionWithFoldedLine(t *testing.T) { checkMalformedResumption(t, broken.Folds()) }
+
 // TestMalformedTrailer guards against a trailer with a malformed name that reaches the caller, or that spoils the body before it.
 func TestMalformedTrailer(t *testing.T) {
-	for _, line := range []string{"X Sum: 1", "X-Sum : 1"} {
+	for _, line := range []string{"X Sum: 1", "X-Sum : 1", "X-Sum: 1\r\n X-Broken: 1"} {
 		t.Run(line, func(t *testing.T) {
 			is := is.New(t)
 			app := plat.NewEngine("app-0")
@@ -172,7 +178,7 @@
 			is.NoErr(err)
 			is.Equal(got, "ten bytes.")
 			for name := range resp.Header {
-				is.True(!strings.Contains(name, "Sum"))
+				is.True(!strings.Contains(name, "Sum") && !strings.Contains(name, "Broken"))
 			}
 		})
 	}
--- a/stand/broken/head.go
+++ b/stand/broken/head.go
@@ -40,6 +40,17 @@
 	return out
 }
 
+// Folds returns the heads in which a field's name begins with a blank or a tab. Read as in RFC 2616, such a line continues the value of
+// the line before.
+func Folds() []Head {
+	return []Head{
+		{"blank before the framing", func(answer string) string { return framing.ReplaceAllString(answer, "\r\n $1:") }},
+		{"tab before the framing", func(answer string) string { return framing.ReplaceAllString(answer, "\r\n\t$1:") }},
+		{"blank before another name", func(answer string) string { return addLine(answer, "X-Line: 1\r\n X-Broken: 1") }},
+		{"blank before the first name", func(answer string) string { return addLine(answer, " X-Broken: 1") }},
+	}
+}
+
 // framing matches the name of the field that tells the end of the body.
 var framing = regexp.MustCompile(`\r\n(Content-Length|Transfer-Encoding):`)
 
