--- /dev/null
+++ b/io/gate/malformed_move_test.go
@@ -0,0 +1,77 @@
+package gate_test
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/stand/broken"
+	"snipeshed/stand/plat"
+)
+
+// writeRaw writes an answer as it is in place of that of an HTTP handler.
+func writeRaw(w http.ResponseWriter, answer string) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer c.Close()
+	_, _ = io.WriteString(c, answer)
+}
+
+// answerMove sends events 1 to 5 of a stream without a length until the engine is told to stop it, and answers that with a malformed head
+// that seems to say that the generation has ended. Another engine goes on from its copy with events 6 to 10.
+func answerMove(e *plat.Engine, notFound string) {
+	stopped := make(chan struct{})
+	e.StreamHandler = func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Kv-From") != "" {
+			_, _ = io.WriteString(w, events(6, 10))
+			return
+		}
+		unframedUntil(stopped, "HTTP/1.1 200 OK", nil, events(1, 5), false)(w, r)
+	}
+	e.MoveFilter = func(w http.ResponseWriter, last bool) bool {
+		if !last {
+			_, _ = io.WriteString(w, `{"handle":"h1","created":5}`)
+			return false
+		}
+		close(stopped)
+		time.Sleep(50 * time.Millisecond) // lets the end of the stream arrive first
+		writeRaw(w, notFound)
+		return false
+	}
+}
+
+// TestMalformedAnswerToMove guards against a stream that looks complete because its engine, asked to stop it, answered with a malformed
+// head that seems to say that the generation had ended by itself.
+func TestMalformedAnswerToMove(t *testing.T) {
+	for _, head := range broken.Names() {
+		t.Run(head.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			list := newEngines(2, 0)
+			for _, e := range list {
+				answerMove(e, head.Spoil(broken.Framed(http.StatusNotFound, "{}")))
+			}
+			s := start(t, false, list...)
+			resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", "r1")
+			var source *plat.Engine
+			eventually(t, "the stream runs", func() bool {
+				for _, e := range list {
+					if e.StartCount("r1") > 0 {
+						source = e
+					}
+				}
+				return source != nil
+			})
+			time.Sleep(50 * time.Millisecond) // lets the gate deliver the events
+			s.markLeaving(source)
+			got, err := readBody(resp)
+			is.NoErr(err)
+			is.Equal(got, events(1, 10))
+		})
+	}
+}
