Don't count an engine as ended because its status report is malformed

What callers saw (edge): an engine that lost a stream is asked for its status. If the head of its answer was malformed, its process counted as ended, and the shared parts of the lost prompts as what ended it. Four such engines put a part into quarantine, and callers' requests with it get 502.

Cause: Gate.checkStatus took each error for "no answer".

Change: checkStatus leaves the record as it is if the answer was malformed (head.ErrMalformed): something at the address has answered.

--- a/io/gate/engine_end.go
+++ b/io/gate/engine_end.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
 	"snipeshed/core"
 	"snipeshed/io/event"
+	"snipeshed/io/head"
 )
 
 // endCheckDelays are the times after the loss of a request at which its engine is checked for the end of its process: hosts close
@@ -72,9 +74,13 @@
 }
 
 // checkStatus asks an engine for its status and records that its process has ended if there is no answer, or one of another process.
-// An engine that has only lost an answer still tells its status.
+// An engine that has only lost an answer still tells its status, and one whose answer is malformed has not ended.
 func (g *Gate) checkStatus(e core.Endpoint) {
-	if status, err := g.Mover.EngineStatus(e); err != nil || (status.Started != 0 && status.Started != e.Started) {
+	status, err := g.Mover.EngineStatus(e)
+	if errors.Is(err, head.ErrMalformed) {
+		return
+	}
+	if err != nil || (status.Started != 0 && status.Started != e.Started) {
 		g.recordEnd(e.Incarnation())
 	}
 }
--- a/io/gate/malformed_move_test.go
+++ b/io/gate/malformed_move_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -75,3 +76,27 @@
 		})
 	}
 }
+
+// TestMalformedStatusReport guards against an engine that counts as ended because its answer to a status request has a malformed head:
+// the prompts that it lost would count as what ended it.
+func TestMalformedStatusReport(t *testing.T) {
+	for _, head := range append(broken.Statuses(), broken.Names()...) {
+		t.Run(head.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			list := newEngines(1, 0)
+			list[0].StreamHandler = breakAfterHead
+			var asked atomic.Int32
+			list[0].ReportHandler = func(w http.ResponseWriter, _ *http.Request) {
+				asked.Add(1)
+				writeRaw(w, head.Spoil(broken.Framed(http.StatusOK, `{"state":"ready","born":1}`)))
+			}
+			s := start(t, false, list...)
+			status, _ := s.sendPrompt(t, "/long/stream", "r1", soundParts)
+			is.Equal(status, http.StatusBadGateway)
+			eventually(t, "the engine was asked", func() bool { return asked.Load() > 0 })
+			time.Sleep(100 * time.Millisecond) // lets the gate read the answer
+			is.True(!s.logged("engine_crashed"))
+		})
+	}
+}
--- a/stand/plat/engine.go
+++ b/stand/plat/engine.go
@@ -23,6 +23,8 @@
 	StreamHandler http.HandlerFunc
 	// CrashPart, if set, is a prompt part; the engine crashes as it begins to answer a stream with it.
 	CrashPart string
+	// ReportHandler, if set, handles status requests.
+	ReportHandler http.HandlerFunc
 	// MoveHandler, if set, handles requests to copy or stop a generation.
 	MoveHandler http.HandlerFunc
 	// MoveFilter, if set, may answer a request to copy or stop a generation itself; it then returns false.
--- a/stand/plat/engine_serve.go
+++ b/stand/plat/engine_serve.go
@@ -21,6 +21,8 @@
 		return
 	}
 	switch {
+	case r.URL.Path == "/report" && e.ReportHandler != nil:
+		e.ReportHandler(w, r)
 	case r.URL.Path == "/report":
 		e.serveReport(w)
 	case r.URL.Path == "/hold-take":
