Reject malformed answers of other edge instances

What instances saw: the answer to a fetch from another instance counted although the name of a field in its head held a blank, and the configuration and the endpoints in it were put in force. A status other than 200 was an error already (twirp), a name with a control byte too (net/http).

Cause: neither net/http nor the client that twirp generates checks names.

Change: head.Transport around the transport for other instances.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -11,6 +11,7 @@
 
 	"snipeshed/core"
 	"snipeshed/io/event"
+	"snipeshed/io/head"
 	"snipeshed/io/news"
 	"snipeshed/io/pulse"
 	"snipeshed/wire"
@@ -115,9 +116,9 @@
 	}
 }
 
-var peerClient = &http.Client{Transport: &http.Transport{
+var peerClient = &http.Client{Transport: head.NewTransport(&http.Transport{
 	IdleConnTimeout: 2 * time.Second, MaxIdleConnsPerHost: 1, ReadBufferSize: 4 << 10, WriteBufferSize: 1 << 10,
-}}
+})}
 
 // syncServer serves the Sync service to other instances.
 type syncServer struct{ e *Edge }
