Reject malformed answers to the clients of snipeshed serve

What callers saw (serve): the events of an engine's stream in an answer whose status was below 200, or with a blank in the name of a field; a call that another instance answered with a status such as 000 counted as not received and was forwarded to another one. Malformed answers also counted as a load report, as an order or a cancellation done, as a refusal without a run, as an object, a list, an instance list, or as a write without effect.

Cause: the clients of package link return what net/http returns. Their users check the status in part, the names nowhere.

TestServerDetectsSilentClient finds the http.Transport below head.Transport; it checks what it did.

--- a/io/link/network.go
+++ b/io/link/network.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"snipeshed/conf"
+	"snipeshed/io/head"
 )
 
 // Network creates clients and servers from the settings of an instance and counts the bytes on their connections.
@@ -31,7 +32,7 @@
 	t.Protocols.SetUnencryptedHTTP2(true)
 	t.HTTP2 = l.http2()
 	t.HTTP2.MaxReceiveBufferPerStream = streamReceiveBuffer
-	return &http.Client{Transport: t}
+	return newClient(t)
 }
 
 // DigestClient returns a client for the PeerServer of another instance, without pings in either direction. Each call needs
@@ -48,7 +49,7 @@
 		}
 		return &digestConn{Conn: c}, nil
 	}
-	return &http.Client{Transport: t}
+	return newClient(t)
 }
 
 // streamReceiveBuffer bounds the bytes buffered here for a client that reads slowly; with the default of 4 MiB, a dozen
@@ -61,7 +62,7 @@
 func (l *Network) PlatformClient() *http.Client {
 	t := l.transport()
 	t.MaxIdleConnsPerHost = maxIdlePlatformConns
-	return &http.Client{Transport: t}
+	return newClient(t)
 }
 
 // EngineClient returns a client that uses HTTP/1.1 and opens a connection for each call.
@@ -74,7 +75,7 @@
 	t.ReadBufferSize = engineReadBuffer
 	t.WriteBufferSize = engineWriteBuffer
 	t.MaxResponseHeaderBytes = maxEngineHeadBytes
-	return &http.Client{Transport: t}
+	return newClient(t)
 }
 
 const (
@@ -86,7 +87,8 @@
 	maxEngineHeadBytes = 16 << 10
 )
 
-// ApplicationClient returns a client that uses HTTP/1.1 and whose calls fail with ErrSilent when their connection is dead.
+// ApplicationClient returns a client that uses HTTP/1.1 and whose calls fail with ErrSilent when their connection is dead. Package action,
+// which changes its transport, checks the heads of the answers.
 func (l *Network) ApplicationClient() *http.Client {
 	t := l.transport()
 	dial := t.DialContext
@@ -106,6 +108,9 @@
 
 const idleTimeout = 90 * time.Second
 
+// newClient returns a client that fails with head.ErrMalformed in place of an answer whose head HTTP does not allow.
+func newClient(t *http.Transport) *http.Client { return &http.Client{Transport: head.NewTransport(t)} }
+
 func (l *Network) transport() *http.Transport {
 	d := &net.Dialer{Timeout: ms(l.cfg.GetDialTimeoutMs())}
 	if ip := net.ParseIP(l.cfg.GetSourceAddress()); ip != nil {
--- a/io/link/server_test.go
+++ b/io/link/server_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/goleak"
 
 	"snipeshed/conf"
+	"snipeshed/io/head"
 	"snipeshed/io/link"
 )
 
@@ -100,7 +101,7 @@
 	defer s.Close()
 	silent := &silentConn{gone: make(chan struct{})}
 	client := link.New(defaultSettings()).PeerClient()
-	tr := client.Transport.(*http.Transport)
+	tr := client.Transport.(*head.Transport).RoundTripper.(*http.Transport)
 	dial := tr.DialContext
 	tr.DialContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
 		c, err := dial(ctx, network, addr)
--- a/stand/broken/server.go
+++ b/stand/broken/server.go
@@ -10,22 +10,26 @@
 	"sync/atomic"
 )
 
-// Server answers each request with the bytes that a function returns, and then closes the connection.
+// Server is a server on loopback.
 type Server struct {
 	ln       net.Listener
-	answer   func(r *http.Request) string
 	requests atomic.Int64
 	group    sync.WaitGroup
 }
 
-// Start starts a Server on loopback.
+// Start starts a Server that answers each HTTP/1.1 request with the bytes that a function returns, and then closes the connection.
 func Start(answer func(r *http.Request) string) (*Server, error) {
+	return start(func(s *Server, c net.Conn) { s.serve(c, answer) })
+}
+
+// start starts a Server that calls serve for each connection.
+func start(serve func(*Server, net.Conn)) (*Server, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{ln: ln, answer: answer}
-	s.group.Go(s.accept)
+	s := &Server{ln: ln}
+	s.group.Go(func() { s.accept(serve) })
 	return s, nil
 }
 
@@ -35,23 +39,23 @@
 // Requests returns the number of requests that were read.
 func (s *Server) Requests() int { return int(s.requests.Load()) }
 
-// Close stops the server and waits for the answers in progress.
+// Close stops the server and waits until the clients have closed their connections.
 func (s *Server) Close() {
 	s.ln.Close()
 	s.group.Wait()
 }
 
-func (s *Server) accept() {
+func (s *Server) accept(serve func(*Server, net.Conn)) {
 	for {
 		c, err := s.ln.Accept()
 		if err != nil {
 			return
 		}
-		s.group.Go(func() { s.serve(c) })
+		s.group.Go(func() { serve(s, c) })
 	}
 }
 
-func (s *Server) serve(c net.Conn) {
+func (s *Server) serve(c net.Conn, answer func(*http.Request) string) {
 	defer c.Close()
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
@@ -61,7 +65,7 @@
 		return
 	}
 	s.requests.Add(1)
-	_, _ = io.WriteString(c, s.answer(r)) // the client may be gone
+	_, _ = io.WriteString(c, answer(r)) // the client may be gone
 }
 
 // Framed returns a sound answer with a length.
