Reject answers of applications with a malformed status or name

What clients saw (serve): an answer of an application with a status from 600 to 999, or with a blank in the name of a field, as the answer of their call. With a blank before the colon of Content-Length or Transfer-Encoding the body was not the application's. Protected actions recorded such a result as done. A status below 200 was a lost answer already.

Cause: package action checked only that the status is not below 200.

Change: head.Transport around its transport, which covers that check. Such an answer is a lost one: a protected action, or a call whose method is not idempotent, is not sent again.

--- a/io/action/send.go
+++ b/io/action/send.go
@@ -12,12 +12,13 @@
 	"sync/atomic"
 
 	"snipeshed/core"
+	"snipeshed/io/head"
 )
 
 // maxResponseHeaderBytes keeps a recorded result, with a body of the maximum size, below the object API's limit of 1 MB.
 const maxResponseHeaderBytes = 64 << 10
 
-// newTransport returns a transport that opens a new connection for each call.
+// newTransport returns a transport that opens a new connection for each call and checks the heads of answers.
 //
 // With reused connections, it would be unknown whether a call ran if the endpoint closed the idle connection while the
 // call was being written, and a call on a dead idle connection would wait until its deadline.
@@ -27,13 +28,13 @@
 	}
 	t, ok := rt.(*http.Transport)
 	if !ok {
-		return rt
+		return head.NewTransport(rt)
 	}
 	t = t.Clone()
 	t.DisableCompression = true
 	t.MaxResponseHeaderBytes = maxResponseHeaderBytes
 	t.DisableKeepAlives = true
-	return t
+	return head.NewTransport(t)
 }
 
 // send sends the call to an endpoint once. Its second result is false only if the endpoint certainly received nothing.
@@ -63,10 +64,6 @@
 	if err != nil {
 		return nil, connected.Load() || !connRequested.Load(), err
 	}
-	if resp.StatusCode < http.StatusOK { // 101 switches protocols, which is never requested
-		resp.Body.Close()
-		return nil, true, io.ErrUnexpectedEOF
-	}
 	return resp, true, nil
 }
 
