Reject answers of applications with a folded line in their head

What clients saw (serve): as with io/dial, the line as a part of the value before it, or the body with the sizes of its chunks as the answer of their call and as the recorded result of a protected action.

Cause: net/textproto joins such lines before head.Check sees them.

Change: the transport of package action scans what a connection, which carries one call, receives, with fold.Scanner.

--- a/io/action/malformed_test.go
+++ b/io/action/malformed_test.go
@@ -49,3 +49,6 @@
 // TestMalformedName guards against an answer with a field whose name is no token, or with a body that is not the endpoint's, because
 // that field told how it is framed.
 func TestMalformedName(t *testing.T) { checkMalformed(t, broken.Names()) }
+
+// TestFoldedLine guards against an answer with a line that begins with a blank and is taken as the end of the line before.
+func TestFoldedLine(t *testing.T) { checkMalformed(t, broken.Folds()) }
--- a/io/action/send.go
+++ b/io/action/send.go
@@ -34,6 +34,7 @@
 	t.DisableCompression = true
 	t.MaxResponseHeaderBytes = maxResponseHeaderBytes
 	t.DisableKeepAlives = true
+	t.DialContext = scanFolds(t.DialContext)
 	return head.NewTransport(t)
 }
 
