Reject malformed answers to the commands for operators

What operators saw: a command took an instance's answer for one although the name of a field in its head held a blank, and printed what was in it. Other statuses than 200 were errors already (twirp), names with control bytes too (net/http).

Change: head.Transport around the transport of the commands' client.

--- a/cmds/client.go
+++ b/cmds/client.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"snipeshed/core"
+	"snipeshed/io/head"
 	"snipeshed/io/oper"
 	"snipeshed/wire"
 )
@@ -53,7 +54,7 @@
 		}
 		key = strings.TrimSpace(string(b))
 	}
-	h := &http.Client{Timeout: callTimeout, Transport: &keyTransport{http.DefaultTransport, key}}
+	h := &http.Client{Timeout: callTimeout, Transport: &keyTransport{head.NewTransport(http.DefaultTransport), key}}
 	return &client{wire.NewOperatorProtobufClient("http://"+address, h), address}, nil
 }
 
