Test answers with malformed heads to streams that go on from a copy

TestMalformedAnswerToCopy: the engine that is to go on from the copy of a stream's memory sends a malformed head.

--- a/io/gate/malformed_move_test.go
+++ b/io/gate/malformed_move_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -24,12 +25,12 @@
 }
 
 // answerMove sends events 1 to 5 of a stream without a length until the engine is told to stop it, and answers that with a malformed head
-// that seems to say that the generation has ended. Another engine goes on from its copy with events 6 to 10.
-func answerMove(e *plat.Engine, notFound string) {
+// that seems to say that the generation has ended. Asked to go on from its copy, an engine sends what rest tells.
+func answerMove(e *plat.Engine, stopAnswer string, rest http.HandlerFunc) {
 	stopped := make(chan struct{})
 	e.StreamHandler = func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Kv-From") != "" {
-			_, _ = io.WriteString(w, events(6, 10))
+			rest(w, r)
 			return
 		}
 		unframedUntil(stopped, "HTTP/1.1 200 OK", nil, events(1, 5), false)(w, r)
@@ -41,7 +42,7 @@
 		}
 		close(stopped)
 		time.Sleep(50 * time.Millisecond) // lets the end of the stream arrive first
-		writeRaw(w, notFound)
+		writeRaw(w, stopAnswer)
 		return false
 	}
 }
@@ -53,30 +54,54 @@
 		t.Run(head.Name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			list := newEngines(2, 0)
-			for _, e := range list {
-				answerMove(e, head.Spoil(broken.Framed(http.StatusNotFound, "{}")))
-			}
-			s := start(t, false, list...)
-			resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", "r1")
-			var source *plat.Engine
-			eventually(t, "the stream runs", func() bool {
-				for _, e := range list {
-					if e.StartCount("r1") > 0 {
-						source = e
-					}
-				}
-				return source != nil
+			got, err := moveStream(t, head.Spoil(broken.Framed(http.StatusNotFound, "{}")), func(w http.ResponseWriter, _ *http.Request) {
+				_, _ = io.WriteString(w, events(6, 10))
 			})
-			time.Sleep(50 * time.Millisecond) // lets the gate deliver the events
-			s.markLeaving(source)
-			got, err := readBody(resp)
 			is.NoErr(err)
 			is.Equal(got, events(1, 10))
 		})
 	}
 }
 
+// moveStream sends a stream whose engine leaves, and returns what the caller gets. The engine answers stopAnswer when it is asked to stop
+// the stream, and the engine that is to go on sends rest.
+func moveStream(t *testing.T, stopAnswer string, rest http.HandlerFunc) (string, error) {
+	t.Helper()
+	list := newEngines(2, 0)
+	for _, e := range list {
+		answerMove(e, stopAnswer, rest)
+	}
+	s := start(t, false, list...)
+	resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", "r1")
+	var source *plat.Engine
+	eventually(t, "the stream runs", func() bool {
+		for _, e := range list {
+			if e.StartCount("r1") > 0 {
+				source = e
+			}
+		}
+		return source != nil
+	})
+	time.Sleep(50 * time.Millisecond) // lets the gate deliver the events
+	s.markLeaving(source)
+	return readBody(resp)
+}
+
+// TestMalformedAnswerToCopy guards against bytes of a malformed answer in a stream that goes on from the copy of its memory.
+func TestMalformedAnswerToCopy(t *testing.T) {
+	for _, head := range slices.Concat(broken.Statuses(), broken.Names(), broken.Folds()) {
+		t.Run(head.Name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			got, err := moveStream(t, broken.Framed(http.StatusOK, `{"handle":"h2","created":5}`), func(w http.ResponseWriter, _ *http.Request) {
+				writeRaw(w, head.Spoil(rawHead("HTTP/1.1 200 OK", "r1", chunkedLine)+chunk(events(6, 10))+"0\r\n\r\n"))
+			})
+			is.True(err != nil) // the caller sees that the stream broke off
+			is.Equal(got, events(1, 5))
+		})
+	}
+}
+
 // TestMalformedStatusReport guards against an engine that counts as ended because its answer to a status request has a malformed head:
 // the prompts that it lost would count as what ended it.
 func TestMalformedStatusReport(t *testing.T) {
