--- a/stand/broken/server.go
+++ b/stand/broken/server.go
@@ -39,7 +39,7 @@
 // Requests returns the number of requests that were read.
 func (s *Server) Requests() int { return int(s.requests.Load()) }
 
-// Close stops the server and waits until the clients have closed their connections.
+// Close stops the server and waits until its connections have ended.
 func (s *Server) Close() {
 	s.ln.Close()
 	s.group.Wait()
