Refuse streams that may outlast a planned stop

Cause: a resumable stream was taken while 3 s were left until the stop, whatever its deadline. A stream that waited for room when the stop began was sent to an engine whenever room was found.

Change: from SIGTERM on a resumable stream is taken only if it ends by its deadline, as calls that may run once only were before. A waiting stream that was not sent is refused as soon as it may outlast the stop. Why it works: a stream that was taken in a stop has reached its deadline before its connection is closed.

TestStreamLateInStop (one of its cases) and TestWaitingStreamInStop failed before and pass now.

--- a/io/gate/room.go
+++ b/io/gate/room.go
@@ -34,7 +34,7 @@
 // end up in the queue of that engine, which it could not leave.
 func (s *stream) reserveRoom(w *roomWait, wait bool) (*fleet.Status, string) {
 	for first := true; ; first = false {
-		if s.endQuarantined() {
+		if s.endQuarantined() || s.endWaitInStop() {
 			return nil, ""
 		}
 		now := time.Now()
--- a/io/gate/stopping.go
+++ b/io/gate/stopping.go
@@ -11,9 +11,8 @@
 )
 
 const (
-	// plainCallTime and resumableCallTime exceed the duration of nearly all calls of their kind.
-	plainCallTime     = time.Second
-	resumableCallTime = 3 * time.Second
+	// plainCallTime exceeds the duration of nearly all calls that are answered as a whole.
+	plainCallTime = time.Second
 	// stopAnswerTime is the time before the stop at which calls without an answer get one, so that it is sent before their
 	// connections are closed.
 	stopAnswerTime = 200 * time.Millisecond
@@ -42,23 +41,22 @@
 	time.AfterFunc(time.Until(end), g.stop.setDue)
 }
 
-// stopsTooSoon reports whether the instance may stop before the call ends; another instance should serve it then. A call that may run
-// once only is refused unless it ends by its deadline, since its caller could not send it again after another answer.
+// stopsTooSoon reports whether the instance may stop before the call ends; another instance should serve it then. A call is refused
+// unless it ends by its deadline: a stream would be cut off, and a call that may run once only could not be sent again after the answer
+// that it gets before the stop. Idempotent calls could, so they are taken while they are likely to finish.
 func (c *call) stopsTooSoon() bool {
 	end := c.g.stop.at.Load()
 	if end == nil {
 		return false
 	}
-	left := time.Until(*end)
+	left, needed := time.Until(*end), time.Until(c.end)
 	switch {
 	case c.route.Kind == core.RouteIdempotent:
-		return left < min(time.Until(c.end), plainCallTime)
-	case c.route.Kind != core.RouteStream:
-		return left < time.Until(c.end)
-	case c.route.Resumable:
-		return left < resumableCallTime
+		return left < min(needed, plainCallTime)
+	case c.route.Kind == core.RouteStream && !c.route.Resumable:
+		return true // if the instance ended early, the stream could not be resumed at another one
 	default:
-		return true // its duration is unknown and it cannot be resumed at another instance
+		return left < needed
 	}
 }
 
@@ -82,6 +80,16 @@
 	return s.g.stop.due.Done()
 }
 
+// endWaitInStop refuses a stream that has waited for room into a planned stop and may no longer end before it. It reports whether it did.
+func (s *stream) endWaitInStop() bool {
+	if s.sends > 0 || !s.stopsTooSoon() {
+		return false
+	}
+	s.finished = true
+	s.refuse(reasonStopping, stoppingRetryAfter)
+	return true
+}
+
 // endStopping answers a stream without events before the instance stops.
 func (s *stream) endStopping() {
 	s.finished = true
--- a/io/gate/stopping_test.go
+++ b/io/gate/stopping_test.go
@@ -1,7 +1,9 @@
 package gate_test
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,3 +57,50 @@
 	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
 	is.Equal(app.StartCount("r1"), 0) // as the refusal says
 }
+
+// TestStreamLateInStop guards against streams that are taken in a planned stop although their deadline is after its end: they were cut off
+// in the middle of their answers.
+func TestStreamLateInStop(t *testing.T) {
+	const left = 3500 * time.Millisecond // until the calls must have ended
+	for _, tt := range []struct {
+		name, path string
+		deadlineMS string
+		served     bool
+	}{
+		{"resumable, ends in time", "/short/stream", "3000", true},
+		{"resumable, may end too late", "/short/stream", "5000", false},
+		{"not resumable", "/long/stream", "3000", false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			list := newEngines(1, time.Millisecond)
+			s := start(t, false, list...)
+			s.news.UpdateConfig([]byte(strings.Replace(fmt.Sprintf(configFormat, 2, false), `"timeout_ms":3000`, `"timeout_ms":5000`, 1)), "test")
+			s.gate.SetStopTime(time.Now().Add(left + 200*time.Millisecond))
+			resp := s.send(t.Context(), t, http.MethodPost, tt.path, "r1", "Snipeshed-Deadline-Ms", tt.deadlineMS)
+			body(resp)
+			is.Equal(resp.StatusCode == http.StatusOK, tt.served)
+			if !tt.served {
+				is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+				is.Equal(totalRuns(list, "r1"), 0) // as the refusal says
+			}
+		})
+	}
+}
+
+// TestWaitingStreamInStop guards against streams that wait for room when a planned stop begins, are sent to an engine later and cut off
+// at the end of the stop.
+func TestWaitingStreamInStop(t *testing.T) {
+	is := is.New(t)
+	list := newEngines(1, 50*time.Millisecond)
+	s := start(t, false, list...)
+	s.reportPeerCalls(8)
+	time.AfterFunc(200*time.Millisecond, func() { s.gate.SetStopTime(time.Now().Add(2 * time.Second)) })
+	time.AfterFunc(400*time.Millisecond, func() { s.reportPeerCalls(0) })
+	begun := time.Now()
+	resp := s.send(t.Context(), t, http.MethodPost, "/long/stream", "r1")
+	body(resp)
+	is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+	is.Equal(totalRuns(list, "r1"), 0)
+	is.True(time.Since(begun) < 400*time.Millisecond) // its caller need not wait any longer
+}
