Let failure domains take turns in reading the store

Change: in core/elect the failure domains take turns, with a hash that mixes all bits. Instances say whether they read (Pulse.standby, which older versions don't set); while fewer than two do, the further ones in the order begin 0.15 s apart. Those that failed try again each 2 s. Why it works: one of two readers is of another domain, so changes still arrive; and no reader that is silent, starting or turned away keeps others from reading.

TestChangesArriveBesideTurnedAwayDomain failed before. TestWatcherChoice now lets its instances say that they read, as they do; it still asks for two readers.

--- a/core/members.go
+++ b/core/members.go
@@ -9,6 +9,22 @@
 	FailureDomain FailureDomain
 }
 
+// Candidate is an instance that may read the store on behalf of all.
+type Candidate struct {
+	ID            InstanceID
+	FailureDomain FailureDomain
+	Down          bool // its last call of the store failed
+	Reading       bool // it follows the changes of the store, which has answered it lately
+}
+
+// StoreAccess is the state of an instance's own access to the store.
+type StoreAccess struct {
+	Down     bool // the last call failed
+	Up       bool // the store has answered in the last seconds, and no call has failed since
+	Watching bool // the instance tries to follow the changes of the store
+	Reading  bool // it follows them, and the store has answered since it began
+}
+
 // LargeFleetInstances is the smallest number of live instances that counts as a large fleet. In a large fleet, load
 // changes due to short calls are sent immediately only to instances in the failure domains of the endpoint and of the
 // sender; the others get them with the next full report.
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -55,8 +55,6 @@
 	callerConnShare = 0.6
 	// headMemoryShare is the part of the instance's memory that request heads may take.
 	headMemoryShare = 0.0625
-	// watcherCount is the number of instances that watch the store on behalf of all.
-	watcherCount = 2
 	// unreadyGrace is how long a stopping instance still accepts calls: the load balancer probes readiness every second and
 	// removes an instance after two failures.
 	unreadyGrace = 2500 * time.Millisecond
@@ -146,10 +144,10 @@
 	e.watch = watch.New(e.store, watch.Kinds{
 		Config: platform.KindConfig, ConfigName: platform.ConfigName, Endpoints: platform.KindEndpoints, Evacuations: e.evacuationKind(),
 	}, e.news, e.evacuated, e.log, watch.Role{
-		IsWatcher:      func(down, up bool) bool { return !e.stopping.Load() && e.pulse.IsWatcher(watcherCount, down, up) },
-		IsFirstWatcher: func(down, up bool) bool { return e.pulse.IsWatcher(1, down, up) }, IsSeed: e.isSeed(),
+		IsReader:      func(own core.StoreAccess) bool { return !e.stopping.Load() && e.pulse.IsReader(own) },
+		IsFirstReader: func() bool { return e.pulse.IsFirstReader() }, IsSeed: e.isSeed(),
 		Outage: func(down, up bool) bool { return e.pulse.Outage(down, up) }, Instances: func() int { return e.pulse.Instances() },
-		OnEvacuations: func() { e.pulse.Broadcast() },
+		OnAccess: func() { e.pulse.Broadcast() }, OnEvacuations: func() { e.pulse.Broadcast() },
 	})
 	window := time.Duration(e.cfg.GetRetryWindowS() * float64(time.Second))
 	e.gate = gate.New(gate.Deps{
@@ -329,7 +327,7 @@
 // leave as soon.
 func (e *Edge) mayMissNotices() bool {
 	down, up := e.watch.Down(), e.watch.Up()
-	return e.pulse.Outage(down, up) || e.pulse.OutageSuspected(watcherCount, down, up)
+	return e.pulse.Outage(down, up) || e.pulse.OutageSuspected(pulse.Readers, down, up)
 }
 
 // applyQuarantine ends requests whose prompts have a part that was quarantined after they were sent.
--- a/edge/edge_test.go
+++ b/edge/edge_test.go
@@ -105,10 +105,15 @@
 }
 
 func (d *deployment) start() *instance {
+	return d.startIn("d1", fmt.Sprintf("edge-%d", len(d.instances)+1), d.store.Address())
+}
+
+// startIn starts an instance in a failure domain, which reaches the store at the given address.
+func (d *deployment) startIn(domain, name, store string) *instance {
 	d.t.Helper()
 	cfg := &conf.EdgeSettings{
-		Instance: fmt.Sprintf("edge-%d", len(d.instances)+1), FailureDomain: "d1", ClientAddress: plat.UnusedAddress(),
-		ReadyAddress: plat.UnusedAddress(), PeerAddress: plat.UnusedAddress(), MetricsAddress: plat.UnusedAddress(), StoreAddress: d.store.Address(),
+		Instance: name, FailureDomain: domain, ClientAddress: plat.UnusedAddress(),
+		ReadyAddress: plat.UnusedAddress(), PeerAddress: plat.UnusedAddress(), MetricsAddress: plat.UnusedAddress(), StoreAddress: store,
 		MemoryMb: 200, MaxDescriptors: 1000,
 	}
 	conf.SetDefaults(cfg)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -21,9 +21,10 @@
 func (e *Edge) pulseState(now time.Time) pulse.State {
 	config, endpoints := e.news.Versions()
 	evacuatedRevision, evacuated := e.evacuated.Get()
+	own := e.watch.Access()
 	return pulse.State{
 		Evacuated: evacuated, EvacuatedRevision: evacuatedRevision,
-		ConfigVersion: config, EndpointsRevision: endpoints, StoreDown: e.watch.Down(), StoreUp: e.watch.Up(), Stopping: e.stopping.Load(),
+		ConfigVersion: config, EndpointsRevision: endpoints, StoreDown: own.Down, StoreUp: own.Up, Reading: own.Reading, Stopping: e.stopping.Load(),
 		Leaving: e.endpoints.RecentlyLeaving(now, leavingSpan), Refusing: e.gate.RecentlyRefusing(now),
 		Blame: e.blame.Report(now),
 	}
--- a/io/pulse/helper_internal_test.go
+++ b/io/pulse/helper_internal_test.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"snipeshed/core"
+	"snipeshed/core/elect"
 	"snipeshed/core/ring"
 	"snipeshed/core/tally"
 	"snipeshed/io/event"
@@ -28,7 +29,7 @@
 			OnUpdate: func() {}, OnLeaving: func(time.Time, core.Version, core.Incarnation) {},
 			State: func(time.Time) State { return State{} },
 		},
-		peers: newPeers(core.Peer{ID: "self", Address: "127.0.0.1:1"}), loads: tally.New(), log: log, ring: ring.New("self"), runID: 7,
+		peers: newPeers(core.Peer{ID: "self", Address: "127.0.0.1:1"}), loads: tally.New(), log: log, ring: ring.New("self"), election: elect.New(core.Peer{ID: "self"}, Readers), runID: 7,
 	}
 	for i := range n {
 		p.applyFull(testTime, &wire.Pulse{From: fmt.Sprint("p", i), Address: fmt.Sprint("127.0.0.1:", 2+i), Run: 1, Seq: 1})
--- a/io/pulse/members.go
+++ b/io/pulse/members.go
@@ -1,6 +1,10 @@
 package pulse
 
-import "snipeshed/core"
+import (
+	"time"
+
+	"snipeshed/core"
+)
 
 // Instances returns the number of live instances, this one included.
 func (p *Pulse) Instances() int { return p.liveCount() }
@@ -17,11 +21,14 @@
 	return p.newerPeers(configVersion, endpointsRevision)
 }
 
-// IsWatcher reports whether this instance is among the n that watch the store on behalf of all.
-func (p *Pulse) IsWatcher(n int, storeDown, storeUp bool) bool {
-	return p.isWatcher(n, storeDown, storeUp)
+// IsReader reports whether this instance is to read the store on behalf of all.
+func (p *Pulse) IsReader(own core.StoreAccess) bool {
+	return p.election.Elected(time.Now(), own, p.outage(own.Down, own.Up), p.candidates())
 }
 
+// IsFirstReader reports whether this instance, which reads the store, is the first one that does.
+func (p *Pulse) IsFirstReader() bool { return p.election.First(p.candidates()) }
+
 // StoreSeen reports whether the store has answered another live instance in the last seconds.
 func (p *Pulse) StoreSeen() bool { return p.storeSeen() }
 
--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -19,6 +19,7 @@
 	lastHeard time.Time // zero until its first datagram
 	storeDown bool
 	storeUp   bool
+	reading   bool // follows the changes of the store
 	stopping  bool
 	live      bool // changed by setLive only
 }
@@ -116,6 +117,7 @@
 	m.announcedNews = announcedNews{core.Version(d.GetRules()), core.Version(d.GetEndpoints()), int(d.GetMembers())}
 	p.newest.raise(m.announcedNews)
 	m.storeUp = d.GetStoreUp()
+	m.reading = d.GetStoreUp() && !d.GetStandby() // older versions don't set standby
 	m.storeDown, m.stopping = d.GetStoreDown(), d.GetStopping()
 	return true, becameLive
 }
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -13,12 +13,16 @@
 	"google.golang.org/protobuf/proto"
 
 	"snipeshed/core"
+	"snipeshed/core/elect"
 	"snipeshed/core/ring"
 	"snipeshed/core/tally"
 	"snipeshed/io/event"
 	"snipeshed/wire"
 )
 
+// Readers is the number of instances that read the store on behalf of all.
+const Readers = 2
+
 const (
 	// minInterval and intervalPerPeer determine the interval between full datagrams; it grows with the number of instances,
 	// so that the rate at which an instance sends stays bounded in a large fleet.
@@ -43,6 +47,7 @@
 	EndpointsRevision core.Version // revision of the endpoint list
 	StoreDown         bool         // the last call of the store failed
 	StoreUp           bool         // the store has answered in the last seconds
+	Reading           bool         // this instance follows the changes of the store, which has answered
 	Stopping          bool
 	Leaving           []core.Incarnation
 	Refusing          []core.EndpointID
@@ -84,6 +89,7 @@
 	// clampLoggedAt is when a malformed timing was last logged; used by receiveLoop only.
 	clampLoggedAt time.Time
 	ring          *ring.Detector // used by sendLoop only
+	election      *elect.Election
 	ctx           context.Context
 	stop          context.CancelFunc
 	group         sync.WaitGroup
@@ -101,7 +107,7 @@
 	}
 	p := &Pulse{
 		Hooks: h, peers: newPeers(self), conn: conn, loads: t, log: log, runID: rand.Uint64(), wake: make(chan struct{}, 1),
-		ring: ring.New(self.ID),
+		ring: ring.New(self.ID), election: elect.New(self, Readers),
 	}
 	p.ctx, p.stop = context.WithCancel(context.Background())
 	return p, nil
@@ -217,7 +223,7 @@
 	p.expirePeers(now, p.lostAfter())
 	s := p.State(now)
 	current := content{
-		globalContent{s.ConfigVersion, s.StoreDown, s.StoreUp, s.Stopping, s.Blame.Version},
+		globalContent{s.ConfigVersion, s.StoreDown, s.StoreUp, s.Reading, s.Stopping, s.Blame.Version},
 		s.EndpointsRevision, len(s.Leaving), p.loads.ChangeCount(),
 	}
 	idle := idleFactor * p.interval()
@@ -259,7 +265,7 @@
 type globalContent struct {
 	configVersion      core.Version
 	storeDown, storeUp bool
-	stopping           bool
+	reading, stopping  bool
 	blameVersion       uint64
 }
 
@@ -268,7 +274,7 @@
 	d := p.loadMessage(now, p.loads.OwnLoads(now))
 	d.Address, d.Domain = p.self.Address, string(p.self.FailureDomain)
 	d.Rules, d.Endpoints, d.Members = uint64(s.ConfigVersion), uint64(s.EndpointsRevision), uint32(p.liveCount())
-	d.StoreDown, d.StoreUp, d.Stopping = s.StoreDown, s.StoreUp, s.Stopping
+	d.StoreDown, d.StoreUp, d.Standby, d.Stopping = s.StoreDown, s.StoreUp, !s.Reading, s.Stopping
 	encodeLeaving(d, p.leavingInFull(s.Leaving))
 	for _, id := range s.Refusing {
 		d.Refusing = append(d.Refusing, string(id))
--- a/io/pulse/pulse_test.go
+++ b/io/pulse/pulse_test.go
@@ -169,7 +169,12 @@
 			n.mu.Lock()
 			s := n.state
 			n.mu.Unlock()
-			if n.IsWatcher(2, s.StoreDown, s.StoreUp) && !s.StoreDown {
+			reads := n.IsReader(core.StoreAccess{Down: s.StoreDown, Up: s.StoreUp, Watching: s.Reading, Reading: s.Reading}) && !s.StoreDown
+			if reads != s.Reading {
+				n.set(pulse.State{StoreDown: s.StoreDown, StoreUp: reads, Reading: reads})
+				n.Broadcast()
+			}
+			if reads {
 				out = append(out, n)
 			}
 		}
--- a/io/pulse/views.go
+++ b/io/pulse/views.go
@@ -77,19 +77,17 @@
 	return down >= min(minOutageReports, (live+1)/2)
 }
 
-// isWatcher reports whether this instance is among the first n, by hash, of the live instances that can reach the store. In
-// an outage it considers all live instances, so that n of them keep trying.
-func (p *peers) isWatcher(n int, selfDown, selfUp bool) bool {
+// candidates returns the other live instances that may read the store.
+func (p *peers) candidates() []core.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	outage := p.outageLocked(selfDown, selfUp)
-	own, before := instanceHash(p.self.ID), 0
+	out := make([]core.Candidate, 0, len(p.byID)+1)
 	for id, m := range p.byID {
-		if m.live && !m.stopping && (outage || !m.storeDown) && instanceHash(id) < own {
-			before++
+		if m.live && !m.stopping {
+			out = append(out, core.Candidate{ID: id, FailureDomain: m.FailureDomain, Down: m.storeDown, Reading: m.reading})
 		}
 	}
-	return before < n
+	return out
 }
 
 // rank returns the number of live instances with a lower hash for the key than this one, but no more than limit.
--- a/io/watch/evacuations.go
+++ b/io/watch/evacuations.go
@@ -12,21 +12,21 @@
 // them from it; a further watch of each would cost the store as much again.
 func (w *Watch) watchEvacuations(ctx context.Context) {
 	for ctx.Err() == nil {
-		if w.isFirstWatcher() {
+		if w.isFirstReader() {
 			w.watchEvacuationsAsFirst(ctx)
 		}
 		sleep(ctx, checkInterval)
 	}
 }
 
-func (w *Watch) isFirstWatcher() bool { return w.role.IsFirstWatcher(w.Down(), w.Up()) }
+func (w *Watch) isFirstReader() bool { return w.role.IsFirstReader() }
 
 func (w *Watch) watchEvacuationsAsFirst(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	var g sync.WaitGroup
 	g.Go(func() { w.watchKind(ctx, w.Evacuations, w.listEvacuations, w.applyEvacuation) })
-	for w.isFirstWatcher() && sleep(ctx, checkInterval) {
+	for w.isFirstReader() && sleep(ctx, checkInterval) {
 	}
 	cancel()
 	g.Wait()
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -19,9 +19,11 @@
 	// checkInterval is the time between two checks of whether this instance is to watch the store.
 	checkInterval = 50 * time.Millisecond
 	// upWindow is how long an answer counts as recent; it is longer than a slow store takes to end a watch.
-	upWindow     = 2 * time.Second
-	firstBackoff = 50 * time.Millisecond
-	maxBackoff   = 800 * time.Millisecond
+	upWindow = 2 * time.Second
+	// retryInterval is the time between two reads by an instance that does not watch the store and did not reach it.
+	retryInterval = 2 * time.Second
+	firstBackoff  = 50 * time.Millisecond
+	maxBackoff    = 800 * time.Millisecond
 	// batchDelay is the delay after a change before the next watch call, so that changes close together cost one call of
 	// the store; standbyBatchDelay is the delay of the instances that watch only in case the first one fails.
 	batchDelay        = 50 * time.Millisecond
@@ -61,6 +63,9 @@
 	// list must be read again.
 	historyGone atomic.Bool
 	lastAnswer  atomic.Int64 // when the store last answered, in ns since start
+	watching    atomic.Bool  // this instance watches the store, or tries to
+	reading     atomic.Bool  // and the store has answered since it began
+	lastRead    time.Time    // when an instance that does not watch last read the store; used by run only
 	start       time.Time
 	// refreshRequest holds a request to read the store once.
 	refreshRequest chan struct{}
@@ -71,16 +76,18 @@
 
 // Role describes the part of this instance in the fleet.
 type Role struct {
-	// IsWatcher reports whether this instance is one of those that watch the store.
-	IsWatcher func(storeDown, storeUp bool) bool
-	// IsFirstWatcher reports whether this instance is the first of those.
-	IsFirstWatcher func(storeDown, storeUp bool) bool
+	// IsReader reports whether this instance is one of those that watch the store.
+	IsReader func(own core.StoreAccess) bool
+	// IsFirstReader reports whether this instance, which watches the store, is the first one that does.
+	IsFirstReader func() bool
 	// IsSeed is set if starting instances contact this one first.
 	IsSeed bool
 	// Outage reports whether the store counts as down for all instances.
 	Outage func(storeDown, storeUp bool) bool
 	// Instances returns the number of live instances.
 	Instances func() int
+	// OnAccess is called after this instance has begun to read the store or has failed to.
+	OnAccess func()
 	// OnEvacuations is called after the evacuated failure domains were read.
 	OnEvacuations func()
 }
@@ -104,6 +111,11 @@
 	return !w.Down() && at != 0 && time.Since(w.start)-time.Duration(at) < upWindow
 }
 
+// Access returns the state of this instance's access to the store.
+func (w *Watch) Access() core.StoreAccess {
+	return core.StoreAccess{Down: w.Down(), Up: w.Up(), Watching: w.watching.Load(), Reading: w.reading.Load() && w.Up()}
+}
+
 // Refresh requests one read of the store, for when fetching newer data from another instance has failed.
 func (w *Watch) Refresh() {
 	select {
@@ -124,7 +136,7 @@
 		return
 	}
 	for w.ctx.Err() == nil {
-		if w.isWatcher() {
+		if w.isReader() {
 			w.watchStore()
 			continue
 		}
@@ -150,10 +162,10 @@
 	return true
 }
 
-func (w *Watch) isWatcher() bool { return w.role.IsWatcher(w.Down(), w.Up()) }
+func (w *Watch) isReader() bool { return w.role.IsReader(w.Access()) }
 
-// readIfNeeded reads the store once if that was requested, or at random in an outage, since the store may be down only for
-// the instances that have called it. In an outage one instance a second does so on average.
+// readIfNeeded reads the store once if that was requested, if it is time to try again after a failure, or at random in an outage, since
+// the store may be down only for the instances that have called it. In an outage one instance a second does so on average.
 func (w *Watch) readIfNeeded() {
 	select {
 	case <-w.refreshRequest:
@@ -161,13 +173,19 @@
 		return
 	default:
 	}
-	if !w.role.Outage(w.Down(), w.Up()) || rand.N(time.Duration(w.role.Instances())*time.Second) > checkInterval {
+	if w.role.Outage(w.Down(), w.Up()) {
+		if rand.N(time.Duration(w.role.Instances())*time.Second) <= checkInterval {
+			w.readOnce()
+		}
 		return
 	}
-	w.readOnce()
+	if w.Down() && time.Since(w.lastRead) > retryInterval {
+		w.readOnce()
+	}
 }
 
 func (w *Watch) readOnce() {
+	w.lastRead = time.Now()
 	if err := w.listAll(w.ctx); err != nil {
 		w.markDown(err)
 		return
@@ -207,6 +225,7 @@
 	if err != nil {
 		return 0, err
 	}
+	w.markUp() // a watch is answered a second later
 	for _, o := range list {
 		w.apply(func() { w.applyConfig(o) })
 	}
@@ -255,16 +274,19 @@
 	ctx, cancel := context.WithCancel(w.ctx)
 	defer cancel()
 	w.log.Emit(event.WatchBegan, nil)
+	w.watching.Store(true)
 	var g sync.WaitGroup
 	g.Go(func() { w.watchKind(ctx, w.Config, w.listConfig, w.applyConfigChange) })
 	g.Go(func() { w.watchKind(ctx, w.Endpoints, w.endpointsSince, w.applyEndpointChange) })
 	if w.Evacuations != "" {
 		g.Go(func() { w.watchEvacuations(ctx) })
 	}
-	for w.isWatcher() && w.sleep(checkInterval) {
+	for w.isReader() && w.sleep(checkInterval) {
 	}
 	cancel()
 	g.Wait()
+	w.watching.Store(false)
+	w.reading.Store(false)
 	w.log.Emit(event.WatchEnded, nil)
 }
 
@@ -327,23 +349,31 @@
 }
 
 func (w *Watch) batchTime() time.Duration {
-	if w.role.IsFirstWatcher(w.Down(), w.Up()) {
+	if w.isFirstReader() {
 		return batchDelay
 	}
 	return standbyBatchDelay
 }
 
 func (w *Watch) markDown(err error) {
-	if !w.down.Swap(true) {
+	lost := !w.down.Swap(true)
+	if lost {
 		w.log.Emit(event.StoreLost, event.Fields{"error": err})
 	}
+	if w.reading.Swap(false) || lost {
+		w.role.OnAccess()
+	}
 }
 
 func (w *Watch) markUp() {
 	w.lastAnswer.Store(int64(time.Since(w.start)))
-	if w.down.Swap(false) {
+	regained := w.down.Swap(false)
+	if regained {
 		w.log.Emit(event.StoreRegained, nil)
 	}
+	if w.watching.Load() && !w.reading.Swap(true) || regained {
+		w.role.OnAccess()
+	}
 }
 
 func (w *Watch) sleep(d time.Duration) bool { return sleep(w.ctx, d) }
