Take over from dead readers of the store without waiting for their loss

Cause: until their loss is established for all, they count as reading, and that takes 1.0 to 1.6 s, longer where the few that listen for them are slow.

Change: instances that read send a heartbeat each 0.2 s to each other and to the four that would be next; one of these begins after 0.7 s of silence. Why it works: reading once more than needed does no harm, so no agreement on the loss is needed.

--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -10,10 +10,18 @@
 	"snipeshed/core"
 )
 
+// Interval is the time between two heartbeats of an instance that reads.
+const Interval = 200 * time.Millisecond
+
 const (
 	// takeoverStep is the time by which each further instance in the order waits longer before it reads in place of those that should.
 	// It is longer than an instance takes to read and to tell the others.
 	takeoverStep = 150 * time.Millisecond
+	// standbys is the number of instances that would be the next to read and get heartbeats from those that do.
+	standbys = 4
+	// maxSilence is the time without a heartbeat after which a recipient counts an instance as one that doesn't read; two heartbeats may
+	// be lost.
+	maxSilence = 700 * time.Millisecond
 	// outageReaders is the number of instances that try to read beside the elected ones while the store counts as down for all.
 	outageReaders = 6
 )
@@ -39,6 +47,7 @@
 // Elected reports whether this instance is to read the store beside the others, which are live. In an outage, which the caller knows of,
 // the first few instances try, whether they reached the store or not.
 func (e *Election) Elected(now time.Time, own core.StoreAccess, outage bool, others []core.Candidate) bool {
+	others = e.heard(own, others)
 	reading := countReading(others)
 	short := e.shortTime(now, reading < e.readers)
 	if reading >= e.readers && !own.Watching && e.turn(others, outage) >= e.readers {
@@ -59,6 +68,44 @@
 	}
 }
 
+// Recipients returns the instances to which this one, if it reads the store, sends heartbeats: the others that read, and the standbys,
+// which would be the next to read.
+func (e *Election) Recipients(others []core.Candidate) (out []core.InstanceID) {
+	left := standbys
+	for _, c := range order(others) {
+		switch {
+		case c.Reading:
+			out = append(out, c.ID)
+		case !c.Down && left > 0:
+			left--
+			out = append(out, c.ID)
+		}
+	}
+	return out
+}
+
+// heard returns the others, of which those that read but have sent no heartbeats count as not reading. Only a recipient of heartbeats can
+// tell. Without them, instances that are killed count as reading until their loss is known to all.
+func (e *Election) heard(own core.StoreAccess, others []core.Candidate) []core.Candidate {
+	isSilent := func(c core.Candidate) bool { return c.Reading && c.Silence > maxSilence }
+	if !slices.ContainsFunc(others, isSilent) || !own.Reading && !e.isStandby(others) {
+		return others
+	}
+	out := slices.Clone(others)
+	for i := range out {
+		out[i].Reading = out[i].Reading && !isSilent(out[i])
+	}
+	return out
+}
+
+// isStandby reports whether this instance, which does not read, gets heartbeats from those that do.
+func (e *Election) isStandby(others []core.Candidate) bool {
+	if e.turn(others, false) >= e.readers+standbys {
+		return false // without the whole order, as in Elected
+	}
+	return slices.Contains(e.Recipients(append(slices.Clone(others), e.self)), e.self.ID)
+}
+
 // First reports whether no instance that reads the store is before this one in the order.
 func (e *Election) First(others []core.Candidate) bool {
 	_, readingAhead := e.place(others, false)
--- a/core/elect/election_test.go
+++ b/core/elect/election_test.go
@@ -17,6 +17,7 @@
 type fleet struct {
 	now     time.Time
 	members []*member
+	lost    []core.Candidate // have ended, but the others do not know it
 }
 
 type member struct {
@@ -41,6 +42,7 @@
 
 // othersOf returns what an instance knows of the others.
 func (f *fleet) othersOf(m *member) (out []core.Candidate) {
+	out = append(out, f.lost...)
 	for _, o := range f.members {
 		if o != m {
 			out = append(out, o.Candidate)
@@ -137,6 +139,23 @@
 	is.Equal(len(f.reading()), readers)
 }
 
+// TestSilentReaders guards against a store that nobody reads until the loss of the instances that did is known to all.
+func TestSilentReaders(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(9, 9, 6)
+	f.run(3 * time.Second)
+	first := f.reading()
+	f.members = slices.DeleteFunc(f.members, func(m *member) bool { return slices.Contains(first, m) })
+	f.lost = []core.Candidate{first[0].Candidate, first[1].Candidate}
+	for f.lost[0].Silence < 2*time.Second {
+		f.step()
+		is.True(len(f.reading()) <= readers+1)
+		is.True(f.lost[0].Silence < maxSilence+2*takeoverStep+50*time.Millisecond || len(f.reading()) >= readers)
+		f.lost[0].Silence += 50 * time.Millisecond
+		f.lost[1].Silence = f.lost[0].Silence
+	}
+}
+
 // TestFewRead guards against a herd of instances that read as none does yet, and against one that tries in an outage.
 func TestFewRead(t *testing.T) {
 	is := is.New(t)
--- a/core/members.go
+++ b/core/members.go
@@ -15,6 +15,8 @@
 	FailureDomain FailureDomain
 	Down          bool // its last call of the store failed
 	Reading       bool // it follows the changes of the store, which has answered it lately
+	// Silence is the time since it was last heard from.
+	Silence time.Duration
 }
 
 // StoreAccess is the state of an instance's own access to the store.
--- a/io/pulse/members.go
+++ b/io/pulse/members.go
@@ -23,11 +23,12 @@
 
 // IsReader reports whether this instance is to read the store on behalf of all.
 func (p *Pulse) IsReader(own core.StoreAccess) bool {
-	return p.election.Elected(time.Now(), own, p.outage(own.Down, own.Up), p.candidates())
+	now := time.Now()
+	return p.election.Elected(now, own, p.outage(own.Down, own.Up), p.candidates(now))
 }
 
 // IsFirstReader reports whether this instance, which reads the store, is the first one that does.
-func (p *Pulse) IsFirstReader() bool { return p.election.First(p.candidates()) }
+func (p *Pulse) IsFirstReader() bool { return p.election.First(p.candidates(time.Now())) }
 
 // StoreSeen reports whether the store has answered another live instance in the last seconds.
 func (p *Pulse) StoreSeen() bool { return p.storeSeen() }
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -162,9 +162,12 @@
 	defer t.Stop()
 	heartbeat := time.NewTicker(ring.Interval)
 	defer heartbeat.Stop()
+	readerHeartbeat := time.NewTicker(elect.Interval)
+	defer readerHeartbeat.Stop()
 	due := time.Now() // when the timer ends
 	for {
-		woken, watch := false, false
+		woken := false
+		var beat func(now time.Time)
 		select {
 		case <-p.ctx.Done():
 			return
@@ -172,13 +175,15 @@
 			woken = true
 			time.Sleep(coalesceDelay)
 		case <-heartbeat.C:
-			watch = true
+			beat = p.watchRing
+		case <-readerHeartbeat.C:
+			beat = p.sendReaderHeartbeat
 		case <-t.C:
 		}
 		now := time.Now()
 		due = p.forgivePause(now, due)
-		if watch {
-			p.watchRing(now)
+		if beat != nil {
+			beat(now)
 			continue
 		}
 		reqs := p.pending.take()
--- a/io/pulse/views.go
+++ b/io/pulse/views.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"time"
 
 	"snipeshed/core"
 )
@@ -78,13 +79,15 @@
 }
 
 // candidates returns the other live instances that may read the store.
-func (p *peers) candidates() []core.Candidate {
+func (p *peers) candidates(now time.Time) []core.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	out := make([]core.Candidate, 0, len(p.byID)+1)
 	for id, m := range p.byID {
 		if m.live && !m.stopping {
-			out = append(out, core.Candidate{ID: id, FailureDomain: m.FailureDomain, Down: m.storeDown, Reading: m.reading})
+			out = append(out, core.Candidate{
+				ID: id, FailureDomain: m.FailureDomain, Down: m.storeDown, Reading: m.reading, Silence: now.Sub(m.lastHeard),
+			})
 		}
 	}
 	return out
