Let the second reader of the store follow what the first no longer reads

Cause: what only the first reader follows (evacuated failure domains) was left to one that had fallen silent until its loss was known to all: the same cause as for the configuration, on a related path. Asking for the whole state five times a second to know whether to send heartbeats is work on each instance of a large fleet, of which two send any.

Change: First counts silent readers as Elected does; the sender goes by what its last full datagram said.

Measured: TestSilentReaders, which now asks for exactly one first reader, and the tests of edge on readers and evacuations pass.

--- a/core/elect/election.go
+++ b/core/elect/election.go
@@ -29,8 +29,9 @@
 // Election decides whether this instance reads the store. It is safe for concurrent use.
 //
 // All instances use the same order, in which the failure domains take turns: the store may turn away those of one domain only. The first
-// few that reach the store read it. An instance behind them reads too, after a delay that grows with its place, while too few of the others say that they do:
-// those that should may have just started, may not reach the store, or may use another order because their version is older.
+// few that reach the store read it. An instance behind them reads too, after a delay that grows with its place, while too few of the others
+// say that they do: those that should may have just started, may not reach the store, or may use another order because their version is
+// older.
 type Election struct {
 	self    core.Candidate
 	readers int
@@ -106,9 +107,9 @@
 	return slices.Contains(e.Recipients(append(slices.Clone(others), e.self)), e.self.ID)
 }
 
-// First reports whether no instance that reads the store is before this one in the order.
+// First reports whether this instance, which reads the store, is the first in the order that does.
 func (e *Election) First(others []core.Candidate) bool {
-	_, readingAhead := e.place(others, false)
+	_, readingAhead := e.place(e.heard(core.StoreAccess{Reading: true}, others), false)
 	return readingAhead == 0
 }
 
--- a/core/elect/election_test.go
+++ b/core/elect/election_test.go
@@ -150,6 +150,13 @@
 	for f.lost[0].Silence < 2*time.Second {
 		f.step()
 		is.True(len(f.reading()) <= readers+1)
+		firsts := 0
+		for _, m := range f.reading() {
+			if m.First(f.othersOf(m)) {
+				firsts++
+			}
+		}
+		is.Equal(firsts, min(1, len(f.reading()))) // what only the first one reads is not left to a dead one
 		is.True(f.lost[0].Silence < maxSilence+2*takeoverStep+50*time.Millisecond || len(f.reading()) >= readers)
 		f.lost[0].Silence += 50 * time.Millisecond
 		f.lost[1].Silence = f.lost[0].Silence
@@ -162,6 +169,8 @@
 	f := newFleet(100, 100, 150)
 	f.step()
 	is.Equal(len(f.reading()), readers)
+	first := f.reading()[0]
+	is.Equal(len(first.Recipients(f.othersOf(first))), readers-1+standbys) // heartbeats cost the same in a fleet of any size
 	tries := 0
 	for _, m := range f.members {
 		m.Reading = false
--- a/io/pulse/loss.go
+++ b/io/pulse/loss.go
@@ -36,11 +36,9 @@
 	p.sendTo(p.partialMessage(now), p.addresses(p.ring.Watchers(slices.Collect(maps.Keys(heard)))))
 }
 
-// sendReaderHeartbeat sends a heartbeat to the instances that would read the store in place of this one, if it does.
+// sendReaderHeartbeat sends a heartbeat to the instances that would read the store in place of this one.
 func (p *Pulse) sendReaderHeartbeat(now time.Time) {
-	if p.State(now).Reading {
-		p.sendTo(p.partialMessage(now), p.addresses(p.election.Recipients(p.candidates(now))))
-	}
+	p.sendTo(p.partialMessage(now), p.addresses(p.election.Recipients(p.candidates(now))))
 }
 
 // partialMessage returns a partial datagram without load.
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -177,7 +177,11 @@
 		case <-heartbeat.C:
 			beat = p.watchRing
 		case <-readerHeartbeat.C:
-			beat = p.sendReaderHeartbeat
+			beat = func(now time.Time) {
+				if r.lastContent.reading {
+					p.sendReaderHeartbeat(now)
+				}
+			}
 		case <-t.C:
 		}
 		now := time.Now()
