Say in the answers of stand/broken that the connection closes

Cause: the stand-in closes the connection after each answer without saying so. Until the instance notices, it sends the next call on that connection, which may have run then.

Change: sound answers carry Connection: close; what is spoiled in a malformed head is as before, so no test asks for less.

--- a/stand/broken/server.go
+++ b/stand/broken/server.go
@@ -70,12 +70,12 @@
 
 // Framed returns a sound answer with a length.
 func Framed(status int, body string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s",
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
 		status, http.StatusText(status), len(body), body)
 }
 
 // Chunked returns a sound answer of one chunk.
 func Chunked(status int, body string) string {
-	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
 		status, http.StatusText(status), len(body), body)
 }
