--- a/review/third/stand/cut.go
+++ b/review/third/stand/cut.go
@@ -44,7 +44,8 @@
 		time.Sleep(200 * time.Millisecond)
 	}
 	time.Sleep(3 * time.Second)
-	cut := w.runners[0]
+	cut := w.busiest()
+	w.log("%s runs %d streams", cut.id, cut.runningNow())
 	if w.trouble {
 		w.log("the link of %s is cut", cut.id)
 		cut.link.cut()
@@ -63,3 +64,14 @@
 	}
 	return broken, nil
 }
+
+// busiest returns the runner that runs the most requests.
+func (w *world) busiest() *runner {
+	out := w.runners[0]
+	for _, r := range w.runners {
+		if r.runningNow() > out.runningNow() {
+			out = r
+		}
+	}
+	return out
+}
