--- a/review/third/stand/crowd.go
+++ b/review/third/stand/crowd.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -25,10 +26,13 @@
 	smallBody      = 60_000
 	usualBody      = 3000
 	kibPerMB       = 1024
+	// ordinaryClients keep a channel and send one request after the other; the rule allows lostBound losses.
+	ordinaryClients = 18
+	lostBound       = 3
 )
 
-// playCrowd checks that an instance stays within the memory of its machine while many clients send requests inside the limits of the
-// configuration, with many short headers.
+// playCrowd checks that no requests of ordinary clients on kept channels are lost while many clients send requests inside the limits of
+// the configuration, with many short headers. The platform kills an instance that exceeds the memory of its machine.
 func playCrowd(w *world) (bool, error) {
 	w.site = kvRouter
 	w.putConfig(7)
@@ -58,15 +62,81 @@
 	defer kept.close()
 	w.log("%d channels are kept; memory %s", len(kept.list), w.memory())
 
+	ordinary := w.startOrdinary(to)
 	peak, stop := w.watchMemory()
 	w.sendCrowd(to)
 	time.Sleep(watchTime)
 	stop()
-	limit := int64(w.memoryMB * kibPerMB)
-	w.log("peak of the resident memory: %d kB; limit of the machine: %d kB", *peak, limit)
-	served := w.call(to, http.MethodGet, lookupPath, nil, 3*time.Second).isServed()
-	w.log("an ordinary request afterwards is served: %v", served)
-	return *peak > limit || !served, nil
+	w.log("peak of the resident memory: %d kB; limit of the machine: %d kB", *peak, w.memoryMB*kibPerMB)
+	lost := ordinary.stop()
+	w.log("requests on kept channels that a sound runner ran and whose channel was closed without an answer: %d", lost)
+	return lost > lostBound, nil
+}
+
+// ordinary are clients that send one lookup after the other, each on a channel of its own that it keeps.
+type ordinary struct {
+	w       *world
+	quit    chan struct{}
+	clients sync.WaitGroup
+
+	mu   sync.Mutex
+	lost []string // attempts whose channel ended without an answer
+}
+
+func (w *world) startOrdinary(to string) *ordinary {
+	o := &ordinary{w: w, quit: make(chan struct{})}
+	for range ordinaryClients {
+		o.clients.Go(func() { o.send(to) })
+	}
+	return o
+}
+
+func (o *ordinary) send(to string) {
+	c, err := net.DialTimeout("tcp", to, time.Second)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		select {
+		case <-o.quit:
+			return
+		default:
+		}
+		id := newAttempt()
+		fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nSnipeshed-Attempt-Id: %s\r\nSnipeshed-Deadline-Ms: 3000\r\nApi-Key: %s\r\n\r\n", lookupPath, host, id, apiKey)
+		resp, err := http.ReadResponse(r, nil)
+		if err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+		if err != nil {
+			o.w.log("the channel of %s ended without a whole answer: %v", id, err)
+			o.mu.Lock()
+			o.lost = append(o.lost, id)
+			o.mu.Unlock()
+			return
+		}
+	}
+}
+
+// stop ends the clients and returns how many of the lost attempts a runner has run.
+func (o *ordinary) stop() (n int) {
+	close(o.quit)
+	o.clients.Wait()
+	ran := map[string]bool{}
+	for _, r := range o.w.runners {
+		for _, x := range r.runsSince(time.Time{}) {
+			ran[x.id] = true
+		}
+	}
+	for _, id := range o.lost {
+		if ran[id] {
+			n++
+		}
+	}
+	return n
 }
 
 // channels are connections that stay open.
@@ -205,7 +275,9 @@
 			if n := w.residentKB("VmRSS:"); n > *peak {
 				*peak = n
 				if n > int64(w.memoryMB*kibPerMB) {
-					w.log("memory above the limit: %s", w.memory())
+					w.log("memory above the limit: %s; the platform kills the instance", w.memory())
+					_ = w.instances[0].cmd.Process.Kill() // fails if it has ended
+					return
 				}
 			}
 		}
--- a/review/third/stand/slow.go
+++ b/review/third/stand/slow.go
@@ -9,16 +9,17 @@
 const (
 	draftDeadline = 39 * time.Second
 	draftInterval = 600 * time.Millisecond
-	// slowShare is one in how many clients reads slowly.
-	slowShare = 3
-	// trafficTime is the time for which such clients come.
-	trafficTime = 38 * time.Second
-	checkTime   = 12 * time.Second
+	// slowShare is one in how many clients of a draft reads slowly during slowTime.
+	slowShare = 2
+	slowTime  = 20 * time.Second
+	// restTime is the time for which only ordinary clients come after that.
+	restTime       = 65 * time.Second
+	lookupInterval = 200 * time.Millisecond
 	// starvedShare is the share of all requests' service below which a kind of request counts as starved.
 	starvedShare = 0.25
 )
 
-// playSlow checks that clients which read slowly do not keep others from being served after their deadlines.
+// playSlow checks that clients which read slowly do not keep others from being served.
 func playSlow(w *world) (bool, error) {
 	w.site = geefhuis
 	w.putConfig(7)
@@ -40,29 +41,46 @@
 	if err := w.awaitReady(); err != nil {
 		return false, err
 	}
-	w.sendDrafts(trafficTime, w.trouble)
-	w.log("the last client that reads slowly has sent its request; waiting until its deadline has passed")
-	time.Sleep(draftDeadline + time.Second)
+	var lookups []answer
+	quit := make(chan struct{})
+	var sender sync.WaitGroup
+	sender.Go(func() { lookups = w.sendLookupsInTurn(quit) })
+	drafts := w.sendDrafts(slowTime, w.trouble)
+	w.log("the last client that reads slowly has sent its request")
+	drafts = append(drafts, w.sendDrafts(restTime, false)...)
 	for _, r := range w.runners {
 		w.log("%s runs %d requests now", r.id, r.runningNow())
 	}
-	drafts := w.sendDrafts(checkTime, false)
-	served := 0
-	for _, a := range drafts {
-		if a.isServed() {
-			served++
+	close(quit)
+	sender.Wait()
+	draftsServed, lookupsServed := countServed(drafts), countServed(lookups)
+	all := float64(draftsServed+lookupsServed) / float64(len(drafts)+len(lookups))
+	share := float64(draftsServed) / float64(len(drafts))
+	w.log("drafts served, of clients that read at once, over the whole time: %d of %d; lookups: %d of %d",
+		draftsServed, len(drafts), lookupsServed, len(lookups))
+	return share < starvedShare*all, nil
+}
+
+// sendLookupsInTurn sends lookups one after the other until quit is closed.
+func (w *world) sendLookupsInTurn(quit <-chan struct{}) []answer {
+	var out []answer
+	for i := 0; ; i++ {
+		select {
+		case <-quit:
+			return out
+		case <-time.After(lookupInterval):
 		}
+		out = append(out, w.call(w.front(w.instances[i%len(w.instances)]), http.MethodGet, lookupPath, nil, 3*time.Second))
 	}
-	lookups, lookupsServed := 20, 0
-	for i := range lookups {
-		if w.call(w.front(w.instances[i%len(w.instances)]), http.MethodGet, lookupPath, nil, 3*time.Second).isServed() {
-			lookupsServed++
+}
+
+func countServed(answers []answer) (n int) {
+	for _, a := range answers {
+		if a.isServed() {
+			n++
 		}
 	}
-	all := float64(served+lookupsServed) / float64(len(drafts)+lookups)
-	share := float64(served) / float64(len(drafts))
-	w.log("drafts served after the deadlines of all clients that read slowly: %d of %d; lookups: %d of %d", served, len(drafts), lookupsServed, lookups)
-	return share < starvedShare*all || lookupsServed < lookups/2, nil
+	return n
 }
 
 // sendDrafts sends drafts for a time and returns the answers of the clients that read. With slow set, one client in slowShare
