Fail reads of answers whose connection was reset during the upload

Callers of `edge` got a part of an answer as a complete one: an endpoint that answered a long upload at once, without a length, and reset the connection (or closed it with unread data) while the upload was still being written. A write to the store counted as done in the same way.

Cause: a socket reports its failure once, to the call that comes next. The write in the background got ECONNRESET; the read after it got the bytes that had arrived and then an orderly end.

Change: reset.Conn records the failure under a lock that is held around each write system call, and turns the end of the stream into it. EPIPE is none: it follows an orderly end (FIN), after which the answer is complete, or a failure that is recorded already. The reader waits for no blocked write. The connections of io/sock, which the endpoints, the engines and the store of `edge` use, are such ones. The test of io/sock reads their options by syscall.Conn now.

--- a/io/sock/dialer.go
+++ b/io/sock/dialer.go
@@ -1,11 +1,14 @@
 package sock
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"snipeshed/io/reset"
 )
 
 const (
@@ -18,15 +21,21 @@
 	probeCount    = 2
 )
 
-// Dialer is a net.Dialer whose connections are closed within seconds after the peer stops responding.
-type Dialer struct{ net.Dialer }
+// Dialer opens connections that are closed within seconds after the peer stops responding.
+type Dialer struct{ dial reset.Dialer }
 
 // New returns a Dialer with the given timeout for connection attempts.
 func New(timeout time.Duration) *Dialer {
-	return &Dialer{net.Dialer{
+	d := &net.Dialer{
 		Timeout: timeout, Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
-	}}
+	}
+	return &Dialer{reset.WrapDialer(d.DialContext)}
+}
+
+// DialContext opens a connection whose reader sees its failure, as package reset describes.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return d.dial(ctx, network, address)
 }
 
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/io/sock/dialer_test.go
+++ b/io/sock/dialer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 	c, err := sock.New(time.Second).DialContext(context.Background(), "tcp", ln.Addr().String())
 	is.NoErr(err)
 	defer c.Close()
-	raw, err := c.(*net.TCPConn).SyscallConn()
+	raw, err := c.(syscall.Conn).SyscallConn()
 	is.NoErr(err)
 	option := func(name int) (value int) {
 		is.NoErr(raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }))
--- a/proof/malformed_test.go
+++ b/proof/malformed_test.go
@@ -32,9 +32,32 @@
 	})
 	is.NoErr(err)
 	defer server.Close()
+	instance := startBefore(t, server)
+	for _, path := range []string{"/look/1", "/book/1", "/draft/1"} {
+		status, seal, body := callInstance(t, instance, path, "x")
+		is.Equal(status, http.StatusOK) // a sound answer is passed on
+		is.Equal(seal, "seal")
+		is.Equal(body, "id: 1\ndata: a\n\n")
+	}
+	for _, head := range append(broken.Heads(), broken.Folds()...) {
+		for _, path := range []string{"/look/1", "/book/1", "/draft/1"} {
+			spoil.Store(&head)
+			before := server.Requests()
+			status, seal, body := callInstance(t, instance, path, "x")
+			if status != http.StatusBadGateway || seal != "" || !strings.HasPrefix(body, "outcome unknown: ") || server.Requests() != before+1 {
+				t.Errorf("%s, %s: status %d, digest %q, %d requests, body %q", head.Name, path, status, seal, server.Requests()-before, body)
+			}
+		}
+	}
+}
+
+// startBefore starts an instance, as a process, whose only endpoint is the server.
+func startBefore(t *testing.T, server *broken.Server) *edges.Instance {
+	t.Helper()
+	is := is.New(t)
 	f, err := edges.Start(t.TempDir())
 	is.NoErr(err)
-	defer f.Close()
+	t.Cleanup(f.Close)
 	route := func(name, kind string) map[string]any {
 		return map[string]any{
 			"name": name, "host": "a.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000, "latency_goal_ms": 1000,
@@ -50,29 +73,14 @@
 		"seq": 1, "born": 1,
 	})
 	is.NoErr(f.AddInstances(1, nil))
-	for _, path := range []string{"/look/1", "/book/1", "/draft/1"} {
-		status, seal, body := callInstance(t, f.Instances[0], path)
-		is.Equal(status, http.StatusOK) // a sound answer is passed on
-		is.Equal(seal, "seal")
-		is.Equal(body, "id: 1\ndata: a\n\n")
-	}
-	for _, head := range append(broken.Heads(), broken.Folds()...) {
-		for _, path := range []string{"/look/1", "/book/1", "/draft/1"} {
-			spoil.Store(&head)
-			before := server.Requests()
-			status, seal, body := callInstance(t, f.Instances[0], path)
-			if status != http.StatusBadGateway || seal != "" || !strings.HasPrefix(body, "outcome unknown: ") || server.Requests() != before+1 {
-				t.Errorf("%s, %s: status %d, digest %q, %d requests, body %q", head.Name, path, status, seal, server.Requests()-before, body)
-			}
-		}
-	}
+	return f.Instances[0]
 }
 
 // callInstance sends a call and returns the status, the digest and the body of its answer.
-func callInstance(t *testing.T, in *edges.Instance, path string) (int, string, string) {
+func callInstance(t *testing.T, in *edges.Instance, path, body string) (int, string, string) {
 	t.Helper()
 	is := is.New(t)
-	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+in.ClientAddress+path, strings.NewReader("x"))
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+in.ClientAddress+path, strings.NewReader(body))
 	is.NoErr(err)
 	req.Host = "a.example"
 	req.Header.Set("Snipeshed-Attempt-Id", "r1")
