Fail reads of applications' answers that were reset during the upload

Clients of `serve` got a part of an application's answer as a complete one, and it was recorded as the result of a protected action, when the application answered a long upload at once, without a length, and reset the connection or closed it with unread data.

Change: the connections of package link are those of package reset. The probes of application connections reach the TCP connection below it.

--- a/io/link/network.go
+++ b/io/link/network.go
@@ -9,6 +9,7 @@
 
 	"snipeshed/conf"
 	"snipeshed/io/head"
+	"snipeshed/io/reset"
 )
 
 // Network creates clients and servers from the settings of an instance and counts the bytes on their connections.
@@ -116,9 +117,10 @@
 	if ip := net.ParseIP(l.cfg.GetSourceAddress()); ip != nil {
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
+	dial := reset.WrapDialer(d.DialContext)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, addr)
+			c, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
--- a/io/link/probe.go
+++ b/io/link/probe.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"time"
+
+	"snipeshed/io/reset"
 )
 
 // ErrSilent means that the remote kernel acknowledged neither data nor probes for silenceTimeout.
@@ -35,12 +37,8 @@
 
 // newProbedConn enables probes on a counted TCP connection; it returns any other connection unchanged.
 func newProbedConn(c net.Conn) (net.Conn, error) {
-	counted, ok := c.(*countedConn)
-	if !ok {
-		return c, nil
-	}
-	tcp, ok := counted.Conn.(*net.TCPConn)
-	if !ok {
+	tcp := tcpConn(c)
+	if tcp == nil {
 		return c, nil
 	}
 	err := tcp.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: maxProbes})
@@ -51,6 +49,20 @@
 	return &probedConn{Conn: c, tcp: tcp}, nil
 }
 
+// tcpConn returns the TCP connection below a counted one, or nil if there is none.
+func tcpConn(c net.Conn) *net.TCPConn {
+	counted, ok := c.(*countedConn)
+	if !ok {
+		return nil
+	}
+	below, ok := counted.Conn.(*reset.Conn)
+	if !ok {
+		return nil
+	}
+	tcp, _ := below.NetConn().(*net.TCPConn)
+	return tcp
+}
+
 // Read checks the connection every checkInterval while it waits for data. It overrides the read deadline.
 func (c *probedConn) Read(b []byte) (int, error) {
 	for {
