Fail commands whose answer was reset while the ticket was being sent

Operators saw "ticket 0 accepted" when the instance broke off its answer, one without a length and of no bytes yet, while a ticket of 4 MB was still being sent: an empty message is a sound one.

Change: its connections are those of package reset.

Clients of `serve` were not affected there: a stream that ends before its last event is resumed.

--- a/cmds/client.go
+++ b/cmds/client.go
@@ -15,6 +15,7 @@
 	"snipeshed/core"
 	"snipeshed/io/head"
 	"snipeshed/io/oper"
+	"snipeshed/io/reset"
 	"snipeshed/wire"
 )
 
@@ -54,10 +55,17 @@
 		}
 		key = strings.TrimSpace(string(b))
 	}
-	h := &http.Client{Timeout: callTimeout, Transport: &keyTransport{head.NewTransport(http.DefaultTransport), key}}
+	h := &http.Client{Timeout: callTimeout, Transport: &keyTransport{newTransport(), key}}
 	return &client{wire.NewOperatorProtobufClient("http://"+address, h), address}, nil
 }
 
+// newTransport returns a transport that fails in place of an answer that is malformed or was broken off.
+func newTransport() http.RoundTripper {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.DialContext = reset.WrapDialer(t.DialContext)
+	return head.NewTransport(t)
+}
+
 // keyTransport is a transport that adds the operators' key to each request.
 type keyTransport struct {
 	http.RoundTripper
