--- a/io/gate/early_answer_test.go
+++ b/io/gate/early_answer_test.go
@@ -5,12 +5,15 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
 	"snipeshed/stand/broken"
+	"snipeshed/stand/plat"
 )
 
 const (
@@ -35,8 +38,7 @@
 	t.Helper()
 	is := is.New(t)
 	s := &earlyEndpoints{system: start(t, false)}
-	config := strings.Replace(fmt.Sprintf(configFormat, 1, false), `"max_body_bytes":1000`, `"max_body_bytes":1000000`, 1)
-	s.news.UpdateConfig([]byte(config), "test")
+	s.allowUploads()
 	answer := func(r *http.Request) string {
 		text := events(1, 2)
 		if r.Header.Get("Last-Event-Id") != "" {
@@ -52,14 +54,24 @@
 		server, err := broken.StartEarly(ending, answer)
 		is.NoErr(err)
 		t.Cleanup(server.Close)
-		raw[fmt.Sprint(service, i)] = fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"d1","slots":8,"state":"ready","born":1}`, service, server.Address())
+		raw[fmt.Sprint(service, i)] = earlyEndpointJSON(service, server)
 	}
 	s.news.ReplaceEndpoints(1, raw, "test")
 	return s
 }
 
-// upload sends a call with a body of some bytes, and returns the status and the text of its answer and whether it looks complete.
-func (s *earlyEndpoints) upload(t *testing.T, path string, size int) (status int, text string, complete bool) {
+// allowUploads puts a configuration into force that allows large bodies.
+func (s *system) allowUploads() {
+	config := strings.Replace(fmt.Sprintf(configFormat, 2, false), `"max_body_bytes":1000`, `"max_body_bytes":1000000`, 1)
+	s.news.UpdateConfig([]byte(config), "test")
+}
+
+func earlyEndpointJSON(service string, server *broken.Server) []byte {
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"d1","slots":8,"state":"ready","born":1}`, service, server.Address())
+}
+
+// sendUpload sends a call with a body of some bytes, and returns the status and the text of its answer and whether it looks complete.
+func (s *system) sendUpload(t *testing.T, path string, size int) (status int, text string, complete bool) {
 	t.Helper()
 	is := is.New(t)
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.URL+path, bytes.NewReader(make([]byte, size)))
@@ -109,7 +121,7 @@
 		{"/short/stream", 2, http.StatusOK, events(1, 4)},
 	} {
 		s.calls.Store(0)
-		status, text, complete := s.upload(t, tt.path, size)
+		status, text, complete := s.sendUpload(t, tt.path, size)
 		if complete && status < 300 || status != tt.status || !strings.HasPrefix(text, tt.text) || s.calls.Load() != tt.calls {
 			t.Errorf("%s: status %d, complete %t, %d calls, text %q", tt.path, status, complete, s.calls.Load(), text)
 		}
@@ -127,7 +139,7 @@
 					is := is.New(t)
 					s := startEarly(t, ending, statusLine)
 					for _, path := range []string{"/book/1", "/look/1", "/long/stream", "/short/stream"} {
-						status, text, complete := s.upload(t, path, size)
+						status, text, complete := s.sendUpload(t, path, size)
 						is.Equal(status, http.StatusOK)
 						is.Equal(text, events(1, 2))
 						is.True(complete)
@@ -138,3 +150,52 @@
 		}
 	}
 }
+
+// TestBrokenEarlyAnswerToCopy guards against a part of a stream that looks complete because the engine which went on with it from the
+// copy of its memory reset the connection while the request was still being written.
+func TestBrokenEarlyAnswerToCopy(t *testing.T) {
+	for _, ending := range broken.BreakOffs() {
+		t.Run(ending.Name, func(t *testing.T) {
+			t.Parallel()
+			for range earlyAnswers {
+				text, complete := moveToEarly(t, ending)
+				is.New(t).True(!complete)
+				is.New(t).Equal(text, events(1, 8))
+			}
+		})
+	}
+}
+
+// TestOrderlyEarlyAnswerToCopy guards against a complete stream that counts as broken after it went on from the copy of its memory.
+func TestOrderlyEarlyAnswerToCopy(t *testing.T) {
+	text, complete := moveToEarly(t, broken.OrderlyEndings()[0])
+	is.New(t).True(complete)
+	is.New(t).Equal(text, events(1, 8))
+}
+
+// moveToEarly sends a stream whose engine leaves after 5 events, and returns what the caller gets. The engine that goes on from the copy
+// sends 3 events before it has read the request, and ends its answer in the given way.
+func moveToEarly(t *testing.T, ending broken.Ending) (text string, complete bool) {
+	t.Helper()
+	is := is.New(t)
+	source := plat.NewEngine("lm-1")
+	answerMove(source, broken.Framed(http.StatusOK, `{"handle":"h2","created":5}`), nil)
+	target, err := broken.StartEarly(ending, func(r *http.Request) string {
+		if r.Header.Get("Kv-From") == "" {
+			return broken.Framed(http.StatusNotFound, "")
+		}
+		return rawHead("HTTP/1.1 200 OK", "r1") + events(6, 8)
+	})
+	is.NoErr(err)
+	defer target.Close()
+	s := start(t, false, source)
+	s.allowUploads()
+	var calling sync.WaitGroup
+	calling.Go(func() { _, text, complete = s.sendUpload(t, "/long/stream", largeUpload) })
+	eventually(t, "the stream runs", func() bool { return source.StartCount("r1") > 0 })
+	time.Sleep(50 * time.Millisecond) // lets the gate deliver the events
+	s.news.ReplaceEndpoints(2, map[string][]byte{source.ID: endpointJSON(source, "ready"), "lm-2": earlyEndpointJSON("lm", target)}, "test")
+	s.markLeaving(source)
+	calling.Wait()
+	return text, complete
+}
--- a/io/head/check_test.go
+++ b/io/head/check_test.go
@@ -33,6 +33,25 @@
 	}
 }
 
+// TestCheckNameBytes guards against a byte that a name may not have and that is accepted at some place of it.
+func TestCheckNameBytes(t *testing.T) {
+	const others = ":\n" // end the name or the line
+	for b := range 256 {
+		c := string([]byte{byte(b)})
+		if isToken := strings.Contains("!#$%&'*+-.^_`|~0123456789", c) || b|0x20 >= 'a' && b|0x20 <= 'z'; isToken || strings.Contains(others, c) {
+			continue
+		}
+		for _, name := range []string{c + "XBroken", "X" + c + "Broken", "XBroken" + c, c} {
+			for _, sound := range []string{broken.Framed(http.StatusOK, "{}"), broken.Chunked(http.StatusOK, "{}")} {
+				answer := strings.Replace(sound, "\r\n", "\r\n"+name+": 1\r\n", 1)
+				if check(answer) == nil {
+					t.Errorf("the name %q is accepted", name)
+				}
+			}
+		}
+	}
+}
+
 // TestCheckSound guards against a sound head that counts as malformed.
 func TestCheckSound(t *testing.T) {
 	for _, status := range []int{100, 103, 200, 204, 299, 304, 400, 421, 429, 500, 503, 599} {
--- a/stand/broken/http2.go
+++ b/stand/broken/http2.go
@@ -20,15 +20,31 @@
 	prefaceBytes   = 24
 )
 
-// statusField is the HPACK prefix of a status that is not put into the table of fields.
-const statusField = 8
+// HPACK prefixes of fields that are not put into the table of fields (RFC 7541).
+const (
+	statusField  = 8
+	literalField = 0
+)
 
 // StartHTTP2 starts a Server that answers each unencrypted HTTP/2 request with a status, given as the text of its field, and a body.
 func StartHTTP2(status, body string) (*Server, error) {
-	return start(func(s *Server, c net.Conn) { s.serveHTTP2(c, status, body) })
+	return startHTTP2(hpackStatus(status), body)
+}
+
+// StartHTTP2Field is StartHTTP2 with the status 200 and a field with a name and the value 1.
+func StartHTTP2Field(name, body string) (*Server, error) {
+	return startHTTP2(hpackStatus("200")+string([]byte{literalField, byte(len(name))})+name+"\x011", body)
+}
+
+func hpackStatus(status string) string {
+	return string([]byte{statusField, byte(len(status))}) + status
+}
+
+func startHTTP2(fields, body string) (*Server, error) {
+	return start(func(s *Server, c net.Conn) { s.serveHTTP2(c, fields, body) })
 }
 
-func (s *Server) serveHTTP2(c net.Conn, status, body string) {
+func (s *Server) serveHTTP2(c net.Conn, fields, body string) {
 	defer c.Close()
 	if _, err := io.CopyN(io.Discard, c, prefaceBytes); err != nil {
 		return
@@ -49,7 +65,7 @@
 			writeFrame(c, frameSettings, flagAck, 0, "")
 		case (kind == frameData || kind == frameHeaders) && flags&flagEndStream != 0:
 			s.requests.Add(1)
-			writeFrame(c, frameHeaders, flagEndHeaders, stream, string([]byte{statusField, byte(len(status))})+status)
+			writeFrame(c, frameHeaders, flagEndHeaders, stream, fields)
 			writeFrame(c, frameData, flagEndStream, stream, body)
 		}
 	}
