Name the type of dial functions as Go does

A Dialer is a type with a method in net; a function is a DialFunc.

Measured: the tests of io/reset and io/sock pass with the race detector.

--- a/cmds/client.go
+++ b/cmds/client.go
@@ -62,7 +62,7 @@
 // newTransport returns a transport that fails in place of an answer that is malformed or was broken off.
 func newTransport() http.RoundTripper {
 	t := http.DefaultTransport.(*http.Transport).Clone()
-	t.DialContext = reset.WrapDialer(t.DialContext)
+	t.DialContext = reset.WrapDial(t.DialContext)
 	return head.NewTransport(t)
 }
 
--- a/io/link/network.go
+++ b/io/link/network.go
@@ -117,7 +117,7 @@
 	if ip := net.ParseIP(l.cfg.GetSourceAddress()); ip != nil {
 		d.LocalAddr = &net.TCPAddr{IP: ip}
 	}
-	dial := reset.WrapDialer(d.DialContext)
+	dial := reset.WrapDial(d.DialContext)
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := dial(ctx, network, addr)
--- a/io/reset/conn.go
+++ b/io/reset/conn.go
@@ -32,11 +32,11 @@
 	return &Conn{Conn: c, raw: raw}
 }
 
-// Dialer opens a connection, as net.Dialer.DialContext does.
-type Dialer func(ctx context.Context, network, address string) (net.Conn, error)
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// WrapDialer returns a Dialer whose connections are passed through NewConn.
-func WrapDialer(dial Dialer) Dialer {
+// WrapDial returns a DialFunc whose connections are passed through NewConn.
+func WrapDial(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
 		if err != nil {
@@ -115,7 +115,7 @@
 	return written, nil
 }
 
-// writeError returns an error such as net.Conn returns.
+// writeError returns the error that net.Conn returns for a failed write.
 func (c *Conn) writeError(cause error) error {
 	local := c.LocalAddr()
 	return &net.OpError{Op: "write", Net: local.Network(), Source: local, Addr: c.RemoteAddr(), Err: os.NewSyscallError("write", cause)}
--- a/io/reset/conn_test.go
+++ b/io/reset/conn_test.go
@@ -26,7 +26,7 @@
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	defer ln.Close()
-	c, err := reset.WrapDialer(new(net.Dialer).DialContext)(t.Context(), "tcp", ln.Addr().String())
+	c, err := reset.WrapDial(new(net.Dialer).DialContext)(t.Context(), "tcp", ln.Addr().String())
 	is.NoErr(err)
 	other, err := ln.Accept()
 	is.NoErr(err)
--- a/io/sock/dialer.go
+++ b/io/sock/dialer.go
@@ -22,7 +22,7 @@
 )
 
 // Dialer opens connections that are closed within seconds after the peer stops responding.
-type Dialer struct{ dial reset.Dialer }
+type Dialer struct{ dial reset.DialFunc }
 
 // New returns a Dialer with the given timeout for connection attempts.
 func New(timeout time.Duration) *Dialer {
@@ -30,7 +30,7 @@
 		Timeout: timeout, Control: setUserTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeInterval, Count: probeCount},
 	}
-	return &Dialer{reset.WrapDialer(d.DialContext)}
+	return &Dialer{reset.WrapDial(d.DialContext)}
 }
 
 // DialContext opens a connection whose reader sees its failure, as package reset describes.
