--- a/proof/early_answer_test.go
+++ b/proof/early_answer_test.go
@@ -10,6 +10,7 @@
 
 	"snipeshed/core"
 	"snipeshed/stand/broken"
+	"snipeshed/stand/edges"
 )
 
 // earlyAnswers is how often each call is sent, as it depends on the moment of a reset what an instance is told of it.
@@ -21,16 +22,21 @@
 	return head + "some text"
 }
 
+// startEarly starts an instance before a server that answers each call when it has read its head, and ends the answer in the given way.
+func startEarly(t *testing.T, ending broken.Ending) (*broken.Server, *edges.Instance) {
+	t.Helper()
+	server, err := broken.StartEarly(ending, earlyAnswer)
+	is.New(t).NoErr(err)
+	t.Cleanup(server.Close)
+	return server, startBefore(t, server)
+}
+
 // TestBrokenEarlyAnswers guards against an instance, as a process, that passes on a part of an answer as a complete one, because the
 // endpoint reset the connection while the body of the call was still being written.
 func TestBrokenEarlyAnswers(t *testing.T) {
 	for _, ending := range broken.BreakOffs() {
 		t.Run(ending.Name, func(t *testing.T) {
-			is := is.New(t)
-			server, err := broken.StartEarly(ending, earlyAnswer)
-			is.NoErr(err)
-			defer server.Close()
-			instance := startBefore(t, server)
+			server, instance := startEarly(t, ending)
 			for _, size := range []int{70 << 10, 1 << 20, core.DefaultBodyBytes} {
 				upload := strings.Repeat("x", size)
 				for n := range earlyAnswers {
@@ -52,10 +58,7 @@
 	for _, ending := range broken.OrderlyEndings() {
 		t.Run(ending.Name, func(t *testing.T) {
 			is := is.New(t)
-			server, err := broken.StartEarly(ending, earlyAnswer)
-			is.NoErr(err)
-			defer server.Close()
-			instance := startBefore(t, server)
+			_, instance := startEarly(t, ending)
 			for _, size := range []int{100, 70 << 10, core.DefaultBodyBytes} {
 				status, seal, text := callInstance(t, instance, "/book/1", strings.Repeat("x", size))
 				is.Equal(fmt.Sprint(status, seal, text), "200sealsome text")
