--- a/stand/plat/store.go
+++ b/stand/plat/store.go
@@ -41,6 +41,7 @@
 	callCount       int
 	pageSize        int
 	closed          chan struct{}
+	era             uint64 // see Restore
 }
 
 type meta struct {
@@ -66,7 +67,7 @@
 
 // NewStore starts a store that lists at most pageSize objects in an answer; 0 means no limit.
 func NewStore(pageSize int) *Store {
-	s := &Store{revision: 1, objects: map[string]object{}, rawSpecs: map[string][]byte{}, changed: make(chan struct{}), pageSize: pageSize, closed: make(chan struct{})}
+	s := &Store{revision: 1, objects: map[string]object{}, rawSpecs: map[string][]byte{}, changed: make(chan struct{}), pageSize: pageSize, closed: make(chan struct{}), era: 1}
 	s.Server = httptest.NewServer(http.HandlerFunc(s.serve))
 	return s
 }
@@ -182,7 +183,7 @@
 func (s *Store) serve(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	s.callCount++
-	fault := s.fault
+	fault, era := s.fault, s.era
 	s.mu.Unlock()
 	switch fault {
 	case FaultUnavailable:
@@ -201,6 +202,10 @@
 	if fault == FaultAnswerLost && r.Method != http.MethodGet {
 		s.awaitDisconnect(r)
 	}
+	if s.Era() != era {
+		panic(http.ErrAbortHandler) // the store was restored meanwhile, so the answer may be one of both histories
+	}
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if out != nil {
@@ -295,7 +300,7 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if since < s.oldestWatchable {
+		if since < s.oldestWatchable || since > s.revision {
 			s.mu.Unlock()
 			return http.StatusGone, nil
 		}
