--- a/core/fleet/endpoints.go
+++ b/core/fleet/endpoints.go
@@ -24,6 +24,9 @@
 	// markRetention is how long a mark as leaving is kept for an incarnation that has no entry; the entry may be written again
 	// after it lapsed.
 	markRetention = 5 * time.Minute
+	// copyTimeout is how long an entry that the store has from a copy of itself is not believed that its endpoint no longer leaves. It is
+	// longer than the entry of an endpoint that has ended stays in the store.
+	copyTimeout = 10 * time.Second
 )
 
 // Endpoints holds the known endpoints, including leaving and recently removed ones; it is safe for concurrent use.
@@ -31,7 +34,7 @@
 	mu         sync.Mutex
 	byID       map[core.EndpointID]*Status
 	leavingAt  map[core.Incarnation]time.Time // marked as leaving, whatever their entries say
-	revision   core.Version
+	revision   core.Revision
 	byService  map[core.ServiceName][]*Status // copy on write: replaced after changes, never modified
 	evacuated  []core.FailureDomain           // whose endpoints byService lacks
 	changedAt  time.Time                      // of the last change that byService lacks; zero if there is none
@@ -40,9 +43,11 @@
 	// They spare looks at each endpoint, many times a second, at something that is rare.
 	lastLeft  time.Time
 	hasLapsed bool
-	onLeave   func(core.EndpointID)
-	onRestart func(core.Incarnation)
-	replaced  []core.Incarnation // for which onRestart is due
+	// copiedUntil is not before the time of that name of any endpoint; zero if none has one.
+	copiedUntil time.Time
+	onLeave     func(core.EndpointID)
+	onRestart   func(core.Incarnation)
+	replaced    []core.Incarnation // for which onRestart is due
 }
 
 // Option configures Endpoints.
@@ -66,26 +71,30 @@
 	return eps
 }
 
-// Revision returns the revision of the store's list that the entries reflect; 0 before the first list.
-func (eps *Endpoints) Revision() core.Version {
+// Revision returns the revision of the store's list that the entries reflect; zero before the first list.
+func (eps *Endpoints) Revision() core.Revision {
 	eps.mu.Lock()
 	defer eps.mu.Unlock()
 	return eps.revision
 }
 
 // ReplaceAll replaces all entries with the full list at a revision, unless it is not newer, and reports whether it did.
-func (eps *Endpoints) ReplaceAll(now time.Time, revision core.Version, list []core.Endpoint) bool {
+func (eps *Endpoints) ReplaceAll(now time.Time, revision core.Revision, list []core.Endpoint) bool {
 	eps.mu.Lock()
-	if revision <= eps.revision {
+	if !revision.After(eps.revision) {
 		eps.mu.Unlock()
 		return false
 	}
+	restored := eps.revision.Era != 0 && eps.revision.Era != revision.Era
 	eps.revision = revision
+	if restored {
+		eps.lastOutage = now // the entries that the store has lost are missing as those that lapse in an outage are
+	}
 	seen := make(map[core.EndpointID]bool, len(list))
 	var leaving []core.EndpointID
 	for _, e := range list {
 		seen[e.ID] = true
-		leaving = append(leaving, eps.setEntry(now, eps.lastChange(revision, e), e)...)
+		leaving = append(leaving, eps.setListed(now, revision, e, restored)...)
 	}
 	for id, s := range eps.byID {
 		if !seen[id] && !s.gone {
@@ -101,9 +110,9 @@
 }
 
 // Set stores a new or changed entry.
-func (eps *Endpoints) Set(now time.Time, revision core.Version, e core.Endpoint) {
+func (eps *Endpoints) Set(now time.Time, revision core.Revision, e core.Endpoint) {
 	eps.mu.Lock()
-	eps.revision = max(eps.revision, revision)
+	eps.revision = core.LaterRevision(eps.revision, revision)
 	leaving := eps.setEntry(now, revision, e)
 	eps.changedAt = now
 	replaced := eps.takeReplaced()
@@ -113,9 +122,9 @@
 }
 
 // Remove handles the removal of an entry from the store.
-func (eps *Endpoints) Remove(now time.Time, revision core.Version, id core.EndpointID) {
+func (eps *Endpoints) Remove(now time.Time, revision core.Revision, id core.EndpointID) {
 	eps.mu.Lock()
-	eps.revision = max(eps.revision, revision)
+	eps.revision = core.LaterRevision(eps.revision, revision)
 	leaving := eps.removeEntry(now, id)
 	eps.changedAt = now
 	eps.mu.Unlock()
@@ -129,11 +138,12 @@
 	eps.lastOutage = now
 }
 
-// ExpireLapsed marks endpoints as gone whose entries expired in a store outage and were not written again in time.
+// ExpireLapsed marks endpoints as gone whose entries expired in a store outage, or were lost when the store came back from a copy, and
+// were not written again in time. It also ends the holds that are due.
 func (eps *Endpoints) ExpireLapsed(now time.Time) {
 	eps.mu.Lock()
 	leaving := eps.expireLapsed(now)
-	if len(leaving) > 0 {
+	if eps.endHolds(now) || len(leaving) > 0 {
 		eps.changedAt = now
 	}
 	eps.rebuild()
@@ -205,7 +215,7 @@
 }
 
 // lastChange returns the revision at which an entry of the list at a revision was last changed, as far as is known.
-func (eps *Endpoints) lastChange(revision core.Version, e core.Endpoint) core.Version {
+func (eps *Endpoints) lastChange(revision core.Revision, e core.Endpoint) core.Revision {
 	if old := eps.byID[e.ID]; old != nil && !old.gone && old.Endpoint == e {
 		return old.entryRevision
 	}
@@ -213,7 +223,7 @@
 }
 
 // setEntry stores an entry that was last changed at a revision, and returns the endpoint's id if it starts to leave.
-func (eps *Endpoints) setEntry(now time.Time, revision core.Version, e core.Endpoint) []core.EndpointID {
+func (eps *Endpoints) setEntry(now time.Time, revision core.Revision, e core.Endpoint) []core.EndpointID {
 	old := eps.byID[e.ID]
 	if old != nil && e.Started < old.Started {
 		return nil // an entry from before the endpoint's last restart
--- a/core/fleet/marks.go
+++ b/core/fleet/marks.go
@@ -27,14 +27,18 @@
 // ApplyPeerReport marks an endpoint as leaving on a report of another instance, which knows the store's list at a revision.
 // The report counts until the entry changes after that revision: an entry that was removed or malformed for a while may be
 // written again by a live endpoint.
-func (eps *Endpoints) ApplyPeerReport(now time.Time, revision core.Version, inc core.Incarnation) {
+func (eps *Endpoints) ApplyPeerReport(now time.Time, revision core.Revision, inc core.Incarnation) {
 	eps.mu.Lock()
 	marked := eps.markLeaving(now, inc, func(s *Status) bool {
 		report := peerReport{isSet: true, revision: revision}
 		if !report.coversEntry(s.entryRevision) {
 			return false
 		}
-		s.peerReport = report
+		if now.Before(s.copiedUntil) {
+			s.held = true // the other instance may know this from before the store came back
+		} else {
+			s.peerReport = report
+		}
 		return true
 	})
 	eps.mu.Unlock()
--- a/core/fleet/status.go
+++ b/core/fleet/status.go
@@ -25,7 +25,11 @@
 	// lapsed reports whether the entry was found missing soon after a store outage, in which its lease may have expired.
 	lapsed bool
 	// entryRevision is the revision of the store's list at which the entry was last changed.
-	entryRevision core.Version
+	entryRevision core.Revision
+	// copiedUntil is the time until which the store may have the entry from a copy of itself, and held reports whether the endpoint counts
+	// as leaving until then although the entry says otherwise.
+	copiedUntil time.Time
+	held        bool
 	// peerReport holds a report of another instance that the endpoint leaves.
 	peerReport peerReport
 }
@@ -36,12 +40,12 @@
 // peerReport is a report of another instance. It may rest on an entry that the store has replaced since.
 type peerReport struct {
 	isSet    bool
-	revision core.Version // that of the other instance's list
+	revision core.Revision // that of the other instance's list
 }
 
 // coversEntry reports whether the other instance knew the entry that was last changed at the given revision.
-func (r peerReport) coversEntry(entryRevision core.Version) bool {
-	return r.isSet && entryRevision <= r.revision
+func (r peerReport) coversEntry(entryRevision core.Revision) bool {
+	return r.isSet && !entryRevision.After(r.revision)
 }
 
 // BacksOff reports whether the endpoint wants no requests from this instance.
--- a/core/store.go
+++ b/core/store.go
@@ -36,6 +36,17 @@
 	Reachable() bool
 }
 
+// EraStore is the part of an object API with eras that instances read. The versions of the objects that it returns count in the era of
+// the revision that belongs to them.
+type EraStore interface {
+	// List returns up to limit objects with the prefix, in key order after the given key, and the revision of the answer. It returns
+	// ErrHistoryGone when the era has changed between the pages of the list.
+	List(ctx context.Context, prefix, after string, limit int) ([]Object, Revision, error)
+	// Watch calls fn with each change after the revision, and with nil for each heartbeat, until ctx ends or the watch fails. It returns
+	// ErrHistoryGone when the store no longer has the changes after the revision, or has another era.
+	Watch(ctx context.Context, prefix string, since Revision, fn func(*Change) error) error
+}
+
 // ErrNotFound means that an object does not exist.
 var ErrNotFound = errors.New("object not found")
 
--- a/edge/edge.go
+++ b/edge/edge.go
@@ -199,9 +199,9 @@
 func (e *Edge) gauges(add func(string, int64)) {
 	config, endpoints := e.news.Versions()
 	add("rules_version", int64(config))
-	add("endpoints_revision", int64(endpoints))
-	_, evacuated := e.evacuated.Get()
-	add("evacuated_domains", int64(len(evacuated)))
+	add("endpoints_revision", int64(endpoints.Number))
+	add("store_era", int64(endpoints.Era)-1) // -1 if the store names none
+	add("evacuated_domains", int64(len(e.evacuated.Get())))
 	add("instances", int64(e.pulse.Instances()))
 	add("connections_opened_total", e.dial.ConnsOpened())
 	own, all := e.loads.WaitingCalls(time.Now())
@@ -217,7 +217,7 @@
 func (e *Edge) listen() error {
 	p, err := pulse.New(e.self, e.loads, e.log, pulse.Hooks{
 		State: e.pulseState, OnLeaving: e.endpoints.ApplyPeerReport, OnRefusing: e.gate.OnRefusalReported, OnBlame: e.blame.Merge,
-		OnEvacuated: e.evacuated.Replace,
+		OnEvacuated: e.evacuated.Merge,
 		OnUpdate:    e.catchUp,
 	})
 	if err != nil {
@@ -341,6 +341,7 @@
 			e.endpoints.RecordStoreOutage(now)
 		}
 		e.endpoints.ExpireLapsed(now)
+		e.evacuated.Expire(now)
 		if !e.news.Loaded() {
 			e.catchUp() // mayTakeFromPeers has changed, perhaps
 		}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -20,10 +20,9 @@
 // pulseState returns the state that is sent to the other instances.
 func (e *Edge) pulseState(now time.Time) pulse.State {
 	config, endpoints := e.news.Versions()
-	evacuatedRevision, evacuated := e.evacuated.Get()
 	own := e.watch.Access()
 	return pulse.State{
-		Evacuated: evacuated, EvacuatedRevision: evacuatedRevision,
+		Evacuations:   e.evacuated.State(now),
 		ConfigVersion: config, EndpointsRevision: endpoints, StoreDown: own.Down, StoreUp: own.Up, Reading: own.Reading, Stopping: e.stopping.Load(),
 		Leaving: e.endpoints.RecentlyLeaving(now, leavingSpan), Refusing: e.gate.RecentlyRefusing(now),
 		Blame: e.blame.Report(now),
@@ -71,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(e.ctx, fetchTimeout)
 	defer cancel()
 	config, endpoints := e.news.Versions()
-	known := &wire.Known{Rules: uint64(config), Endpoints: uint64(endpoints), Members: uint32(e.pulse.KnownPeers())}
+	known := &wire.Known{Rules: uint64(config), Endpoints: uint64(endpoints.Number), EndpointsEra: uint64(endpoints.Era), Members: uint32(e.pulse.KnownPeers())}
 	got, err := wire.NewSyncProtobufClient("http://"+from.Address, peerClient).Fetch(ctx, known)
 	var refusal twirp.Error
 	if errors.As(err, &refusal) && refusal.Code() == twirp.ResourceExhausted {
@@ -87,7 +86,7 @@
 	}
 	e.news.ApplyFetched(from.ID, known, got)
 	newConfig, newEndpoints := e.news.Versions()
-	return newConfig > config || newEndpoints > endpoints
+	return newConfig > config || newEndpoints.After(endpoints)
 }
 
 // ownReadTime is how long a starting instance prefers its own first read of the store to what instances know that don't reach
@@ -131,7 +130,7 @@
 // Fetch returns what is newer than known, and the live instances. It refuses to send a further whole list while it sends
 // maxFullFetches.
 func (s syncServer) Fetch(ctx context.Context, known *wire.Known) (*wire.News, error) {
-	if known.GetEndpoints() == 0 {
+	if s.e.sendsWholeList(known) {
 		if s.e.fullFetches.Add(1) > maxFullFetches {
 			s.e.fullFetches.Add(-1)
 			return nil, twirp.NewError(twirp.ResourceExhausted, "this instance sends as many whole endpoint lists as it may; retry")
@@ -152,6 +151,19 @@
 	return out, nil
 }
 
+// sendsWholeList reports whether the answer to a fetch holds the whole endpoint list because the caller has none, or one of an earlier era
+// of the store.
+func (e *Edge) sendsWholeList(known *wire.Known) bool {
+	era := core.Era(known.GetEndpointsEra())
+	return known.GetEndpoints() == 0 || (era != 0 && era != e.knownEra())
+}
+
+// knownEra returns the era of the store to which the endpoint list of this instance belongs.
+func (e *Edge) knownEra() core.Era {
+	_, endpoints := e.news.Versions()
+	return endpoints.Era
+}
+
 // AddPeer adds another instance before it is found by a datagram or in the store.
 func (e *Edge) AddPeer(id, address string) {
 	e.pulse.Add(core.Peer{ID: core.InstanceID(id), Address: address})
--- a/io/event/kind.go
+++ b/io/event/kind.go
@@ -12,6 +12,7 @@
 	LinesDropped       Kind = "lines_dropped"
 	StoreLost          Kind = "store_lost"
 	StoreRegained      Kind = "store_regained"
+	StoreRestored      Kind = "store_restored" // it came back from an older copy
 	WatchBegan         Kind = "watch_began"
 	WatchEnded         Kind = "watch_ended"
 	PeerFound          Kind = "peer_found"
--- a/io/news/list.go
+++ b/io/news/list.go
@@ -11,24 +11,25 @@
 const maxRemovals = 1000
 
 // endpointList holds the raw endpoint entries with the revisions of their last changes, so that another instance can be
-// sent only what has changed since its revision.
+// sent only what has changed since its revision. It belongs to one era of the store: of two lists of different eras it is not known
+// what has changed in between.
 type endpointList struct {
-	base    core.Version // all changes after this revision are known
+	base    core.Revision // all changes after this revision are known
 	entries map[string]listEntry
-	removed map[string]core.Version
+	removed map[string]core.Revision
 }
 
 type listEntry struct {
 	raw      []byte
-	revision core.Version
+	revision core.Revision
 }
 
-func newEndpointList(base core.Version) *endpointList {
-	return &endpointList{base: base, entries: map[string]listEntry{}, removed: map[string]core.Version{}}
+func newEndpointList(base core.Revision) *endpointList {
+	return &endpointList{base: base, entries: map[string]listEntry{}, removed: map[string]core.Revision{}}
 }
 
 // set stores an entry, or its removal when raw is nil.
-func (l *endpointList) set(revision core.Version, name string, raw []byte) {
+func (l *endpointList) set(revision core.Revision, name string, raw []byte) {
 	if raw != nil {
 		l.entries[name] = listEntry{raw: raw, revision: revision}
 		delete(l.removed, name)
@@ -36,13 +37,13 @@
 	}
 	delete(l.entries, name)
 	if len(l.removed) >= maxRemovals {
-		l.removed, l.base = map[string]core.Version{}, revision
+		l.removed, l.base = map[string]core.Revision{}, revision
 	}
 	l.removed[name] = revision
 }
 
 // replace makes raw the whole list; entries that differ from the present ones get the given revision.
-func (l *endpointList) replace(revision core.Version, raw map[string][]byte) {
+func (l *endpointList) replace(revision core.Revision, raw map[string][]byte) {
 	for name := range l.entries {
 		if raw[name] == nil {
 			l.set(revision, name, nil)
@@ -56,10 +57,10 @@
 }
 
 // fillSince adds the changes after a revision to out, or the whole list when these are no longer all known.
-func (l *endpointList) fillSince(out *wire.News, since core.Version) {
-	out.Delta = since > 0 && since >= l.base
+func (l *endpointList) fillSince(out *wire.News, since core.Revision) {
+	out.Delta = !since.IsZero() && !l.base.After(since)
 	for name, e := range l.entries {
-		if !out.Delta || e.revision > since {
+		if !out.Delta || e.revision.After(since) {
 			out.Endpoints = append(out.Endpoints, &wire.Record{Name: name, Value: e.raw})
 		}
 	}
@@ -67,7 +68,7 @@
 		return
 	}
 	for name, revision := range l.removed {
-		if revision > since {
+		if revision.After(since) {
 			out.Removed = append(out.Removed, name)
 		}
 	}
--- a/io/news/news.go
+++ b/io/news/news.go
@@ -25,7 +25,7 @@
 	mu         sync.Mutex
 	compressed []byte        // the configuration in force, compressed
 	list       *endpointList // nil until the endpoint list is known
-	revision   core.Version
+	revision   core.Revision
 	unreadable unreadableEntries
 	onChange   func(source string)
 }
@@ -63,8 +63,8 @@
 	}
 }
 
-// Versions returns the version of the configuration and the revision of the endpoint list; 0 means unknown.
-func (n *News) Versions() (config, endpoints core.Version) {
+// Versions returns the version of the configuration and the revision of the endpoint list; zero means unknown.
+func (n *News) Versions() (config core.Version, endpoints core.Revision) {
 	if t := n.table.Load(); t != nil {
 		config = t.Version
 	}
@@ -107,7 +107,7 @@
 }
 
 // ReplaceEndpoints replaces the whole endpoint list unless the revision is not newer than the known one.
-func (n *News) ReplaceEndpoints(revision core.Version, raw map[string][]byte, source string) {
+func (n *News) ReplaceEndpoints(revision core.Revision, raw map[string][]byte, source string) {
 	count, ok := n.replaceEndpoints(revision, raw)
 	if !ok {
 		return
@@ -117,10 +117,10 @@
 }
 
 // replaceEndpoints replaces the list and returns the number of endpoints, or false if the revision is not newer.
-func (n *News) replaceEndpoints(revision core.Version, raw map[string][]byte) (int, bool) {
+func (n *News) replaceEndpoints(revision core.Revision, raw map[string][]byte) (int, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.list != nil && revision <= n.revision {
+	if n.list != nil && !revision.After(n.revision) {
 		return 0, false
 	}
 	n.unreadable.retain(raw)
@@ -132,7 +132,10 @@
 			sound[name] = b
 		}
 	}
-	if n.list == nil {
+	if n.revision.Era != 0 && revision.Era != n.revision.Era {
+		n.log.Emit(event.StoreRestored, event.Fields{"revision": revision, "known": n.revision, "endpoints": len(sound)})
+	}
+	if n.list == nil || revision.Era != n.revision.Era {
 		n.list = newEndpointList(revision)
 	}
 	n.list.replace(revision, sound)
@@ -142,27 +145,33 @@
 	return len(endpoints), true
 }
 
-// ChangeEndpoint applies a change of one entry in the store; raw is nil when the entry was removed.
-func (n *News) ChangeEndpoint(revision core.Version, name string, raw []byte) {
-	n.applyStoreChange(revision, name, raw)
-	n.onChange(SourceStore)
+// ChangeEndpoint applies a change of one entry in the store, unless a list of a later era is known; raw is nil when the entry was
+// removed.
+func (n *News) ChangeEndpoint(revision core.Revision, name string, raw []byte) {
+	if n.applyStoreChange(revision, name, raw) {
+		n.onChange(SourceStore)
+	}
 }
 
-func (n *News) applyStoreChange(revision core.Version, name string, raw []byte) {
+func (n *News) applyStoreChange(revision core.Revision, name string, raw []byte) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.list != nil && revision.Era != n.revision.Era {
+		return false // read before the store came back; the list of its new era has what is left of it
+	}
 	n.applyChange(revision, name, raw)
+	return true
 }
 
 // applyChange applies a change of one entry. An entry that names no endpoint counts as removed, so that it is not sent to
 // other instances, whatever its size.
-func (n *News) applyChange(revision core.Version, name string, raw []byte) {
+func (n *News) applyChange(revision core.Revision, name string, raw []byte) {
 	if n.list == nil {
 		n.list = newEndpointList(revision)
 		n.signalLoaded()
 	}
 	now := time.Now()
-	n.revision = max(n.revision, revision)
+	n.revision = core.LaterRevision(n.revision, revision)
 	if raw == nil {
 		delete(n.unreadable, name)
 	} else if e, ok := n.decodeEndpoint(name, raw); ok {
@@ -201,9 +210,9 @@
 	if uint64(config) > known.GetRules() {
 		out.Rules = n.compressed
 	}
-	if n.list != nil && uint64(endpoints) > known.GetEndpoints() {
-		out.HasEndpoints, out.EndpointsRevision = true, uint64(endpoints)
-		n.list.fillSince(out, core.Version(known.GetEndpoints()))
+	if since := knownEndpoints(known).OrEra(endpoints.Era); n.list != nil && endpoints.After(since) {
+		out.HasEndpoints, out.EndpointsRevision, out.EndpointsEra = true, uint64(endpoints.Number), uint64(endpoints.Era)
+		n.list.fillSince(out, since)
 	}
 	return out, nil
 }
@@ -219,10 +228,12 @@
 			n.UpdateConfig(raw, source)
 		}
 	}
+	since := knownEndpoints(known)
+	revision := core.Revision{Era: core.Era(in.GetEndpointsEra()), Number: core.Version(in.GetEndpointsRevision())}.OrEra(since.Era)
 	switch {
 	case !in.GetHasEndpoints():
 	case in.GetDelta():
-		if n.applyDelta(core.Version(known.GetEndpoints()), in) {
+		if n.applyDelta(since, revision, in) {
 			n.onChange(source)
 		}
 	default:
@@ -230,24 +241,28 @@
 		for _, r := range in.GetEndpoints() {
 			raw[r.GetName()] = r.GetValue()
 		}
-		n.ReplaceEndpoints(core.Version(in.GetEndpointsRevision()), raw, source)
+		n.ReplaceEndpoints(revision, raw, source)
 	}
 }
 
+// knownEndpoints returns the revision of the endpoint list that an instance says it has.
+func knownEndpoints(known *wire.Known) core.Revision {
+	return core.Revision{Era: core.Era(known.GetEndpointsEra()), Number: core.Version(known.GetEndpoints())}
+}
+
 // applyDelta applies the changes after a revision, unless the list has a different revision by now, and reports whether it did.
-func (n *News) applyDelta(since core.Version, in *wire.News) bool {
+func (n *News) applyDelta(since, revision core.Revision, in *wire.News) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.revision != since {
+	if n.revision != since || (since.Era != 0 && revision.Era != since.Era) {
 		return false
 	}
-	revision := core.Version(in.GetEndpointsRevision())
 	for _, r := range in.GetEndpoints() {
 		n.applyChange(revision, r.GetName(), r.GetValue())
 	}
 	for _, name := range in.GetRemoved() {
 		n.applyChange(revision, name, nil)
 	}
-	n.revision = max(n.revision, revision)
+	n.revision = core.LaterRevision(n.revision, revision)
 	return true
 }
--- a/io/probe/prober_test.go
+++ b/io/probe/prober_test.go
@@ -22,7 +22,7 @@
 	is := is.New(t)
 	f := fleet.New(func(core.EndpointID) {})
 	for i := range 3000 {
-		f.Set(time.Now(), core.Version(i+1), core.Endpoint{ID: core.EndpointID(strconv.Itoa(i)), Service: "lm", Started: 1})
+		f.Set(time.Now(), core.Revision{Number: core.Version(i + 1)}, core.Endpoint{ID: core.EndpointID(strconv.Itoa(i)), Service: "lm", Started: 1})
 	}
 	log := event.New(t.Output(), "edge-1", logrus.ErrorLevel)
 	defer log.Close()
--- a/io/pulse/announce.go
+++ b/io/pulse/announce.go
@@ -35,14 +35,15 @@
 func (p *Pulse) sendAnnouncement(now time.Time) {
 	s := p.State(now)
 	d := p.partialMessage(now)
-	d.Announcement, d.Rules, d.Endpoints = true, uint64(s.ConfigVersion), uint64(s.EndpointsRevision)
+	d.Announcement, d.Rules = true, uint64(s.ConfigVersion)
+	d.Endpoints, d.EndpointsEra = uint64(s.EndpointsRevision.Number), uint64(s.EndpointsRevision.Era)
 	encodeLeaving(d, p.announced.takeNew(now, s.Leaving))
 	p.sendTo(d, sample(p.recipients(false), announceFanout))
 }
 
 // applyAnnouncement applies an announcement of another instance and passes on what is new in it.
 func (p *Pulse) applyAnnouncement(now time.Time, d *wire.Pulse) {
-	p.updateVersions(core.InstanceID(d.GetFrom()), core.Version(d.GetRules()), core.Version(d.GetEndpoints()))
+	p.updateVersions(core.InstanceID(d.GetFrom()), core.Version(d.GetRules()), p.endpointsRevision(d))
 	p.applyLeaving(now, d)
 	if p.announced.hasNew(decodeLeaving(d)) {
 		p.Announce()
@@ -52,7 +53,7 @@
 
 func (p *Pulse) applyLeaving(now time.Time, d *wire.Pulse) {
 	for _, inc := range decodeLeaving(d) {
-		p.OnLeaving(now, core.Version(d.GetEndpoints()), inc)
+		p.OnLeaving(now, p.endpointsRevision(d), inc)
 	}
 }
 
--- a/io/pulse/fuzz_internal_test.go
+++ b/io/pulse/fuzz_internal_test.go
@@ -36,7 +36,7 @@
 		log := event.New(&out, "self", logrus.InfoLevel)
 		p := &Pulse{
 			Hooks: Hooks{
-				OnUpdate: func() {}, OnLeaving: func(time.Time, core.Version, core.Incarnation) {}, State: func(time.Time) State { return State{} },
+				OnUpdate: func() {}, OnLeaving: func(time.Time, core.Revision, core.Incarnation) {}, State: func(time.Time) State { return State{} },
 				OnRefusing: func(time.Time, core.EndpointID) {}, OnBlame: func(time.Time, core.BlameReport) {},
 			},
 			peers: newPeers(core.Peer{ID: "self", Address: "127.0.0.1:1"}), loads: tally.New(), log: log, ring: ring.New("self"), runID: 7,
--- a/io/pulse/helper_internal_test.go
+++ b/io/pulse/helper_internal_test.go
@@ -26,7 +26,7 @@
 	t.Cleanup(log.Close)
 	p := &Pulse{
 		Hooks: Hooks{
-			OnUpdate: func() {}, OnLeaving: func(time.Time, core.Version, core.Incarnation) {},
+			OnUpdate: func() {}, OnLeaving: func(time.Time, core.Revision, core.Incarnation) {},
 			State: func(time.Time) State { return State{} },
 		},
 		peers: newPeers(core.Peer{ID: "self", Address: "127.0.0.1:1"}), loads: tally.New(), log: log, ring: ring.New("self"), election: elect.New(core.Peer{ID: "self"}, Readers), runID: 7,
--- a/io/pulse/members.go
+++ b/io/pulse/members.go
@@ -17,7 +17,7 @@
 
 // NewerPeers returns the live instances that have a newer configuration or endpoint list than given, or count more members
 // than this instance has entries.
-func (p *Pulse) NewerPeers(configVersion, endpointsRevision core.Version) []core.Peer {
+func (p *Pulse) NewerPeers(configVersion core.Version, endpointsRevision core.Revision) []core.Peer {
 	return p.newerPeers(configVersion, endpointsRevision)
 }
 
--- a/io/pulse/peers.go
+++ b/io/pulse/peers.go
@@ -34,25 +34,27 @@
 	live atomic.Int64
 	// newest is at least what any live member has announced.
 	newest announcedNews
+	// era is that of this instance's endpoint list when newer peers were last asked for.
+	era atomic.Uint64
 }
 
 // announcedNews is what instances announce about their data.
 type announcedNews struct {
 	configVersion     core.Version
-	endpointsRevision core.Version
+	endpointsRevision core.Revision
 	memberCount       int
 }
 
 // raise raises each value to that of m.
 func (a *announcedNews) raise(m announcedNews) {
 	a.configVersion = max(a.configVersion, m.configVersion)
-	a.endpointsRevision = max(a.endpointsRevision, m.endpointsRevision)
+	a.endpointsRevision = core.LaterRevision(a.endpointsRevision, m.endpointsRevision)
 	a.memberCount = max(a.memberCount, m.memberCount)
 }
 
 // exceeds reports whether one of the values is higher than that of b.
 func (a *announcedNews) exceeds(b announcedNews) bool {
-	return a.configVersion > b.configVersion || a.endpointsRevision > b.endpointsRevision || a.memberCount > b.memberCount
+	return a.configVersion > b.configVersion || a.endpointsRevision.After(b.endpointsRevision) || a.memberCount > b.memberCount
 }
 
 func newPeers(self core.Peer) *peers { return &peers{self: self, byID: map[core.InstanceID]*member{}} }
@@ -114,7 +116,7 @@
 	becameLive = !m.live
 	m.run, m.seq, m.lastHeard = d.GetRun(), d.GetSeq(), now
 	p.setLive(m, true)
-	m.announcedNews = announcedNews{core.Version(d.GetRules()), core.Version(d.GetEndpoints()), int(d.GetMembers())}
+	m.announcedNews = announcedNews{core.Version(d.GetRules()), p.endpointsRevision(d), int(d.GetMembers())}
 	p.newest.raise(m.announcedNews)
 	m.storeUp = d.GetStoreUp()
 	m.reading = d.GetStoreUp() && !d.GetStandby() // older versions don't set standby
@@ -135,8 +137,15 @@
 	return true
 }
 
+// endpointsRevision returns the revision of the sender's endpoint list. Instances of older versions name no era; theirs counts as the one
+// of this instance's list.
+func (p *peers) endpointsRevision(d *wire.Pulse) core.Revision {
+	r := core.Revision{Era: core.Era(d.GetEndpointsEra()), Number: core.Version(d.GetEndpoints())}
+	return r.OrEra(core.Era(p.era.Load()))
+}
+
 // updateVersions records the versions that a live instance has announced.
-func (p *peers) updateVersions(id core.InstanceID, config, endpoints core.Version) {
+func (p *peers) updateVersions(id core.InstanceID, config core.Version, endpoints core.Revision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if m := p.byID[id]; m != nil {
@@ -304,7 +313,8 @@
 // newerPeers returns the live instances that have a newer configuration or endpoint list, or that count more members than this
 // one has entries. Entries that are not live are included in that number: such an instance has ended, and others may still
 // count it.
-func (p *peers) newerPeers(configVersion, endpointsRevision core.Version) []core.Peer {
+func (p *peers) newerPeers(configVersion core.Version, endpointsRevision core.Revision) []core.Peer {
+	p.era.Store(uint64(endpointsRevision.Era))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	own := announcedNews{configVersion, endpointsRevision, len(p.byID) + 1}
--- a/io/pulse/peers_test.go
+++ b/io/pulse/peers_test.go
@@ -27,15 +27,15 @@
 	}
 	receive("a", 2, 4, now)
 	receive("b", 3, 4, now)
-	is.Equal(len(p.newerPeers(0, 0)), 2) // both count a member that is unknown here
+	is.Equal(len(p.newerPeers(0, core.Revision{})), 2) // both count a member that is unknown here
 	p.add(core.Peer{ID: "c", Address: "127.0.0.1:4"})
-	is.Equal(len(p.newerPeers(0, 0)), 0)
+	is.Equal(len(p.newerPeers(0, core.Revision{})), 0)
 	receive("c", 4, 4, now)
 	later := now.Add(time.Second)
 	receive("a", 2, 4, later)
 	receive("b", 3, 4, later)
 	is.Equal(p.expireSilent(later, 500*time.Millisecond), []core.InstanceID{"c"})
-	is.Equal(len(p.newerPeers(0, 0)), 0) // a and b still count c
+	is.Equal(len(p.newerPeers(0, core.Revision{})), 0) // a and b still count c
 }
 
 // TestSlowLink guards against load datagrams that take too long on a slow link. Instances that have not received one yet
--- a/io/pulse/pulse.go
+++ b/io/pulse/pulse.go
@@ -14,6 +14,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/elect"
+	"snipeshed/core/evac"
 	"snipeshed/core/ring"
 	"snipeshed/core/tally"
 	"snipeshed/io/event"
@@ -43,18 +44,16 @@
 
 // State is the state of this instance that full datagrams carry besides its load.
 type State struct {
-	ConfigVersion     core.Version // of the configuration in force
-	EndpointsRevision core.Version // revision of the endpoint list
-	StoreDown         bool         // the last call of the store failed
-	StoreUp           bool         // the store has answered in the last seconds
-	Reading           bool         // this instance follows the changes of the store, which has answered
+	ConfigVersion     core.Version  // of the configuration in force
+	EndpointsRevision core.Revision // of the endpoint list
+	StoreDown         bool          // the last call of the store failed
+	StoreUp           bool          // the store has answered in the last seconds
+	Reading           bool          // this instance follows the changes of the store, which has answered
 	Stopping          bool
 	Leaving           []core.Incarnation
 	Refusing          []core.EndpointID
 	Blame             core.BlameReport
-	// Evacuated are the failure domains that the operator has evacuated, at EvacuatedRevision of the store.
-	Evacuated         []core.FailureDomain
-	EvacuatedRevision core.Version
+	Evacuations       evac.State
 }
 
 // Hooks are the callbacks of a Pulse.
@@ -63,13 +62,13 @@
 	State func(now time.Time) State
 	// OnLeaving is called for each endpoint that another instance, whose endpoint list has the given revision, reports as
 	// leaving.
-	OnLeaving func(now time.Time, revision core.Version, inc core.Incarnation)
+	OnLeaving func(now time.Time, revision core.Revision, inc core.Incarnation)
 	// OnRefusing is called for each endpoint that another instance reports as refusing connections.
 	OnRefusing func(now time.Time, id core.EndpointID)
 	// OnBlame is called with the crashes and cleared parts that another instance reports.
 	OnBlame func(now time.Time, r core.BlameReport)
-	// OnEvacuated is called with the evacuated failure domains that another instance knows, and their revision.
-	OnEvacuated func(revision core.Version, domains []core.FailureDomain)
+	// OnEvacuated is called with what another instance knows of the evacuated failure domains.
+	OnEvacuated func(now time.Time, s evac.State)
 	// OnUpdate is called after each full datagram, which may announce a newer configuration, endpoint list or member.
 	OnUpdate func()
 }
@@ -160,17 +159,15 @@
 func (p *Pulse) fullMessage(now time.Time, s State) *wire.Pulse {
 	d := p.loadMessage(now, p.loads.OwnLoads(now))
 	d.Address, d.Domain = p.self.Address, string(p.self.FailureDomain)
-	d.Rules, d.Endpoints, d.Members = uint64(s.ConfigVersion), uint64(s.EndpointsRevision), uint32(p.liveCount())
+	d.Rules, d.Members = uint64(s.ConfigVersion), uint32(p.liveCount())
+	d.Endpoints, d.EndpointsEra = uint64(s.EndpointsRevision.Number), uint64(s.EndpointsRevision.Era)
 	d.StoreDown, d.StoreUp, d.Standby, d.Stopping = s.StoreDown, s.StoreUp, !s.Reading, s.Stopping
 	encodeLeaving(d, p.leavingInFull(s.Leaving))
 	for _, id := range s.Refusing {
 		d.Refusing = append(d.Refusing, string(id))
 	}
 	encodeBlame(d, s.Blame)
-	d.EvacuatedRevision = uint64(s.EvacuatedRevision)
-	for _, domain := range s.Evacuated {
-		d.Evacuated = append(d.Evacuated, string(domain))
-	}
+	encodeEvacuations(d, s.Evacuations)
 	return d
 }
 
@@ -254,12 +251,8 @@
 	if r := decodeBlame(d); len(r.Crashes)+len(r.Cleared) > 0 {
 		p.OnBlame(now, r)
 	}
-	if revision := d.GetEvacuatedRevision(); revision > 0 {
-		domains := make([]core.FailureDomain, len(d.GetEvacuated()))
-		for i, domain := range d.GetEvacuated() {
-			domains[i] = core.FailureDomain(domain)
-		}
-		p.OnEvacuated(core.Version(revision), domains)
+	if s := decodeEvacuations(d); !s.Present.Revision.IsZero() {
+		p.OnEvacuated(now, s)
 	}
 	p.OnUpdate()
 }
--- a/io/pulse/pulse_test.go
+++ b/io/pulse/pulse_test.go
@@ -51,7 +51,7 @@
 			s.Blame = n.blame.Report(now)
 			return s
 		},
-		OnLeaving: func(_ time.Time, _ core.Version, inc core.Incarnation) {
+		OnLeaving: func(_ time.Time, _ core.Revision, inc core.Incarnation) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			n.leaving[inc] = true
@@ -103,7 +103,9 @@
 	a.set(pulse.State{ConfigVersion: 7, Leaving: []core.Incarnation{{ID: "gone", Started: 5}}})
 	a.Broadcast()
 	eventually(t, "b receives a's load", func() bool { return b.loads.Load(time.Now(), "e").Calls == 3 })
-	eventually(t, "b receives the newer version", func() bool { return len(b.NewerPeers(6, 0)) == 1 && len(b.NewerPeers(7, 0)) == 0 })
+	eventually(t, "b receives the newer version", func() bool {
+		return len(b.NewerPeers(6, core.Revision{})) == 1 && len(b.NewerPeers(7, core.Revision{})) == 0
+	})
 	eventually(t, "b receives the leaving endpoint", func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- /dev/null
+++ b/io/pulse/restore_internal_test.go
@@ -0,0 +1,67 @@
+package pulse
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"snipeshed/core"
+	"snipeshed/core/evac"
+	"snipeshed/wire"
+)
+
+// in returns a revision of an era.
+func in(era uint64, n core.Version) core.Revision {
+	return core.Revision{Era: core.NewEra(era), Number: n}
+}
+
+// TestNewerAcrossEras guards against instances that take a list of an earlier history of the store for newer, or a later one for older,
+// because of their numbers.
+func TestNewerAcrossEras(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		told, own core.Revision
+		isNewer   bool
+	}{
+		{"lower, later era", in(1, 5), in(0, 9), true},
+		{"higher, earlier era", in(0, 9), in(1, 5), false},
+		{"equal, later era", in(1, 9), in(0, 9), true},
+		{"higher, same era", in(1, 9), in(1, 5), true},
+		{"no era told", core.Revision{Number: 9}, in(1, 5), true},
+		{"no era told, lower", core.Revision{Number: 5}, in(1, 9), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			p := testPulse(t, 1)
+			p.newerPeers(1, tt.own)
+			d := &wire.Pulse{
+				From: "p0", Address: "127.0.0.1:2", Run: 1, Seq: 2, Rules: 1,
+				Endpoints: uint64(tt.told.Number), EndpointsEra: uint64(tt.told.Era),
+			}
+			p.handleDatagram(testTime, d)
+			is.Equal(len(p.newerPeers(1, tt.own)) == 1, tt.isNewer)
+
+			p = testPulse(t, 1)
+			p.newerPeers(1, tt.own)
+			d.Partial, d.Announcement, d.Seq = true, true, 3
+			p.handleDatagram(testTime, d)
+			is.Equal(len(p.newerPeers(1, tt.own)) == 1, tt.isNewer)
+		})
+	}
+}
+
+// TestEvacuationsInFull guards against evacuations of an earlier era of the store that are lost on their way to other instances.
+func TestEvacuationsInFull(t *testing.T) {
+	is := is.New(t)
+	want := evac.State{
+		Present:     evac.Set{Revision: in(2, 5), Domains: []core.FailureDomain{"a"}},
+		Earlier:     []evac.Set{{Revision: in(0, 9), Domains: []core.FailureDomain{"b", "c"}}, {Revision: in(1, 4)}},
+		EarlierLeft: time.Minute,
+		Ended:       []evac.Ending{{Domain: "c", Era: core.NewEra(1)}},
+	}
+	is.Equal(decodeEvacuations(testPulse(t, 1).fullMessage(testTime, State{Evacuations: want})), want)
+	want.EarlierLeft = 0
+	got := decodeEvacuations(testPulse(t, 1).fullMessage(testTime, State{Evacuations: want}))
+	is.Equal(got, evac.State{Present: want.Present})
+}
--- a/io/pulse/send.go
+++ b/io/pulse/send.go
@@ -117,7 +117,7 @@
 // content is compared with that of the last full datagram to find out whether anything has changed.
 type content struct {
 	globalContent
-	endpointsRevision core.Version
+	endpointsRevision core.Revision
 	leaving           int
 	loadChanges       uint64
 }
--- a/io/pulse/start_internal_test.go
+++ b/io/pulse/start_internal_test.go
@@ -22,7 +22,7 @@
 	)
 	cost := func(instances int) time.Duration {
 		p := testPulse(t, instances)
-		p.OnUpdate = func() { p.newerPeers(1, 1) }
+		p.OnUpdate = func() { p.newerPeers(1, core.Revision{Number: 1}) }
 		seq := uint64(1)
 		best := time.Hour
 		for range rounds {
--- a/io/watch/evacuations.go
+++ b/io/watch/evacuations.go
@@ -4,6 +4,7 @@
 	"context"
 	"strings"
 	"sync"
+	"time"
 
 	"snipeshed/core"
 )
@@ -32,22 +33,22 @@
 	g.Wait()
 }
 
-func (w *Watch) listEvacuations(ctx context.Context) (core.Version, error) {
+func (w *Watch) listEvacuations(ctx context.Context) (core.Revision, error) {
 	list, at, err := w.store.List(ctx, w.Evacuations, "", maxObjects)
 	if err != nil {
-		return 0, err
+		return core.Revision{}, err
 	}
 	var domains []core.FailureDomain
 	for _, o := range list {
 		domains = append(domains, w.evacuatedDomain(o.Key))
 	}
-	w.evacuated.Replace(at, domains)
+	w.evacuated.Replace(time.Now(), at, domains)
 	w.role.OnEvacuations()
 	return at, nil
 }
 
-func (w *Watch) applyEvacuation(c *core.Change) {
-	w.evacuated.Change(c.Version, w.evacuatedDomain(c.Key), !c.Deleted)
+func (w *Watch) applyEvacuation(at core.Revision, c *core.Change) {
+	w.evacuated.Change(time.Now(), at, w.evacuatedDomain(c.Key), !c.Deleted)
 	w.role.OnEvacuations()
 }
 
--- a/io/watch/watch.go
+++ b/io/watch/watch.go
@@ -54,13 +54,13 @@
 type Watch struct {
 	Kinds
 	evacuated *evac.Domains
-	store     core.Store
+	store     core.EraStore
 	news      *news.News
 	log       *event.Log
 	role      Role
 	down      atomic.Bool
-	// historyGone is set when the store has dropped the changes after the known revision of a kind, so that the endpoint
-	// list must be read again.
+	// historyGone is set when the store has dropped the changes after the known revision of a kind, or come back from a copy of itself,
+	// so that the endpoint list must be read again.
 	historyGone atomic.Bool
 	lastAnswer  atomic.Int64 // when the store last answered, in ns since start
 	watching    atomic.Bool  // this instance watches the store, or tries to
@@ -93,7 +93,7 @@
 }
 
 // New returns a Watch; Start begins to read.
-func New(store core.Store, kinds Kinds, n *news.News, evacuated *evac.Domains, log *event.Log, role Role) *Watch {
+func New(store core.EraStore, kinds Kinds, n *news.News, evacuated *evac.Domains, log *event.Log, role Role) *Watch {
 	w := &Watch{Kinds: kinds, evacuated: evacuated, store: store, news: n, log: log, role: role, start: time.Now(), refreshRequest: make(chan struct{}, 1)}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	return w
@@ -220,10 +220,10 @@
 	return errors.Join(errConfig, errEndpoints)
 }
 
-func (w *Watch) listConfig(ctx context.Context) (core.Version, error) {
+func (w *Watch) listConfig(ctx context.Context) (core.Revision, error) {
 	list, at, err := w.store.List(ctx, w.Config, "", maxObjects)
 	if err != nil {
-		return 0, err
+		return core.Revision{}, err
 	}
 	w.markUp() // a watch is answered a second later
 	for _, o := range list {
@@ -241,8 +241,8 @@
 
 // endpointsSince returns the revision of the known endpoint list, or lists the endpoints if none is known. Whether the store
 // still has the changes since that revision shows when the watch starts.
-func (w *Watch) endpointsSince(ctx context.Context) (core.Version, error) {
-	if _, known := w.news.Versions(); known > 0 && !w.historyGone.Swap(false) {
+func (w *Watch) endpointsSince(ctx context.Context) (core.Revision, error) {
+	if _, known := w.news.Versions(); !known.IsZero() && !w.historyGone.Swap(false) {
 		return known, nil
 	}
 	return w.listEndpoints(ctx)
@@ -254,10 +254,10 @@
 	}
 }
 
-func (w *Watch) listEndpoints(ctx context.Context) (core.Version, error) {
+func (w *Watch) listEndpoints(ctx context.Context) (core.Revision, error) {
 	list, at, err := w.store.List(ctx, w.Endpoints, "", maxObjects)
 	if err != nil {
-		return 0, err
+		return core.Revision{}, err
 	}
 	raw := make(map[string][]byte, len(list))
 	for _, o := range list {
@@ -290,29 +290,31 @@
 	w.log.Emit(event.WatchEnded, nil)
 }
 
-func (w *Watch) applyConfigChange(c *core.Change) {
+func (w *Watch) applyConfigChange(_ core.Revision, c *core.Change) {
 	if !c.Deleted {
 		w.applyConfig(c.Object)
 	}
 }
 
-func (w *Watch) applyEndpointChange(c *core.Change) {
+func (w *Watch) applyEndpointChange(at core.Revision, c *core.Change) {
 	if c.Deleted {
-		w.news.ChangeEndpoint(c.Version, w.entryName(c.Key), nil)
+		w.news.ChangeEndpoint(at, w.entryName(c.Key), nil)
 		return
 	}
-	w.news.ChangeEndpoint(c.Version, w.entryName(c.Key), c.Value)
+	w.news.ChangeEndpoint(at, w.entryName(c.Key), c.Value)
 }
 
 // watchKind lists a kind and watches it from that revision until ctx ends; after a failure it watches again, and after a
-// lost history it lists again.
-func (w *Watch) watchKind(ctx context.Context, kind string, list func(context.Context) (core.Version, error), onChange func(*core.Change)) {
+// lost history it lists again. onChange is called with each change and its revision.
+func (w *Watch) watchKind(
+	ctx context.Context, kind string, list func(context.Context) (core.Revision, error), onChange func(core.Revision, *core.Change),
+) {
 	backoff := firstBackoff
-	since := core.Version(0)
+	since := core.Revision{}
 	changed := false
 	for ctx.Err() == nil {
 		var err error
-		if since == 0 {
+		if since.IsZero() {
 			since, err = list(ctx)
 		}
 		if err == nil {
@@ -320,8 +322,8 @@
 				w.markUp()
 				backoff = firstBackoff
 				if c != nil {
-					w.apply(func() { onChange(c) })
-					since = max(since, c.Version)
+					w.apply(func() { onChange(core.Revision{Era: since.Era, Number: c.Version}, c) })
+					since.Number = max(since.Number, c.Version)
 					changed = true
 					return ctx.Err()
 				}
@@ -337,10 +339,10 @@
 		}
 		if errors.Is(err, core.ErrHistoryGone) {
 			w.historyGone.Store(true)
-			since = 0
-			continue
+			since = core.Revision{}
+		} else {
+			w.markDown(err)
 		}
-		w.markDown(err)
 		if !sleep(ctx, jitter(backoff)) {
 			return
 		}
--- a/models/check.sh
+++ b/models/check.sh
@@ -37,6 +37,8 @@
 if ! xargs -P 4 -I{} bash -c 'check {}' <<'RUNS'; then
 restart holds -DLIVE
 restart holds
+restore holds
+restore holds -DLATE
 action holds -DRETENTION -DFAULTS=2
 action holds
 ticket holds
@@ -68,6 +70,10 @@
 edge violated -DREPEATABLE -DFAULT_FORGET
 edge violated -DFAULT_SALVAGE
 edge violated -DFAULT_ASSUME
+restore violated -DFAULT_NUMBER
+restore violated -DFAULT_FORGET
+restore violated -DFAULT_MERGED
+restore violated -DFAULT_STICKY
 RUNS
   echo "models: a check did not end as expected" >&2
   exit 1
--- a/proof/soak_fault_test.go
+++ b/proof/soak_fault_test.go
@@ -126,12 +126,13 @@
 	if e == nil {
 		return
 	}
-	s.store.Put("servers", e.ID, e.ObjectSpec(service, "d1", "draining"))
+	s.entries.put(s.store, e.ID, e.ObjectSpec(service, "d1", "draining"))
 	e.SetLeaving()
 	s.replaceEngine(e, service)
 	g.Go(func() {
-		time.Sleep(1500*time.Millisecond + span)
-		s.store.Remove("servers", e.ID)
+		time.Sleep(soakDrainTime + span)
+		s.entries.awaitDrained()
+		s.entries.remove(s.store, e.ID)
 		s.stopEngine(e)
 	})
 }
@@ -150,6 +151,6 @@
 	if e, service := s.pickEngine(r); e != nil {
 		s.replaceEngine(e, service)
 		s.stopEngine(e)
-		s.store.Remove("servers", e.ID)
+		s.entries.remove(s.store, e.ID)
 	}
 }
--- /dev/null
+++ b/proof/soak_restore_test.go
@@ -0,0 +1,131 @@
+package proof_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"snipeshed/stand/plat"
+)
+
+const (
+	// soakDrainTime is how long an engine serves after the store has its entry as draining.
+	soakDrainTime = 1500 * time.Millisecond
+	// soakRewriteTime bounds the time after a return of the store until the engines and the operator have written again what it lost.
+	soakRewriteTime = 400 * time.Millisecond
+	// soakFollowTime bounds the time until all instances use the endpoints of the store only.
+	soakFollowTime = 2 * time.Second
+)
+
+// soakEntries are the entries that the engines last wrote, so that they can write them again; it is safe for concurrent use.
+type soakEntries struct {
+	mu         sync.Mutex
+	specs      map[string]any // nil for entries that were removed
+	incomplete bool           // the store lacks some of them
+	rewritten  time.Time
+}
+
+func (e *soakEntries) put(store *plat.Store, id string, spec any) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.specs == nil {
+		e.specs = map[string]any{}
+	}
+	e.specs[id] = spec
+	store.Put("servers", id, spec)
+}
+
+func (e *soakEntries) remove(store *plat.Store, id string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.specs[id] = nil
+	store.Remove("servers", id)
+}
+
+// restore lets the store come back from a copy.
+func (e *soakEntries) restore(store *plat.Store, c plat.StoreCopy) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	store.Restore(c)
+	e.incomplete = true
+}
+
+// rewrite writes again what the store has lost.
+func (e *soakEntries) rewrite(store *plat.Store) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for id, spec := range e.specs {
+		if spec == nil {
+			store.Remove("servers", id)
+			continue
+		}
+		store.Put("servers", id, spec)
+	}
+	e.incomplete, e.rewritten = false, time.Now()
+}
+
+// awaitDrained waits until the store has had all entries for soakDrainTime.
+func (e *soakEntries) awaitDrained() {
+	for {
+		e.mu.Lock()
+		drained := !e.incomplete && time.Since(e.rewritten) > soakDrainTime
+		e.mu.Unlock()
+		if drained {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// restoreStore lets the store be away for a moment and come back from a copy, again and again until ctx ends.
+func (s *soakRun) restoreStore(ctx context.Context) {
+	r := rand.New(rand.NewPCG(s.seed, 1))
+	random := func(most time.Duration) time.Duration { return time.Duration(r.Int64N(int64(most))) }
+	for ctx.Err() == nil {
+		time.Sleep(random(time.Second))
+		c := s.store.Copy()
+		time.Sleep(random(2 * time.Second))
+		s.store.SetFault([]plat.StoreFault{plat.FaultReset, plat.FaultUnavailable, plat.FaultNoAnswer}[r.IntN(3)])
+		time.Sleep(random(700 * time.Millisecond))
+		s.entries.restore(s.store, c)
+		s.t.Logf("the store is back, in era %d", s.store.Era())
+		time.Sleep(random(soakRewriteTime))
+		s.entries.rewrite(s.store)
+		s.writeConfig()
+	}
+}
+
+// checkFollowsStore checks that all instances use an engine that registers now, and only it after the others of its service have left.
+func (s *soakRun) checkFollowsStore() {
+	s.mu.Lock()
+	var others []string
+	for id := range s.engines {
+		if strings.HasPrefix(id, "app-") {
+			others = append(others, id)
+		}
+	}
+	s.addEngine("app")
+	s.mu.Unlock()
+	time.Sleep(soakFollowTime)
+	for _, id := range others {
+		s.entries.remove(s.store, id)
+	}
+	time.Sleep(soakFollowTime)
+	for _, id := range others {
+		s.stopEngine(s.engines[id])
+	}
+	c := &http.Client{Timeout: 6 * time.Second}
+	defer c.CloseIdleConnections()
+	before := len(s.calls)
+	for _, inst := range s.instances {
+		s.send(c, inst, "/look/last-"+inst.name, "last-"+inst.name)
+	}
+	for _, call := range s.calls[before:] {
+		if call.status != http.StatusOK {
+			s.t.Errorf("%s: status %d after the store came back; its lines:\n%s", call.attempt, call.status, s.logOf(call.attempt))
+		}
+	}
+}
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -53,6 +53,7 @@
 	configVersion  int
 	// plannedOnly is set for runs in which everything that happens to the instances is planned work or a fault of the store.
 	plannedOnly bool
+	entries     soakEntries
 }
 
 type soakInstance struct {
@@ -72,14 +73,18 @@
 // answers. Random faults overlap: processes are terminated, paused, killed and restarted, engines drain and crash, links fail,
 // and the store fails for all instances or for one. SOAK_SEED, SOAK_SEEDS, SOAK_SECONDS and SOAK_INSTANCES select the seeds, the
 // duration and the number of instances.
-func TestSoak(t *testing.T) { soak(t, soakSeeds, false) }
+func TestSoak(t *testing.T) { soak(t, soakSeeds, false, false) }
 
 // TestPlannedSoak guards against calls that are lost in planned work: instances are stopped, reload their settings and start again,
 // configurations change and engines drain, in series and at once, while the store fails now and then. Callers use open connections
 // until the process is gone.
-func TestPlannedSoak(t *testing.T) { soak(t, soakSeeds[:1], true) }
+func TestPlannedSoak(t *testing.T) { soak(t, soakSeeds[:1], true, false) }
 
-func soak(t *testing.T, seeds []uint64, plannedOnly bool) {
+// TestRestoredSoak guards against calls that are lost, and against instances that no longer follow the store, after it has come back from
+// a copy of itself, again and again and in the midst of planned work.
+func TestRestoredSoak(t *testing.T) { soak(t, soakSeeds[:1], true, true) }
+
+func soak(t *testing.T, seeds []uint64, plannedOnly, restores bool) {
 	if first, err := strconv.ParseUint(os.Getenv("SOAK_SEED"), 10, 64); err == nil {
 		seeds = nil
 		for i := range max(intFromEnv("SOAK_SEEDS", 1), 1) {
@@ -91,7 +96,7 @@
 			s := newSoak(t, seed)
 			s.plannedOnly = plannedOnly
 			defer s.close()
-			s.run(time.Duration(intFromEnv("SOAK_SECONDS", 8)) * time.Second)
+			s.run(time.Duration(intFromEnv("SOAK_SECONDS", 8))*time.Second, restores)
 		})
 	}
 }
@@ -151,7 +156,7 @@
 	l := s.startLink(e.Address())
 	e.SetLinkAddress(l.Addr())
 	s.engines[e.ID], s.links[e.ID] = e, l
-	s.store.Put("servers", e.ID, e.ObjectSpec(service, "d1", "ready"))
+	s.entries.put(s.store, e.ID, e.ObjectSpec(service, "d1", "ready"))
 }
 
 func (s *soakRun) startLink(target string) *link.Link {
@@ -163,13 +168,18 @@
 }
 
 func (s *soakRun) configure() {
+	s.configVersion++
+	s.writeConfig()
+}
+
+// writeConfig writes the newest configuration.
+func (s *soakRun) writeConfig() {
 	route := func(name, kind, service string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": "a.example", "path_prefix": "/" + name + "/", "kind": kind, "timeout_ms": 4000,
 			"latency_goal_ms": 500, "service": service, "max_attempts": attempts,
 		}
 	}
-	s.configVersion++
 	s.store.Put("config", "main", map[string]any{
 		"version": s.configVersion,
 		"routes":  []any{route("look", "idempotent", "app", 2), route("book", "non_idempotent", "app", 2), route("long", "streaming", "lm", 1)},
@@ -231,13 +241,16 @@
 }
 
 // run injects faults for the duration d while callers send calls, then waits until all instances are ready and checks the calls.
-func (s *soakRun) run(d time.Duration) {
+func (s *soakRun) run(d time.Duration, restores bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
 	var g sync.WaitGroup
 	for i := range soakCallers {
 		g.Go(func() { s.runCaller(ctx, i) })
 	}
+	if restores {
+		g.Go(func() { s.restoreStore(ctx) })
+	}
 	r := rand.New(rand.NewPCG(s.seed, 0))
 	for ctx.Err() == nil {
 		s.injectFault(ctx, r, &g)
@@ -245,6 +258,9 @@
 	}
 	g.Wait()
 	s.awaitReady("after the faults")
+	if restores {
+		s.checkFollowsStore()
+	}
 	s.checkCalls()
 }
 
