Write an instance's record again when the store came back without it

What callers saw: nothing at once; an instance that starts after the store has come back from a copy didn't find those whose records the copy lacks, unless it knew a seed. Cause: the record was written at the start only. Change: an instance that goes over to a later era reads the list of instances again, fresh if the stale answer is from an earlier era, and writes its record if it is missing, at a random time within 10 ms per live instance.

--- a/edge/edge.go
+++ b/edge/edge.go
@@ -61,17 +61,19 @@
 	// stopMargin is the part of the stop timeout that is reserved for closing connections.
 	stopMargin = 400 * time.Millisecond
 	// callerIdleTimeout is longer than callers keep idle connections, so that they close them first.
-	callerIdleTimeout      = 75 * time.Second
-	headerTimeout          = 5 * time.Second
-	maxHeaderBytes         = 32 << 10
-	fetchSpreadPerInstance = time.Millisecond // maximum delay per live instance
-	fetchTimeout           = 1500 * time.Millisecond
-	registerTimeout        = 2 * time.Second
-	registerBackoff        = 500 * time.Millisecond
-	recheckInterval        = 700 * time.Millisecond // minimum delay before the list of instances is read again
-	quarantineInterval     = 100 * time.Millisecond // time between two checks for requests to end
-	outageInterval         = 100 * time.Millisecond // time between two checks for a store outage
-	maxInstances           = 100_000                // entries read from the store
+	callerIdleTimeout         = 75 * time.Second
+	headerTimeout             = 5 * time.Second
+	maxHeaderBytes            = 32 << 10
+	fetchSpreadPerInstance    = time.Millisecond // maximum delay per live instance
+	fetchTimeout              = 1500 * time.Millisecond
+	registerTimeout           = 2 * time.Second
+	registerBackoff           = 500 * time.Millisecond
+	registerSpreadPerInstance = 10 * time.Millisecond  // maximum delay per live instance
+	eraCheckInterval          = 500 * time.Millisecond // time between two checks of whether the store came back from a copy
+	recheckInterval           = 700 * time.Millisecond // minimum delay before the list of instances is read again
+	quarantineInterval        = 100 * time.Millisecond // time between two checks for requests to end
+	outageInterval            = 100 * time.Millisecond // time between two checks for a store outage
+	maxInstances              = 100_000                // entries read from the store
 )
 
 // Edge is one edge instance.
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -195,6 +195,21 @@
 	d.eventually("applied", 2*time.Second, func(i *instance) bool { return i.call("k3") == 200 && i.call("k2") == 401 })
 }
 
+// TestRecordsAfterRestore guards against instances that nobody finds in the store any more because the copy lacks their records.
+func TestRecordsAfterRestore(t *testing.T) {
+	d := deploy(t, 0)
+	c := d.store.Copy()
+	for range 3 {
+		d.start()
+	}
+	d.eventually("ready", 3*time.Second, (*instance).ready)
+	time.Sleep(2500 * time.Millisecond)
+	d.restore(c)
+	until(t, "all records are written again", 5*time.Second, func() bool { return d.store.Count("snipeshed-instances") == 3 })
+	late := d.start() // knows no seeds
+	until(t, "found through the store", 5*time.Second, func() bool { return strings.Count(late.log.String(), "msg=peer_found") == 3 })
+}
+
 // TestEvacuationAfterRestore guards against an evacuation that is not applied because its revision was given out before the store came
 // back from a copy, for another domain or for the same one.
 func TestEvacuationAfterRestore(t *testing.T) {
