Soak: let the store come back from a copy in planned work

Change: TestRestoredSoak is TestPlannedSoak with a store that is away for a moment and comes back from a copy, again and again; engines and the operator write again what it lost. At the end, after one more return, all instances have to use an engine that has just registered.

--- a/proof/soak_restore_test.go
+++ b/proof/soak_restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -16,6 +17,8 @@
 	soakDrainTime = 1500 * time.Millisecond
 	// soakRewriteTime bounds the time after a return of the store until the engines and the operator have written again what it lost.
 	soakRewriteTime = 400 * time.Millisecond
+	// soakHeartbeats is how often each entry is written between a copy and the return from it.
+	soakHeartbeats = 10
 	// soakFollowTime bounds the time until all instances use the endpoints of the store only.
 	soakFollowTime = 2 * time.Second
 )
@@ -23,16 +26,16 @@
 // soakEntries are the entries that the engines last wrote, so that they can write them again; it is safe for concurrent use.
 type soakEntries struct {
 	mu         sync.Mutex
-	specs      map[string]any // nil for entries that were removed
-	incomplete bool           // the store lacks some of them
+	specs      map[string]map[string]any // nil for entries that were removed
+	incomplete bool                      // the store lacks some of them
 	rewritten  time.Time
 }
 
-func (e *soakEntries) put(store *plat.Store, id string, spec any) {
+func (e *soakEntries) put(store *plat.Store, id string, spec map[string]any) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.specs == nil {
-		e.specs = map[string]any{}
+		e.specs = map[string]map[string]any{}
 	}
 	e.specs[id] = spec
 	store.Put("servers", id, spec)
@@ -67,6 +70,21 @@
 	e.incomplete, e.rewritten = false, time.Now()
 }
 
+// heartbeat writes each entry several times with another remaining warm-up, so that the history of the endpoint list goes on for long.
+func (e *soakEntries) heartbeat(store *plat.Store, times int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for n := range times {
+		for id, spec := range e.specs {
+			if spec != nil {
+				beat := maps.Clone(spec)
+				beat["cold_left_ms"] = times - n - 1 // 0 at last, as written before
+				store.Put("servers", id, beat)
+			}
+		}
+	}
+}
+
 // awaitDrained waits until the store has had all entries for soakDrainTime.
 func (e *soakEntries) awaitDrained() {
 	for {
@@ -88,6 +106,8 @@
 		time.Sleep(random(time.Second))
 		c := s.store.Copy()
 		time.Sleep(random(2 * time.Second))
+		s.entries.heartbeat(s.store, soakHeartbeats)
+		time.Sleep(random(300 * time.Millisecond))
 		s.store.SetFault([]plat.StoreFault{plat.FaultReset, plat.FaultUnavailable, plat.FaultNoAnswer}[r.IntN(3)])
 		time.Sleep(random(700 * time.Millisecond))
 		s.entries.restore(s.store, c)
@@ -98,8 +118,13 @@
 	}
 }
 
-// checkFollowsStore checks that all instances use an engine that registers now, and only it after the others of its service have left.
+// checkFollowsStore checks that all instances use an engine that registers when the store has come back once more, after the others of its
+// service have left.
 func (s *soakRun) checkFollowsStore() {
+	c := s.store.Copy()
+	s.entries.heartbeat(s.store, soakHeartbeats)
+	time.Sleep(soakFollowTime)
+	s.entries.restore(s.store, c)
 	s.mu.Lock()
 	var others []string
 	for id := range s.engines {
@@ -109,6 +134,7 @@
 	}
 	s.addEngine("app")
 	s.mu.Unlock()
+	s.entries.rewrite(s.store)
 	time.Sleep(soakFollowTime)
 	for _, id := range others {
 		s.entries.remove(s.store, id)
@@ -117,11 +143,11 @@
 	for _, id := range others {
 		s.stopEngine(s.engines[id])
 	}
-	c := &http.Client{Timeout: 6 * time.Second}
-	defer c.CloseIdleConnections()
+	client := &http.Client{Timeout: 6 * time.Second}
+	defer client.CloseIdleConnections()
 	before := len(s.calls)
 	for _, inst := range s.instances {
-		s.send(c, inst, "/look/last-"+inst.name, "last-"+inst.name)
+		s.send(client, inst, "/look/last-"+inst.name, "last-"+inst.name)
 	}
 	for _, call := range s.calls[before:] {
 		if call.status != http.StatusOK {
