--- a/core/evac/restore_test.go
+++ b/core/evac/restore_test.go
@@ -125,6 +125,15 @@
 			},
 			func(*evac.Domains) {},
 		}, a},
+		{"its end was in the era between two returns, seen by two only together", [3]func(*evac.Domains){
+			func(d *evac.Domains) {
+				d.Replace(start, in(0, 7), a)
+				d.Replace(start, in(1, 5), a)
+				d.Replace(later, in(2, 3), none)
+			},
+			func(d *evac.Domains) { d.Replace(start, in(1, 6), none); d.Replace(later, in(2, 3), none) },
+			func(*evac.Domains) {},
+		}, none},
 		{"two returns, of which one saw only the second", [3]func(*evac.Domains){
 			func(d *evac.Domains) { d.Replace(start, in(0, 7), a); d.Replace(later, in(2, 3), none) },
 			func(d *evac.Domains) {
@@ -158,6 +167,22 @@
 	}
 }
 
+// TestInstanceOfEarlierEra guards against an evacuation that only an instance knows which has not seen the present era of the store, and
+// against one that such an instance still knows long after.
+func TestInstanceOfEarlierEra(t *testing.T) {
+	is := is.New(t)
+	behind, d := evac.New(func([]core.FailureDomain) {}), evac.New(func([]core.FailureDomain) {})
+	behind.Replace(start, in(0, 8), []core.FailureDomain{"a"})
+	d.Replace(start, in(0, 7), nil)
+	d.Replace(start, in(1, 5), nil)
+	d.Merge(start, behind.State(start))
+	is.Equal(len(d.Get()), 1)
+	late := start.Add(evac.EarlierTimeout)
+	d.Expire(late)
+	d.Merge(late, behind.State(late))
+	is.Equal(len(d.Get()), 0)
+}
+
 // TestEarlierIsNotRenewed guards against evacuations of an earlier era that count for good, as instances tell each other of them again and
 // again.
 func TestEarlierIsNotRenewed(t *testing.T) {
@@ -165,11 +190,13 @@
 	x, y := evac.New(func([]core.FailureDomain) {}), evac.New(func([]core.FailureDomain) {})
 	x.Replace(start, in(0, 7), []core.FailureDomain{"a"})
 	x.Replace(start, in(1, 5), nil)
-	now := start
+	y.Replace(start, in(0, 6), nil)
+	y.Replace(start.Add(time.Minute), in(1, 5), nil) // lets it count for longer
+	now := start.Add(time.Minute)
 	for now.Before(start.Add(evac.EarlierTimeout)) {
 		is.Equal(len(x.Get()), 1)
-		y.Merge(now, x.State(now))
 		x.Merge(now, y.State(now))
+		y.Merge(now, x.State(now))
 		now = now.Add(10 * time.Second)
 	}
 	for _, d := range []*evac.Domains{x, y} {
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -125,6 +126,36 @@
 	is.True(late.AttemptCount() > 0)
 }
 
+// TestManyRestore guards against instances that learn late that the store has come back, because all of them fetch the whole endpoint list
+// in the same moment (load pattern: a return of the store in a large fleet).
+func TestManyRestore(t *testing.T) {
+	const (
+		instances = 24
+		entries   = 1000
+		applyTime = 2 * time.Second
+	)
+	d := deploy(t, 0)
+	for n := range entries {
+		d.store.Put("servers", fmt.Sprint("i-", n), d.engines[2].ObjectSpec("lm", "d1", "ready"))
+	}
+	for range instances {
+		d.start()
+	}
+	d.eventually("ready", 10*time.Second, (*instance).ready)
+	time.Sleep(2500 * time.Millisecond)
+	c := d.store.Copy()
+	d.advance(d.store.Revision() + 40)
+	time.Sleep(500 * time.Millisecond)
+	d.store.Restore(c)
+	back := time.Now()
+	for _, i := range d.instances {
+		until(t, "restored at "+i.cfg.GetInstance(), applyTime-time.Since(back), func() bool {
+			return strings.Contains(i.log.String(), "msg=store_restored")
+		})
+	}
+	t.Logf("all are in the new era after %v", time.Since(back))
+}
+
 // TestLostEntriesOutlastRestore guards against live endpoints that count as gone at once because the copy, from which the store has come
 // back, is from before they registered; and against ones that are used for good though their entries are not written again.
 func TestLostEntriesOutlastRestore(t *testing.T) {
--- a/io/news/restore_test.go
+++ b/io/news/restore_test.go
@@ -89,6 +89,10 @@
 	_, revision := b.Versions()
 	is.Equal(revision, in(1, 10))
 	is.True(!b.fleet.Get("e1").Leaving)
+
+	late.EndpointsEra = uint64(core.NewEra(2))
+	b.ApplyFetched("a", &wire.Known{Endpoints: 10, EndpointsEra: uint64(core.NewEra(1))}, late)
+	is.True(!b.fleet.Get("e1").Leaving)
 }
 
 // TestFetchFromOlderVersion guards against instances that get no changes from those of an older version, which name no era, or the whole
--- a/io/pulse/announce.go
+++ b/io/pulse/announce.go
@@ -33,12 +33,15 @@
 // sendAnnouncement sends the versions of this instance's data, and the endpoints that began to leave since its last
 // announcement, to a few random instances.
 func (p *Pulse) sendAnnouncement(now time.Time) {
-	s := p.State(now)
+	p.sendTo(p.announcementMessage(now, p.State(now)), sample(p.recipients(false), announceFanout))
+}
+
+func (p *Pulse) announcementMessage(now time.Time, s State) *wire.Pulse {
 	d := p.partialMessage(now)
 	d.Announcement, d.Rules = true, uint64(s.ConfigVersion)
 	d.Endpoints, d.EndpointsEra = uint64(s.EndpointsRevision.Number), uint64(s.EndpointsRevision.Era)
 	encodeLeaving(d, p.announced.takeNew(now, s.Leaving))
-	p.sendTo(d, sample(p.recipients(false), announceFanout))
+	return d
 }
 
 // applyAnnouncement applies an announcement of another instance and passes on what is new in it.
--- a/io/pulse/restore_internal_test.go
+++ b/io/pulse/restore_internal_test.go
@@ -33,20 +33,14 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
-			p := testPulse(t, 1)
-			p.newerPeers(1, tt.own)
-			d := &wire.Pulse{
-				From: "p0", Address: "127.0.0.1:2", Run: 1, Seq: 2, Rules: 1,
-				Endpoints: uint64(tt.told.Number), EndpointsEra: uint64(tt.told.Era),
+			sender, state := testPulse(t, 0), State{ConfigVersion: 1, EndpointsRevision: tt.told}
+			for _, d := range []*wire.Pulse{sender.fullMessage(testTime, state), sender.announcementMessage(testTime, state)} {
+				p := testPulse(t, 1)
+				p.newerPeers(1, tt.own)
+				d.From, d.Address, d.Run, d.Seq = "p0", "127.0.0.1:2", 1, 2
+				p.handleDatagram(testTime, d)
+				is.Equal(len(p.newerPeers(1, tt.own)) == 1, tt.isNewer)
 			}
-			p.handleDatagram(testTime, d)
-			is.Equal(len(p.newerPeers(1, tt.own)) == 1, tt.isNewer)
-
-			p = testPulse(t, 1)
-			p.newerPeers(1, tt.own)
-			d.Partial, d.Announcement, d.Seq = true, true, 3
-			p.handleDatagram(testTime, d)
-			is.Equal(len(p.newerPeers(1, tt.own)) == 1, tt.isNewer)
 		})
 	}
 }
