--- a/proof/soak_restore_test.go
+++ b/proof/soak_restore_test.go
@@ -114,7 +114,7 @@
 		s.t.Logf("the store is back, in era %d", s.store.Era())
 		time.Sleep(random(soakRewriteTime))
 		s.entries.rewrite(s.store)
-		s.writeConfig()
+		s.rewriteConfig()
 	}
 }
 
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -50,6 +50,7 @@
 	stoppedEngines []*plat.Engine
 	enginesStarted int
 	calls          []soakCall
+	configMu       sync.Mutex // guards configVersion and its order in the store
 	configVersion  int
 	// plannedOnly is set for runs in which everything that happens to the instances is planned work or a fault of the store.
 	plannedOnly bool
@@ -168,11 +169,20 @@
 }
 
 func (s *soakRun) configure() {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
 	s.configVersion++
 	s.writeConfig()
 }
 
-// writeConfig writes the newest configuration.
+// rewriteConfig writes the newest configuration again.
+func (s *soakRun) rewriteConfig() {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
+	s.writeConfig()
+}
+
+// writeConfig writes the newest configuration; s.configMu is held.
 func (s *soakRun) writeConfig() {
 	route := func(name, kind, service string, attempts int) map[string]any {
 		return map[string]any{
