--- a/core/fleet/endpoints_test.go
+++ b/core/fleet/endpoints_test.go
@@ -9,6 +9,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/fleet"
+	"snipeshed/stand/revs"
 )
 
 // leaveRecorder records the endpoints for which onLeave was called.
@@ -20,9 +21,6 @@
 
 var start = time.Unix(1000, 0)
 
-// at returns a revision of a store without eras.
-func at(n core.Version) core.Revision { return core.Revision{Number: n} }
-
 // TestLeaving guards against calls to an endpoint that is leaving or gone.
 func TestLeaving(t *testing.T) {
 	is := is.New(t)
@@ -30,11 +28,11 @@
 	eps := fleet.New(recorder.record)
 	a := core.Endpoint{ID: "a", Service: "s", Started: 5}
 	b := core.Endpoint{ID: "b", Service: "s", Started: 5}
-	is.True(eps.ReplaceAll(start, at(10), entries(a, b)))
+	is.True(eps.ReplaceAll(start, revs.At(10), entries(a, b)))
 	a.Draining = true
-	eps.Set(start, at(11), a)
-	eps.Remove(start, at(12), "b")
-	eps.Remove(start, at(13), "b") // onLeave is called only once
+	eps.Set(start, revs.At(11), a)
+	eps.Remove(start, revs.At(12), "b")
+	eps.Remove(start, revs.At(13), "b") // onLeave is called only once
 	is.Equal(recorder.ids, []core.EndpointID{"a", "b"})
 	is.True(eps.Get("a").Leaving)
 	is.True(eps.Get("b").Leaving)
@@ -46,13 +44,13 @@
 	is := is.New(t)
 	recorder := &leaveRecorder{}
 	eps := fleet.New(recorder.record)
-	eps.ReplaceAll(start, at(10), entries(core.Endpoint{ID: "a", Started: 5, Draining: true}))
-	is.True(!eps.ReplaceAll(start, at(10), entries(core.Endpoint{ID: "a", Started: 5})))
-	is.True(!eps.ReplaceAll(start, at(9), nil))
+	eps.ReplaceAll(start, revs.At(10), entries(core.Endpoint{ID: "a", Started: 5, Draining: true}))
+	is.True(!eps.ReplaceAll(start, revs.At(10), entries(core.Endpoint{ID: "a", Started: 5})))
+	is.True(!eps.ReplaceAll(start, revs.At(9), nil))
 	is.True(eps.Get("a").Leaving)
-	eps.Set(start, at(11), core.Endpoint{ID: "a", Started: 4})
+	eps.Set(start, revs.At(11), core.Endpoint{ID: "a", Started: 4})
 	is.Equal(eps.Get("a").Started, int64(5))
-	eps.Set(start, at(12), core.Endpoint{ID: "a", Started: 6}) // restarted under the same id
+	eps.Set(start, revs.At(12), core.Endpoint{ID: "a", Started: 6}) // restarted under the same id
 	is.True(!eps.Get("a").Leaving)
 }
 
@@ -63,15 +61,15 @@
 	recorder := &leaveRecorder{}
 	eps := fleet.New(recorder.record)
 	a := core.Endpoint{ID: "a", Started: 5}
-	eps.ReplaceAll(start, at(10), entries(a))
+	eps.ReplaceAll(start, revs.At(10), entries(a))
 	is.True(eps.MarkLeaving(start, a.Incarnation()))
 	is.True(!eps.MarkLeaving(start, a.Incarnation()))
 	is.True(!eps.MarkLeaving(start, core.Incarnation{ID: "unknown"}))
-	eps.ReplaceAll(start.Add(time.Second), at(11), entries(a))
+	eps.ReplaceAll(start.Add(time.Second), revs.At(11), entries(a))
 	is.True(eps.Get("a").Leaving)
 	is.Equal(eps.Get("a").LeavingSince, start)
 	is.Equal(recorder.ids, []core.EndpointID{"a"})
-	eps.Set(start, at(12), core.Endpoint{ID: "a", Started: 7})
+	eps.Set(start, revs.At(12), core.Endpoint{ID: "a", Started: 7})
 	is.True(!eps.Get("a").Leaving)
 }
 
@@ -81,25 +79,25 @@
 	is := is.New(t)
 	eps := fleet.New(func(core.EndpointID) {})
 	a := core.Endpoint{ID: "a", Started: 5}
-	eps.ReplaceAll(start, at(10), entries(a))
-	eps.ApplyPeerReport(start, at(9), core.Incarnation{ID: "a"}) // from an instance that does not know this entry yet
+	eps.ReplaceAll(start, revs.At(10), entries(a))
+	eps.ApplyPeerReport(start, revs.At(9), core.Incarnation{ID: "a"}) // from an instance that does not know this entry yet
 	is.True(!eps.Get("a").Leaving)
-	eps.ApplyPeerReport(start, at(11), core.Incarnation{ID: "a"})
-	eps.ApplyPeerReport(start, at(11), core.Incarnation{ID: "unknown"})
+	eps.ApplyPeerReport(start, revs.At(11), core.Incarnation{ID: "a"})
+	eps.ApplyPeerReport(start, revs.At(11), core.Incarnation{ID: "unknown"})
 	is.True(eps.Get("a").Leaving)
-	eps.ReplaceAll(start, at(12), entries(a)) // the entry was not written again
+	eps.ReplaceAll(start, revs.At(12), entries(a)) // the entry was not written again
 	is.True(eps.Get("a").Leaving)
-	eps.Set(start, at(13), a)
+	eps.Set(start, revs.At(13), a)
 	is.True(!eps.Get("a").Leaving)
-	eps.ApplyPeerReport(start, at(12), core.Incarnation{ID: "a"}) // late
+	eps.ApplyPeerReport(start, revs.At(12), core.Incarnation{ID: "a"}) // late
 	is.True(!eps.Get("a").Leaving)
 
-	eps.ApplyPeerReport(start, at(14), core.Incarnation{ID: "a"})
-	eps.Remove(start, at(14), "a")
-	eps.ReplaceAll(start, at(15), entries(a))
+	eps.ApplyPeerReport(start, revs.At(14), core.Incarnation{ID: "a"})
+	eps.Remove(start, revs.At(14), "a")
+	eps.ReplaceAll(start, revs.At(15), entries(a))
 	is.True(!eps.Get("a").Leaving)
-	eps.ApplyPeerReport(start, at(15), core.Incarnation{ID: "a"})
-	eps.Set(start, at(15), a)
+	eps.ApplyPeerReport(start, revs.At(15), core.Incarnation{ID: "a"})
+	eps.Set(start, revs.At(15), a)
 	is.True(eps.Get("a").Leaving)
 }
 
@@ -110,14 +108,14 @@
 	recorder := &leaveRecorder{}
 	eps := fleet.New(recorder.record)
 	a, b := core.Endpoint{ID: "a", Started: 5}, core.Endpoint{ID: "b", Started: 5}
-	eps.ReplaceAll(start, at(10), entries(a, b))
+	eps.ReplaceAll(start, revs.At(10), entries(a, b))
 	eps.RecordStoreOutage(start)
 	back := start.Add(time.Second)
-	eps.ReplaceAll(back, at(11), nil)
+	eps.ReplaceAll(back, revs.At(11), nil)
 	is.Equal(recorder.ids, nil)
 	eps.ExpireLapsed(back.Add(time.Second))
 	is.True(!eps.Get("a").Leaving)
-	eps.Set(back.Add(time.Second), at(12), a) // a returns in time
+	eps.Set(back.Add(time.Second), revs.At(12), a) // a returns in time
 	eps.ExpireLapsed(back.Add(2500 * time.Millisecond))
 	is.True(!eps.Get("a").Leaving)
 	is.True(eps.Get("b").Leaving)
@@ -141,9 +139,9 @@
 			is := is.New(t)
 			recorder := &leaveRecorder{}
 			eps := fleet.New(recorder.record)
-			eps.ReplaceAll(start, at(10), entries(core.Endpoint{ID: "a"}))
+			eps.ReplaceAll(start, revs.At(10), entries(core.Endpoint{ID: "a"}))
 			eps.RecordStoreOutage(start)
-			eps.Remove(start.Add(tt.removedAt), at(11), "a")
+			eps.Remove(start.Add(tt.removedAt), revs.At(11), "a")
 			eps.ExpireLapsed(start.Add(tt.goneBy))
 			is.Equal(recorder.ids, []core.EndpointID{"a"})
 		})
@@ -155,9 +153,9 @@
 	is := is.New(t)
 	recorder := &leaveRecorder{}
 	eps := fleet.New(recorder.record)
-	eps.ReplaceAll(start, at(10), entries(core.Endpoint{ID: "a"}))
+	eps.ReplaceAll(start, revs.At(10), entries(core.Endpoint{ID: "a"}))
 	eps.RecordStoreOutage(start.Add(-time.Minute))
-	eps.ReplaceAll(start, at(11), nil)
+	eps.ReplaceAll(start, revs.At(11), nil)
 	is.Equal(recorder.ids, []core.EndpointID{"a"})
 }
 
@@ -165,7 +163,7 @@
 func TestUnreachable(t *testing.T) {
 	is := is.New(t)
 	eps := fleet.New(func(core.EndpointID) {})
-	eps.ReplaceAll(start, at(10), entries(core.Endpoint{ID: "a"}))
+	eps.ReplaceAll(start, revs.At(10), entries(core.Endpoint{ID: "a"}))
 	is.True(eps.MarkUnreachable(start, "a"))
 	is.True(!eps.MarkUnreachable(start.Add(time.Second), "a")) // not new
 	is.True(eps.MarkUnreachable(start.Add(time.Minute), "a"))
@@ -185,53 +183,53 @@
 		happens func(eps *fleet.Endpoints)
 		leaving bool
 	}{
-		{"the entry still says ready", func(eps *fleet.Endpoints) { eps.Set(later, at(11), a) }, true},
-		{"the list is read again", func(eps *fleet.Endpoints) { eps.ReplaceAll(later, at(11), entries(a)) }, true},
+		{"the entry still says ready", func(eps *fleet.Endpoints) { eps.Set(later, revs.At(11), a) }, true},
+		{"the list is read again", func(eps *fleet.Endpoints) { eps.ReplaceAll(later, revs.At(11), entries(a)) }, true},
 		{"the entry says draining, then ready", func(eps *fleet.Endpoints) {
-			eps.Set(later, at(11), draining)
-			eps.Set(later, at(12), a)
+			eps.Set(later, revs.At(11), draining)
+			eps.Set(later, revs.At(12), a)
 		}, true},
 		{"the entry lapses in an outage and is written again", func(eps *fleet.Endpoints) {
 			eps.RecordStoreOutage(later)
-			eps.ReplaceAll(later, at(11), nil)
+			eps.ReplaceAll(later, revs.At(11), nil)
 			eps.ExpireLapsed(later.Add(10 * time.Second))
-			eps.Set(later.Add(11*time.Second), at(12), a)
+			eps.Set(later.Add(11*time.Second), revs.At(12), a)
 		}, true},
 		{"the entry is removed and written again long after", func(eps *fleet.Endpoints) {
-			eps.Remove(later, at(11), "a")
-			eps.ReplaceAll(later.Add(time.Minute), at(12), nil)
-			eps.Set(later.Add(2*time.Minute), at(13), a)
+			eps.Remove(later, revs.At(11), "a")
+			eps.ReplaceAll(later.Add(time.Minute), revs.At(12), nil)
+			eps.Set(later.Add(2*time.Minute), revs.At(13), a)
 		}, true},
-		{"the endpoint starts anew", func(eps *fleet.Endpoints) { eps.Set(later, at(11), restarted) }, false},
+		{"the endpoint starts anew", func(eps *fleet.Endpoints) { eps.Set(later, revs.At(11), restarted) }, false},
 		{"the mark is repeated after the new start", func(eps *fleet.Endpoints) {
-			eps.Set(later, at(11), restarted)
+			eps.Set(later, revs.At(11), restarted)
 			eps.MarkLeaving(later, a.Incarnation())
 		}, false},
 		{"the later incarnation leaves too", func(eps *fleet.Endpoints) {
-			eps.Set(later, at(11), restarted)
+			eps.Set(later, revs.At(11), restarted)
 			eps.MarkLeaving(later, restarted.Incarnation())
 		}, true},
 		{"the later incarnation is reported as leaving before its entry is read", func(eps *fleet.Endpoints) {
 			eps.MarkLeaving(later, restarted.Incarnation())
-			eps.Set(later, at(11), restarted)
+			eps.Set(later, revs.At(11), restarted)
 		}, true},
 		{"another instance reports the earlier incarnation after the new start", func(eps *fleet.Endpoints) {
-			eps.Set(later, at(11), restarted)
-			eps.ApplyPeerReport(later, at(11), a.Incarnation())
+			eps.Set(later, revs.At(11), restarted)
+			eps.ApplyPeerReport(later, revs.At(11), a.Incarnation())
 		}, false},
 		{"another instance reports the later incarnation", func(eps *fleet.Endpoints) {
-			eps.Set(later, at(11), restarted)
-			eps.ApplyPeerReport(later, at(11), restarted.Incarnation())
+			eps.Set(later, revs.At(11), restarted)
+			eps.ApplyPeerReport(later, revs.At(11), restarted.Incarnation())
 		}, true},
 		{"a report without a start time after the new start", func(eps *fleet.Endpoints) {
-			eps.Set(later, at(11), restarted)
+			eps.Set(later, revs.At(11), restarted)
 			eps.MarkLeaving(later, core.Incarnation{ID: "a"})
 		}, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			eps := fleet.New(func(core.EndpointID) {})
-			eps.ReplaceAll(start, at(10), entries(a))
+			eps.ReplaceAll(start, revs.At(10), entries(a))
 			eps.MarkLeaving(start, a.Incarnation())
 			tt.happens(eps)
 			is.Equal(eps.Get("a").Leaving, tt.leaving)
@@ -244,9 +242,9 @@
 	is := is.New(t)
 	eps := fleet.New(func(core.EndpointID) {})
 	a, b := core.Endpoint{ID: "a", Address: "10.0.0.1:1", Started: 5}, core.Endpoint{ID: "b", Address: "10.0.0.1:1", Started: 9}
-	eps.ReplaceAll(start, at(10), entries(a))
+	eps.ReplaceAll(start, revs.At(10), entries(a))
 	eps.MarkLeaving(start, a.Incarnation())
-	eps.ReplaceAll(start.Add(time.Second), at(11), entries(b))
+	eps.ReplaceAll(start.Add(time.Second), revs.At(11), entries(b))
 	is.True(!eps.Get("b").Leaving)
 }
 
@@ -256,7 +254,7 @@
 	is := is.New(t)
 	a, restarted := core.Endpoint{ID: "a", Started: 5}, core.Endpoint{ID: "a", Started: 6}
 	eps := fleet.New(func(core.EndpointID) {})
-	eps.ReplaceAll(start, at(10), entries(a))
+	eps.ReplaceAll(start, revs.At(10), entries(a))
 	backsOff := func(after time.Duration) bool { return eps.Get("a").BacksOff(start.Add(after)) }
 	is.True(!eps.MarkBackoff(start, core.Incarnation{ID: "unknown"}, time.Second))
 	is.True(!eps.MarkBackoff(start, a.Incarnation(), -time.Second))
@@ -265,9 +263,9 @@
 	is.True(!eps.MarkBackoff(start, a.Incarnation(), time.Second)) // a later answer does not shorten it
 	is.True(backsOff(1900 * time.Millisecond))
 	is.True(!backsOff(2 * time.Second))
-	eps.Set(start, at(11), a) // the entry changes
+	eps.Set(start, revs.At(11), a) // the entry changes
 	is.True(backsOff(time.Second))
-	eps.Set(start, at(12), restarted)
+	eps.Set(start, revs.At(12), restarted)
 	is.True(!backsOff(0))
 	is.True(!eps.MarkBackoff(start, a.Incarnation(), time.Second)) // a late answer of the earlier one
 	is.True(!backsOff(0))
@@ -283,14 +281,14 @@
 	const endpoints = 3000
 	eps := fleet.New(func(core.EndpointID) {})
 	for i := range endpoints {
-		eps.Set(start, at(core.Version(i+1)), core.Endpoint{ID: core.EndpointID(strconv.Itoa(i)), Service: "lm", Started: 1})
+		eps.Set(start, revs.At(core.Version(i+1)), core.Endpoint{ID: core.EndpointID(strconv.Itoa(i)), Service: "lm", Started: 1})
 	}
 	is.Equal(len(eps.OfService("lm")), endpoints)
 	revision := core.Version(endpoints)
 	perChange := testing.Benchmark(func(b *testing.B) {
 		for i := range b.N {
 			revision++
-			eps.Set(start, at(revision), core.Endpoint{ID: core.EndpointID(strconv.Itoa(i % endpoints)), Service: "lm", Started: 1, Slots: i})
+			eps.Set(start, revs.At(revision), core.Endpoint{ID: core.EndpointID(strconv.Itoa(i % endpoints)), Service: "lm", Started: 1, Slots: i})
 		}
 	}).AllocedBytesPerOp()
 	is.True(perChange < 2<<10)
@@ -303,10 +301,10 @@
 	is := is.New(t)
 	var replaced []core.Incarnation
 	eps := fleet.New(func(core.EndpointID) {}, fleet.WithRestartHook(func(inc core.Incarnation) { replaced = append(replaced, inc) }))
-	eps.Set(start, at(10), core.Endpoint{ID: "a", Started: 5})
-	eps.Set(start, at(11), core.Endpoint{ID: "a", Started: 6})
-	is.True(eps.ReplaceAll(start, at(12), entries(core.Endpoint{ID: "a", Started: 7})))
-	eps.Set(start, at(13), core.Endpoint{ID: "a", Started: 7, Draining: true})
-	eps.Set(start, at(14), core.Endpoint{ID: "a", Started: 8})
+	eps.Set(start, revs.At(10), core.Endpoint{ID: "a", Started: 5})
+	eps.Set(start, revs.At(11), core.Endpoint{ID: "a", Started: 6})
+	is.True(eps.ReplaceAll(start, revs.At(12), entries(core.Endpoint{ID: "a", Started: 7})))
+	eps.Set(start, revs.At(13), core.Endpoint{ID: "a", Started: 7, Draining: true})
+	eps.Set(start, revs.At(14), core.Endpoint{ID: "a", Started: 8})
 	is.Equal(replaced, []core.Incarnation{{ID: "a", Started: 5}, {ID: "a", Started: 6}})
 }
--- a/core/fleet/restore_test.go
+++ b/core/fleet/restore_test.go
@@ -8,13 +8,9 @@
 
 	"snipeshed/core"
 	"snipeshed/core/fleet"
+	"snipeshed/stand/revs"
 )
 
-// in returns a revision of an era.
-func in(era uint64, n core.Version) core.Revision {
-	return core.Revision{Era: core.NewEra(era), Number: n}
-}
-
 // TestRestore guards against endpoints that are used, or not used, by what the store held before it came back from a copy of itself.
 func TestRestore(t *testing.T) {
 	a := core.Endpoint{ID: "a", Started: 5}
@@ -32,91 +28,91 @@
 		after   time.Duration
 		leaving bool
 	}{
-		{"a lower revision of a later era", func(eps *fleet.Endpoints) { eps.ReplaceAll(back, in(1, 4), entries(draining)) }, 0, true},
+		{"a lower revision of a later era", func(eps *fleet.Endpoints) { eps.ReplaceAll(back, revs.In(1, 4), entries(draining)) }, 0, true},
 		{"a higher revision of an earlier era", func(eps *fleet.Endpoints) {
-			eps.ReplaceAll(back, in(1, 4), entries(a))
-			eps.ReplaceAll(back, in(0, 90), entries(draining))
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
+			eps.ReplaceAll(back, revs.In(0, 90), entries(draining))
 		}, 0, false},
-		{"the entry is lost", func(eps *fleet.Endpoints) { eps.ReplaceAll(back, in(1, 4), nil) }, soon, false},
-		{"the entry is lost and not written again", func(eps *fleet.Endpoints) { eps.ReplaceAll(back, in(1, 4), nil) }, lapsed, true},
+		{"the entry is lost", func(eps *fleet.Endpoints) { eps.ReplaceAll(back, revs.In(1, 4), nil) }, soon, false},
+		{"the entry is lost and not written again", func(eps *fleet.Endpoints) { eps.ReplaceAll(back, revs.In(1, 4), nil) }, lapsed, true},
 		{"the entry is lost and written again", func(eps *fleet.Endpoints) {
-			eps.ReplaceAll(back, in(1, 4), nil)
-			eps.Set(back, in(1, 5), a)
+			eps.ReplaceAll(back, revs.In(1, 4), nil)
+			eps.Set(back, revs.In(1, 5), a)
 		}, lapsed, false},
 		{"lost in two returns", func(eps *fleet.Endpoints) {
-			eps.ReplaceAll(start, in(1, 4), nil)
-			eps.ReplaceAll(back, in(2, 4), nil)
+			eps.ReplaceAll(start, revs.In(1, 4), nil)
+			eps.ReplaceAll(back, revs.In(2, 4), nil)
 		}, soon, false},
 		{"draining, then ready in the copy", func(eps *fleet.Endpoints) {
-			eps.Set(start, in(0, 11), draining)
-			eps.ReplaceAll(back, in(1, 4), entries(a))
+			eps.Set(start, revs.In(0, 11), draining)
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
 		}, soon, true},
 		{"removed, then ready in the copy", func(eps *fleet.Endpoints) {
-			eps.Remove(start, in(0, 11), "a")
-			eps.ReplaceAll(back, in(1, 4), entries(a))
+			eps.Remove(start, revs.In(0, 11), "a")
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
 		}, soon, true},
 		{"removed, then in the copy for so long that it lives", func(eps *fleet.Endpoints) {
-			eps.Remove(start, in(0, 11), "a")
-			eps.ReplaceAll(back, in(1, 4), entries(a))
+			eps.Remove(start, revs.In(0, 11), "a")
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
 		}, late, false},
 		{"removed, then in the copy, and said itself that it leaves", func(eps *fleet.Endpoints) {
-			eps.Remove(start, in(0, 11), "a")
-			eps.ReplaceAll(back, in(1, 4), entries(a))
+			eps.Remove(start, revs.In(0, 11), "a")
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
 			eps.MarkLeaving(back, a.Incarnation())
 		}, late, true},
 		{"removed, then ready in the copy, and the list is read again", func(eps *fleet.Endpoints) {
-			eps.Remove(start, in(0, 11), "a")
-			eps.ReplaceAll(back, in(1, 4), entries(a))
-			eps.ReplaceAll(back, in(1, 6), entries(a))
+			eps.Remove(start, revs.In(0, 11), "a")
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
+			eps.ReplaceAll(back, revs.In(1, 6), entries(a))
 		}, soon, true},
 		{"removed, then ready in the copy, and removed from it", func(eps *fleet.Endpoints) {
-			eps.Remove(start, in(0, 11), "a")
-			eps.ReplaceAll(back, in(1, 4), entries(a))
-			eps.Remove(back, in(1, 5), "a")
+			eps.Remove(start, revs.In(0, 11), "a")
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
+			eps.Remove(back, revs.In(1, 5), "a")
 		}, late, true},
 		{"removed, then ready in the copy, and written again", func(eps *fleet.Endpoints) {
-			eps.Remove(start, in(0, 11), "a")
-			eps.ReplaceAll(back, in(1, 4), entries(a))
-			eps.Set(back, in(1, 5), changed)
+			eps.Remove(start, revs.In(0, 11), "a")
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
+			eps.Set(back, revs.In(1, 5), changed)
 		}, 0, false},
 		{"removed, ready in the copy, lost and ready in another copy", func(eps *fleet.Endpoints) {
-			eps.Remove(start, in(0, 11), "a")
-			eps.ReplaceAll(start, in(1, 4), entries(a))
-			eps.ReplaceAll(back, in(2, 4), entries(a))
+			eps.Remove(start, revs.In(0, 11), "a")
+			eps.ReplaceAll(start, revs.In(1, 4), entries(a))
+			eps.ReplaceAll(back, revs.In(2, 4), entries(a))
 		}, 9500 * time.Millisecond, true},
 		{"started anew, then the earlier process in the copy", func(eps *fleet.Endpoints) {
-			eps.Set(start, in(0, 11), restarted)
-			eps.ReplaceAll(back, in(1, 4), entries(a))
+			eps.Set(start, revs.In(0, 11), restarted)
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
 		}, late, false},
 		{"draining, then a later process in the copy", func(eps *fleet.Endpoints) {
-			eps.Set(start, in(0, 11), draining)
-			eps.ReplaceAll(back, in(1, 4), entries(restarted))
+			eps.Set(start, revs.In(0, 11), draining)
+			eps.ReplaceAll(back, revs.In(1, 4), entries(restarted))
 		}, 0, false},
 		{"another instance reported it before the return", func(eps *fleet.Endpoints) {
-			eps.ApplyPeerReport(start, in(0, 12), a.Incarnation())
-			eps.ReplaceAll(back, in(1, 4), entries(a))
+			eps.ApplyPeerReport(start, revs.In(0, 12), a.Incarnation())
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
 		}, soon, true},
 		{"another instance reported it before the return, and it lives", func(eps *fleet.Endpoints) {
-			eps.ApplyPeerReport(start, in(0, 12), a.Incarnation())
-			eps.ReplaceAll(back, in(1, 4), entries(a))
+			eps.ApplyPeerReport(start, revs.In(0, 12), a.Incarnation())
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
 		}, late, false},
 		{"another instance that has not seen the return reports it by a higher number", func(eps *fleet.Endpoints) {
-			eps.ReplaceAll(back, in(1, 4), entries(changed))
-			eps.ApplyPeerReport(back, in(0, 90), a.Incarnation())
+			eps.ReplaceAll(back, revs.In(1, 4), entries(changed))
+			eps.ApplyPeerReport(back, revs.In(0, 90), a.Incarnation())
 		}, 0, false},
 		{"another instance that has seen the return reports it by a lower number", func(eps *fleet.Endpoints) {
-			eps.ReplaceAll(back, in(1, 4), entries(a))
-			eps.ApplyPeerReport(back, in(1, 5), a.Incarnation())
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
+			eps.ApplyPeerReport(back, revs.In(1, 5), a.Incarnation())
 		}, soon, true},
 		{"the same, and it lives", func(eps *fleet.Endpoints) {
-			eps.ReplaceAll(back, in(1, 4), entries(a))
-			eps.ApplyPeerReport(back, in(1, 5), a.Incarnation())
+			eps.ReplaceAll(back, revs.In(1, 4), entries(a))
+			eps.ApplyPeerReport(back, revs.In(1, 5), a.Incarnation())
 		}, late, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
 			eps := fleet.New(func(core.EndpointID) {})
-			eps.ReplaceAll(start, in(0, 10), entries(a))
+			eps.ReplaceAll(start, revs.In(0, 10), entries(a))
 			tt.happens(eps)
 			if tt.after > 0 {
 				eps.ExpireLapsed(back.Add(tt.after))
@@ -131,7 +127,7 @@
 func TestFirstEra(t *testing.T) {
 	is := is.New(t)
 	eps := fleet.New(func(core.EndpointID) {})
-	eps.ReplaceAll(start, at(10), entries(core.Endpoint{ID: "a"}))
-	eps.ReplaceAll(start, in(0, 11), nil)
+	eps.ReplaceAll(start, revs.At(10), entries(core.Endpoint{ID: "a"}))
+	eps.ReplaceAll(start, revs.In(0, 11), nil)
 	is.True(eps.Get("a").Leaving)
 }
--- a/core/place/surge_of_refusals_test.go
+++ b/core/place/surge_of_refusals_test.go
@@ -13,6 +13,7 @@
 	"snipeshed/core/fleet"
 	"snipeshed/core/place"
 	"snipeshed/core/tally"
+	"snipeshed/stand/revs"
 )
 
 // surge is a load pattern: many calls a second at one instance, and endpoints that take few calls at a time, turn the others
@@ -63,7 +64,7 @@
 		e := &surgeEngine{capacity: 4 + rng.IntN(12)}
 		e.Endpoint = core.Endpoint{ID: core.EndpointID(fmt.Sprint("e", i)), Service: "s", Slots: 8, Domain: "d0", Started: 1}
 		s.engines[e.ID] = e
-		s.fleet.Set(s.now, core.Revision{Number: s.nextRevision()}, e.Endpoint)
+		s.fleet.Set(s.now, revs.At(s.nextRevision()), e.Endpoint)
 	}
 	return s
 }
@@ -148,7 +149,7 @@
 		e.Started++
 		fallthrough
 	case 1:
-		s.fleet.Set(s.now, core.Revision{Number: s.nextRevision()}, e.Endpoint)
+		s.fleet.Set(s.now, revs.At(s.nextRevision()), e.Endpoint)
 	default:
 		s.fleet.MarkUnreachable(s.now, e.ID)
 	}
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -85,9 +85,7 @@
 			d.advance(d.store.Revision() + 40)
 			before := d.store.Revision()
 			time.Sleep(500 * time.Millisecond) // all know it
-			d.store.SetFault(plat.FaultReset)
-			time.Sleep(awayTime)
-			d.store.Restore(c)
+			d.restore(c)
 			late := []*plat.Engine{d.newEngine("app-8"), d.newEngine("app-9")}
 			for _, e := range late {
 				d.register(e, "ready")
--- a/io/gate/cold_test.go
+++ b/io/gate/cold_test.go
@@ -12,6 +12,7 @@
 
 	"snipeshed/core"
 	"snipeshed/core/cold"
+	"snipeshed/stand/revs"
 )
 
 // TestColdEndpoint guards against calls, retries included, that go to a cold endpoint beyond its limit. The warm endpoint turns all calls
@@ -27,7 +28,7 @@
 			config := fmt.Sprintf(configFormat, 2, false)
 			s.news.UpdateConfig([]byte(strings.ReplaceAll(config, `"max_conns":100`, fmt.Sprintf(`"max_conns":100,"cold_per_s":%d`, coldRate))), "test")
 			entry := strings.Replace(string(endpointJSON(list[0], "ready")), `"born"`, `"cold_left_ms":60000,"born"`, 1)
-			s.news.ChangeEndpoint(core.Revision{Number: 200}, list[0].ID, []byte(entry))
+			s.news.ChangeEndpoint(revs.At(200), list[0].ID, []byte(entry))
 			for _, warm := range list[1:] {
 				warm.CallHandler, warm.StreamHandler = turnAway("0"), turnAway("0")
 			}
--- a/io/gate/early_answer_test.go
+++ b/io/gate/early_answer_test.go
@@ -12,9 +12,9 @@
 
 	"github.com/matryer/is"
 
-	"snipeshed/core"
 	"snipeshed/stand/broken"
 	"snipeshed/stand/plat"
+	"snipeshed/stand/revs"
 )
 
 const (
@@ -57,7 +57,7 @@
 		t.Cleanup(server.Close)
 		raw[fmt.Sprint(service, i)] = earlyEndpointJSON(service, server)
 	}
-	s.news.ReplaceEndpoints(core.Revision{Number: 1}, raw, "test")
+	s.news.ReplaceEndpoints(revs.At(1), raw, "test")
 	return s
 }
 
@@ -195,7 +195,7 @@
 	calling.Go(func() { _, text, complete = s.sendUpload(t, "/long/stream", largeUpload) })
 	eventually(t, "the stream runs", func() bool { return source.StartCount("r1") > 0 })
 	time.Sleep(50 * time.Millisecond) // lets the gate deliver the events
-	s.news.ReplaceEndpoints(core.Revision{Number: 2}, map[string][]byte{source.ID: endpointJSON(source, "ready"), "lm-2": earlyEndpointJSON("lm", target)}, "test")
+	s.news.ReplaceEndpoints(revs.At(2), map[string][]byte{source.ID: endpointJSON(source, "ready"), "lm-2": earlyEndpointJSON("lm", target)}, "test")
 	s.markLeaving(source)
 	calling.Wait()
 	return text, complete
--- a/io/gate/harness_test.go
+++ b/io/gate/harness_test.go
@@ -30,6 +30,7 @@
 	"snipeshed/io/news"
 	"snipeshed/platform"
 	"snipeshed/stand/plat"
+	"snipeshed/stand/revs"
 )
 
 const configFormat = `{"version":%d,"routes":[
@@ -111,7 +112,7 @@
 	for _, e := range engines {
 		raw[e.ID] = endpointJSON(e, "ready")
 	}
-	s.news.ReplaceEndpoints(core.Revision{Number: revision}, raw, "test")
+	s.news.ReplaceEndpoints(revs.At(revision), raw, "test")
 }
 
 func endpointJSON(e *plat.Engine, state string) []byte {
@@ -129,7 +130,7 @@
 
 // markLeaving marks an engine as leaving.
 func (s *system) markLeaving(e *plat.Engine) {
-	s.news.ChangeEndpoint(core.Revision{Number: 100}, e.ID, endpointJSON(e, "draining"))
+	s.news.ChangeEndpoint(revs.At(100), e.ID, endpointJSON(e, "draining"))
 }
 
 // send sends a call with the API key of team north and returns the response.
--- a/io/gate/quarantine_test.go
+++ b/io/gate/quarantine_test.go
@@ -11,6 +11,7 @@
 
 	"snipeshed/core"
 	"snipeshed/stand/plat"
+	"snipeshed/stand/revs"
 )
 
 const (
@@ -161,6 +162,6 @@
 	}()
 	eventually(t, "it is at the engine", func() bool { return e.StartCount("r1") == 1 })
 	later := fmt.Appendf(nil, `{"service":"lm","address":%q,"zone":"d1","slots":8,"state":"ready","born":2}`, e.Address())
-	s.news.ChangeEndpoint(core.Revision{Number: 2}, e.ID, later)
+	s.news.ChangeEndpoint(revs.At(2), e.ID, later)
 	is.Equal(<-results, http.StatusOK+20)
 }
--- a/io/news/entries_test.go
+++ b/io/news/entries_test.go
@@ -13,6 +13,7 @@
 	"snipeshed/io/event"
 	"snipeshed/io/news"
 	"snipeshed/platform"
+	"snipeshed/stand/revs"
 	"snipeshed/wire"
 )
 
@@ -24,24 +25,24 @@
 func TestOddEntryOfPeer(t *testing.T) {
 	is := is.New(t)
 	a, b := newPeer(t), newPeer(t)
-	a.ReplaceEndpoints(at(10), map[string][]byte{"e1": entry("ready"), "e2": entry("ready"), "deep": brackets}, "store")
+	a.ReplaceEndpoints(revs.At(10), map[string][]byte{"e1": entry("ready"), "e2": entry("ready"), "deep": brackets}, "store")
 	is.Equal(len(syncFrom(is, a, b).GetEndpoints()), 2)
 	checkSame(is, a, b)
 
-	a.ChangeEndpoint(at(11), "e1", brackets)
-	a.ChangeEndpoint(at(12), "new", brackets)
+	a.ChangeEndpoint(revs.At(11), "e1", brackets)
+	a.ChangeEndpoint(revs.At(12), "new", brackets)
 	got := syncFrom(is, a, b)
 	is.True(got.GetDelta())
 	is.Equal(len(got.GetEndpoints()), 0)
 	checkSame(is, a, b)
 	is.True(b.fleet.Get("e1").Leaving)
 
-	a.ChangeEndpoint(at(13), "e1", entry("ready"))
+	a.ChangeEndpoint(revs.At(13), "e1", entry("ready"))
 	syncFrom(is, a, b)
 	checkSame(is, a, b)
 	is.True(!b.fleet.Get("e1").Leaving)
 
-	a.ReplaceEndpoints(at(20), map[string][]byte{"e1": entry("ready"), "e2": entry("odd"), "deep": brackets}, "store")
+	a.ReplaceEndpoints(revs.At(20), map[string][]byte{"e1": entry("ready"), "e2": entry("odd"), "deep": brackets}, "store")
 	is.Equal(syncFrom(is, a, b).GetRemoved(), []string{"e2"})
 	checkSame(is, a, b)
 	is.Equal(len(b.fleet.All()), 1)
@@ -63,16 +64,16 @@
 	log := event.New(&out, "edge-1", logrus.InfoLevel)
 	n := news.New(platform.Decoder{}, fleet.New(func(core.EndpointID) {}), log, func(string) {})
 	for revision := range core.Version(5) {
-		n.ReplaceEndpoints(at(10+revision), map[string][]byte{"e1": entry("ready"), "odd": entry("odd"), "deep": brackets}, "store")
+		n.ReplaceEndpoints(revs.At(10+revision), map[string][]byte{"e1": entry("ready"), "odd": entry("odd"), "deep": brackets}, "store")
 	}
-	n.ChangeEndpoint(at(20), "odd", entry("odd")) // as when only its metadata has changed
-	n.ChangeEndpoint(at(21), "odd", entry("other"))
-	n.ChangeEndpoint(at(22), "odd", entry("ready"))
-	n.ChangeEndpoint(at(23), "odd", entry("odd"))
-	n.ChangeEndpoint(at(24), "deep", nil)
-	n.ChangeEndpoint(at(25), "deep", brackets)
-	n.ReplaceEndpoints(at(30), map[string][]byte{"e1": entry("ready")}, "store")
-	n.ReplaceEndpoints(at(31), map[string][]byte{"e1": entry("ready"), "odd": entry("odd")}, "store")
+	n.ChangeEndpoint(revs.At(20), "odd", entry("odd")) // as when only its metadata has changed
+	n.ChangeEndpoint(revs.At(21), "odd", entry("other"))
+	n.ChangeEndpoint(revs.At(22), "odd", entry("ready"))
+	n.ChangeEndpoint(revs.At(23), "odd", entry("odd"))
+	n.ChangeEndpoint(revs.At(24), "deep", nil)
+	n.ChangeEndpoint(revs.At(25), "deep", brackets)
+	n.ReplaceEndpoints(revs.At(30), map[string][]byte{"e1": entry("ready")}, "store")
+	n.ReplaceEndpoints(revs.At(31), map[string][]byte{"e1": entry("ready"), "odd": entry("odd")}, "store")
 	log.Close()
 	is.Equal(strings.Count(out.String(), "msg=endpoint_unreadable endpoint=odd"), 4) // odd, other, odd again, back after its removal
 	is.Equal(strings.Count(out.String(), "msg=endpoint_unreadable endpoint=deep"), 2)
--- a/io/news/news_test.go
+++ b/io/news/news_test.go
@@ -13,6 +13,7 @@
 	"snipeshed/io/event"
 	"snipeshed/io/news"
 	"snipeshed/platform"
+	"snipeshed/stand/revs"
 	"snipeshed/wire"
 )
 
@@ -35,9 +36,6 @@
 	return h
 }
 
-// at returns a revision of a store without eras.
-func at(n core.Version) core.Revision { return core.Revision{Number: n} }
-
 func entry(state string) []byte {
 	return fmt.Appendf(nil, `{"service":"s","address":"1.2.3.4:5","zone":"z","slots":1,"state":%q,"born":1}`, state)
 }
@@ -69,13 +67,13 @@
 func TestFetch(t *testing.T) {
 	is := is.New(t)
 	a, b := newPeer(t), newPeer(t)
-	a.ReplaceEndpoints(at(10), map[string][]byte{"e1": entry("ready"), "e2": entry("ready"), "e3": entry("ready")}, "store")
+	a.ReplaceEndpoints(revs.At(10), map[string][]byte{"e1": entry("ready"), "e2": entry("ready"), "e3": entry("ready")}, "store")
 	a.UpdateConfig([]byte(`{"version":3}`), "store")
 	is.Equal(len(syncFrom(is, a, b).GetEndpoints()), 3)
 	checkSame(is, a, b)
-	a.ChangeEndpoint(at(11), "e1", entry("draining"))
-	a.ChangeEndpoint(at(12), "e2", nil)
-	a.ChangeEndpoint(at(13), "e4", entry("ready"))
+	a.ChangeEndpoint(revs.At(11), "e1", entry("draining"))
+	a.ChangeEndpoint(revs.At(12), "e2", nil)
+	a.ChangeEndpoint(revs.At(13), "e4", entry("ready"))
 	got := syncFrom(is, a, b)
 	is.True(got.GetDelta())
 	is.Equal(len(got.GetEndpoints()), 2)
@@ -83,7 +81,7 @@
 	is.Equal(len(got.GetRules()), 0)
 	checkSame(is, a, b)
 	is.True(b.fleet.Get("e1").Leaving)
-	a.ReplaceEndpoints(at(20), map[string][]byte{"e3": entry("ready"), "e4": entry("draining")}, "store") // as after a relisting
+	a.ReplaceEndpoints(revs.At(20), map[string][]byte{"e3": entry("ready"), "e4": entry("draining")}, "store") // as after a relisting
 	is.Equal(len(syncFrom(is, a, b).GetEndpoints()), 1)
 	checkSame(is, a, b)
 	is.Equal(b.changes, 0) // data from other instances is not announced again
@@ -112,16 +110,16 @@
 func TestLateDelta(t *testing.T) {
 	is := is.New(t)
 	a, b := newPeer(t), newPeer(t)
-	a.ReplaceEndpoints(at(10), map[string][]byte{"e1": entry("ready")}, "store")
+	a.ReplaceEndpoints(revs.At(10), map[string][]byte{"e1": entry("ready")}, "store")
 	syncFrom(is, a, b)
-	a.ChangeEndpoint(at(11), "e1", entry("draining"))
+	a.ChangeEndpoint(revs.At(11), "e1", entry("draining"))
 	known := &wire.Known{Endpoints: 10}
 	late, err := a.ServeFetch(context.Background(), known)
 	is.NoErr(err)
-	b.ReplaceEndpoints(at(15), map[string][]byte{"e2": entry("ready")}, "store")
+	b.ReplaceEndpoints(revs.At(15), map[string][]byte{"e2": entry("ready")}, "store")
 	b.ApplyFetched("a", known, late)
 	_, endpoints := b.Versions()
-	is.Equal(endpoints, at(15))
+	is.Equal(endpoints, revs.At(15))
 	is.Equal(len(b.fleet.All()), 1)
 }
 
@@ -129,7 +127,7 @@
 func TestUnreadable(t *testing.T) {
 	is := is.New(t)
 	a := newPeer(t)
-	a.ReplaceEndpoints(at(10), map[string][]byte{"e1": entry("ready"), "bad": []byte("\xff"), "odd": entry("odd")}, "store")
+	a.ReplaceEndpoints(revs.At(10), map[string][]byte{"e1": entry("ready"), "bad": []byte("\xff"), "odd": entry("odd")}, "store")
 	is.Equal(len(a.fleet.All()), 1)
 	a.UpdateConfig([]byte(`{"version":3}`), "store")
 	a.UpdateConfig([]byte(`{"version":"x"}`), "store")
--- a/io/news/restore_test.go
+++ b/io/news/restore_test.go
@@ -7,14 +7,10 @@
 	"github.com/matryer/is"
 
 	"snipeshed/core"
+	"snipeshed/stand/revs"
 	"snipeshed/wire"
 )
 
-// in returns a revision of an era.
-func in(era uint64, n core.Version) core.Revision {
-	return core.Revision{Era: core.NewEra(era), Number: n}
-}
-
 func list(names ...string) map[string][]byte {
 	out := map[string][]byte{}
 	for _, name := range names {
@@ -28,17 +24,17 @@
 func TestListsOfEras(t *testing.T) {
 	is := is.New(t)
 	a := newPeer(t)
-	a.ReplaceEndpoints(in(0, 700), list("e1", "e2"), "store")
-	a.ReplaceEndpoints(in(1, 650), list("e1", "e3"), "store")
+	a.ReplaceEndpoints(revs.In(0, 700), list("e1", "e2"), "store")
+	a.ReplaceEndpoints(revs.In(1, 650), list("e1", "e3"), "store")
 	is.True(a.fleet.Get("e3") != nil)
-	a.ReplaceEndpoints(in(0, 800), list("e1"), "store") // read before the store came back
-	a.ChangeEndpoint(in(0, 801), "e3", nil)
-	a.ChangeEndpoint(in(0, 801), "e4", entry("ready"))
+	a.ReplaceEndpoints(revs.In(0, 800), list("e1"), "store") // read before the store came back
+	a.ChangeEndpoint(revs.In(0, 801), "e3", nil)
+	a.ChangeEndpoint(revs.In(0, 801), "e4", entry("ready"))
 	_, revision := a.Versions()
-	is.Equal(revision, in(1, 650))
+	is.Equal(revision, revs.In(1, 650))
 	is.True(!a.fleet.Get("e3").Leaving)
 	is.True(a.fleet.Get("e4") == nil)
-	a.ChangeEndpoint(in(1, 651), "e3", entry("draining"))
+	a.ChangeEndpoint(revs.In(1, 651), "e3", entry("draining"))
 	is.True(a.fleet.Get("e3").Leaving)
 }
 
@@ -49,17 +45,17 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			a, b := newPeer(t), newPeer(t)
-			a.ReplaceEndpoints(in(0, 690), list("e1", "e2"), "store")
+			a.ReplaceEndpoints(revs.In(0, 690), list("e1", "e2"), "store")
 			syncFrom(is, a, b)
-			b.ChangeEndpoint(in(0, 700), "e9", entry("ready")) // lost when the store came back
-			a.ReplaceEndpoints(in(1, number), list("e1", "e3"), "store")
+			b.ChangeEndpoint(revs.In(0, 700), "e9", entry("ready")) // lost when the store came back
+			a.ReplaceEndpoints(revs.In(1, number), list("e1", "e3"), "store")
 			got := syncFrom(is, a, b)
 			is.True(!got.GetDelta())
 			_, revision := b.Versions()
-			is.Equal(revision, in(1, number))
+			is.Equal(revision, revs.In(1, number))
 			is.True(b.fleet.Get("e3") != nil)
 			is.True(!syncFrom(is, b, a).GetHasEndpoints())
-			a.ChangeEndpoint(in(1, number+1), "e4", entry("ready"))
+			a.ChangeEndpoint(revs.In(1, number+1), "e4", entry("ready"))
 			got = syncFrom(is, a, b)
 			is.True(got.GetDelta())
 			is.Equal(len(got.GetEndpoints()), 1)
@@ -67,7 +63,7 @@
 
 			// An instance that has not seen the return has nothing newer, whatever its numbers.
 			behind := newPeer(t)
-			behind.ReplaceEndpoints(in(0, 900), list("e8"), "store")
+			behind.ReplaceEndpoints(revs.In(0, 900), list("e8"), "store")
 			is.True(!syncFrom(is, behind, a).GetHasEndpoints())
 		})
 	}
@@ -77,17 +73,17 @@
 func TestDeltaOfOtherEra(t *testing.T) {
 	is := is.New(t)
 	a, b := newPeer(t), newPeer(t)
-	a.ReplaceEndpoints(in(0, 10), list("e1"), "store")
+	a.ReplaceEndpoints(revs.In(0, 10), list("e1"), "store")
 	syncFrom(is, a, b)
-	a.ChangeEndpoint(in(0, 11), "e1", entry("draining"))
+	a.ChangeEndpoint(revs.In(0, 11), "e1", entry("draining"))
 	known := &wire.Known{Endpoints: 10, EndpointsEra: uint64(core.NewEra(0))}
 	late, err := a.ServeFetch(context.Background(), known)
 	is.NoErr(err)
 	is.True(late.GetDelta())
-	b.ReplaceEndpoints(in(1, 10), list("e1"), "store")
+	b.ReplaceEndpoints(revs.In(1, 10), list("e1"), "store")
 	b.ApplyFetched("a", known, late)
 	_, revision := b.Versions()
-	is.Equal(revision, in(1, 10))
+	is.Equal(revision, revs.In(1, 10))
 	is.True(!b.fleet.Get("e1").Leaving)
 
 	late.EndpointsEra = uint64(core.NewEra(2))
@@ -100,13 +96,13 @@
 func TestFetchFromOlderVersion(t *testing.T) {
 	is := is.New(t)
 	older, newer := newPeer(t), newPeer(t)
-	older.ReplaceEndpoints(at(10), list("e1"), "store")
-	newer.ReplaceEndpoints(in(3, 10), list("e1"), "store")
+	older.ReplaceEndpoints(revs.At(10), list("e1"), "store")
+	newer.ReplaceEndpoints(revs.In(3, 10), list("e1"), "store")
 	newer.ApplyFetched("older", &wire.Known{Endpoints: 10, EndpointsEra: uint64(core.NewEra(3))}, &wire.News{
 		HasEndpoints: true, Delta: true, EndpointsRevision: 11, Endpoints: []*wire.Record{{Name: "e2", Value: entry("ready")}},
 	})
 	_, revision := newer.Versions()
-	is.Equal(revision, in(3, 11))
+	is.Equal(revision, revs.In(3, 11))
 	is.True(newer.fleet.Get("e2") != nil)
 
 	got, err := newer.ServeFetch(context.Background(), &wire.Known{Endpoints: 10})
--- a/io/probe/prober_test.go
+++ b/io/probe/prober_test.go
@@ -14,6 +14,7 @@
 	"snipeshed/io/event"
 	"snipeshed/io/probe"
 	"snipeshed/platform"
+	"snipeshed/stand/revs"
 )
 
 // TestIdleCost guards against a prober that asks for each engine whether the store is down: with 300 instances and 3,000 engines that
@@ -22,7 +23,7 @@
 	is := is.New(t)
 	f := fleet.New(func(core.EndpointID) {})
 	for i := range 3000 {
-		f.Set(time.Now(), core.Revision{Number: core.Version(i + 1)}, core.Endpoint{ID: core.EndpointID(strconv.Itoa(i)), Service: "lm", Started: 1})
+		f.Set(time.Now(), revs.At(core.Version(i+1)), core.Endpoint{ID: core.EndpointID(strconv.Itoa(i)), Service: "lm", Started: 1})
 	}
 	log := event.New(t.Output(), "edge-1", logrus.ErrorLevel)
 	defer log.Close()
--- a/io/pulse/announce_internal_test.go
+++ b/io/pulse/announce_internal_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"snipeshed/core"
+	"snipeshed/stand/revs"
 	"snipeshed/wire"
 )
 
@@ -38,7 +39,7 @@
 	d := &wire.Pulse{From: "p0", Run: 1, Seq: 2, Partial: true, Announcement: true, Rules: 4, Endpoints: 9}
 	encodeLeaving(d, leavingEngines(3))
 	p.handleDatagram(now, d)
-	is.Equal(len(p.newerPeers(3, core.Revision{Number: 9})), 1) // p0 has a newer configuration
+	is.Equal(len(p.newerPeers(3, revs.At(9))), 1) // p0 has a newer configuration
 	is.True(p.pending.take().announce)
 	is.Equal(len(p.announced.takeNew(now, leavingEngines(4))), 4)
 
--- a/io/pulse/restore_internal_test.go
+++ b/io/pulse/restore_internal_test.go
@@ -8,14 +8,10 @@
 
 	"snipeshed/core"
 	"snipeshed/core/evac"
+	"snipeshed/stand/revs"
 	"snipeshed/wire"
 )
 
-// in returns a revision of an era.
-func in(era uint64, n core.Version) core.Revision {
-	return core.Revision{Era: core.NewEra(era), Number: n}
-}
-
 // TestNewerAcrossEras guards against instances that take a list of an earlier history of the store for newer, or a later one for older,
 // because of their numbers.
 func TestNewerAcrossEras(t *testing.T) {
@@ -24,12 +20,12 @@
 		told, own core.Revision
 		isNewer   bool
 	}{
-		{"lower, later era", in(1, 5), in(0, 9), true},
-		{"higher, earlier era", in(0, 9), in(1, 5), false},
-		{"equal, later era", in(1, 9), in(0, 9), true},
-		{"higher, same era", in(1, 9), in(1, 5), true},
-		{"no era told", core.Revision{Number: 9}, in(1, 5), true},
-		{"no era told, lower", core.Revision{Number: 5}, in(1, 9), false},
+		{"lower, later era", revs.In(1, 5), revs.In(0, 9), true},
+		{"higher, earlier era", revs.In(0, 9), revs.In(1, 5), false},
+		{"equal, later era", revs.In(1, 9), revs.In(0, 9), true},
+		{"higher, same era", revs.In(1, 9), revs.In(1, 5), true},
+		{"no era told", revs.At(9), revs.In(1, 5), true},
+		{"no era told, lower", revs.At(5), revs.In(1, 9), false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
@@ -49,8 +45,8 @@
 func TestEvacuationsInFull(t *testing.T) {
 	is := is.New(t)
 	want := evac.State{
-		Present:     evac.Set{Revision: in(2, 5), Domains: []core.FailureDomain{"a"}},
-		Earlier:     []evac.Set{{Revision: in(0, 9), Domains: []core.FailureDomain{"b", "c"}}, {Revision: in(1, 4)}},
+		Present:     evac.Set{Revision: revs.In(2, 5), Domains: []core.FailureDomain{"a"}},
+		Earlier:     []evac.Set{{Revision: revs.In(0, 9), Domains: []core.FailureDomain{"b", "c"}}, {Revision: revs.In(1, 4)}},
 		EarlierLeft: time.Minute,
 		Ended:       []evac.Ending{{Domain: "c", Era: core.NewEra(1)}},
 	}
--- a/io/pulse/start_internal_test.go
+++ b/io/pulse/start_internal_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"snipeshed/core"
+	"snipeshed/stand/revs"
 	"snipeshed/wire"
 )
 
@@ -22,7 +23,7 @@
 	)
 	cost := func(instances int) time.Duration {
 		p := testPulse(t, instances)
-		p.OnUpdate = func() { p.newerPeers(1, core.Revision{Number: 1}) }
+		p.OnUpdate = func() { p.newerPeers(1, revs.At(1)) }
 		seq := uint64(1)
 		best := time.Hour
 		for range rounds {
--- a/proof/soak_restore_test.go
+++ b/proof/soak_restore_test.go
@@ -126,23 +126,33 @@
 	time.Sleep(soakFollowTime)
 	s.entries.restore(s.store, c)
 	s.mu.Lock()
-	var others []string
-	for id := range s.engines {
-		if strings.HasPrefix(id, "app-") {
-			others = append(others, id)
-		}
-	}
+	others := s.appEngines()
 	s.addEngine("app")
 	s.mu.Unlock()
 	s.entries.rewrite(s.store)
 	time.Sleep(soakFollowTime)
-	for _, id := range others {
-		s.entries.remove(s.store, id)
+	for _, e := range others {
+		s.entries.remove(s.store, e.ID)
 	}
 	time.Sleep(soakFollowTime)
-	for _, id := range others {
-		s.stopEngine(s.engines[id])
+	for _, e := range others {
+		s.stopEngine(e)
+	}
+	s.checkServes()
+}
+
+// appEngines returns the engines of the service app; s.mu is held.
+func (s *soakRun) appEngines() (out []*plat.Engine) {
+	for id, e := range s.engines {
+		if strings.HasPrefix(id, "app-") {
+			out = append(out, e)
+		}
 	}
+	return out
+}
+
+// checkServes checks that each instance answers a call.
+func (s *soakRun) checkServes() {
 	client := &http.Client{Timeout: 6 * time.Second}
 	defer client.CloseIdleConnections()
 	before := len(s.calls)
--- a/proof/soak_test.go
+++ b/proof/soak_test.go
@@ -54,7 +54,9 @@
 	configVersion  int
 	// plannedOnly is set for runs in which everything that happens to the instances is planned work or a fault of the store.
 	plannedOnly bool
-	entries     soakEntries
+	// restores is set for runs in which the store comes back from copies of itself.
+	restores bool
+	entries  soakEntries
 }
 
 type soakInstance struct {
@@ -95,9 +97,9 @@
 	for _, seed := range seeds {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := newSoak(t, seed)
-			s.plannedOnly = plannedOnly
+			s.plannedOnly, s.restores = plannedOnly, restores
 			defer s.close()
-			s.run(time.Duration(intFromEnv("SOAK_SECONDS", 8))*time.Second, restores)
+			s.run(time.Duration(intFromEnv("SOAK_SECONDS", 8)) * time.Second)
 		})
 	}
 }
@@ -251,14 +253,14 @@
 }
 
 // run injects faults for the duration d while callers send calls, then waits until all instances are ready and checks the calls.
-func (s *soakRun) run(d time.Duration, restores bool) {
+func (s *soakRun) run(d time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	defer cancel()
 	var g sync.WaitGroup
 	for i := range soakCallers {
 		g.Go(func() { s.runCaller(ctx, i) })
 	}
-	if restores {
+	if s.restores {
 		g.Go(func() { s.restoreStore(ctx) })
 	}
 	r := rand.New(rand.NewPCG(s.seed, 0))
@@ -268,7 +270,7 @@
 	}
 	g.Wait()
 	s.awaitReady("after the faults")
-	if restores {
+	if s.restores {
 		s.checkFollowsStore()
 	}
 	s.checkCalls()
--- /dev/null
+++ b/stand/revs/doc.go
@@ -0,0 +1,2 @@
+// Package revs makes revisions of a store for tests.
+package revs
